--- /dev/null
+++ b/crates/cornelhitch/src/bin/cornelhitch.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
