--- /dev/null
+++ b/crates/control/src/beats.rs
@@ -0,0 +1,330 @@
+//! Announcements, heartbeats and their absence.
+
+use cornelhitch_types::id::{Incarnation, ReplicaId, TargetId};
+use cornelhitch_types::order::Action;
+use cornelhitch_types::target::{Announcement, CacheEvent, Heartbeat, Holding, Stage};
+use cornelhitch_types::view::{Change, State};
+
+use crate::command::Command;
+use crate::output::Output;
+use crate::reign::Reign;
+use crate::replicas::{Decide, Evidence, QUIET_BEATS, Replica};
+use crate::turn::Turn;
+use crate::workers::{Stranger, explains};
+
+/// Heartbeats in a row that show a copy before it counts as one that no replica explains.
+const PERSISTENT: u64 = 2;
+
+impl Reign {
+    /// A target says what it is.
+    pub(crate) fn announcement(&mut self, announcement: Announcement, turn: &mut Turn) {
+        let known = turn.state.fleet().get(&announcement.target);
+        let old = known.map(|known| &known.announcement);
+        if old == Some(&announcement) {
+            return;
+        }
+        if old.is_none_or(|old| old.incarnation <= announcement.incarnation) {
+            self.pending.propose(Command::Register(announcement), turn);
+        }
+    }
+
+    /// A target says how it is.
+    pub(crate) fn heartbeat(&mut self, mut heartbeat: Heartbeat, turn: &mut Turn) {
+        let target = heartbeat.target.clone();
+        let cache = std::mem::take(&mut heartbeat.cache);
+        let Some(worker) = self.workers.get_mut(&target) else {
+            turn.out.push(Output::Ask { target });
+            return;
+        };
+        if heartbeat.incarnation > worker.incarnation {
+            turn.out.push(Output::Ask { target });
+            return;
+        }
+        let late = worker.beat.is_some() && heartbeat.sequence <= worker.sequence();
+        if late || heartbeat.incarnation < worker.incarnation {
+            return;
+        }
+        let open = worker.is_open();
+        let old = worker.beat.take();
+        worker.take(heartbeat, turn.now);
+        let reopened = worker.is_open() != open;
+        let beat = worker.beat.as_ref();
+        let load = beat.map(|it| it.load) != old.as_ref().map(|it| it.load);
+        let inventory = beat.map(|it| &it.inventory) != old.as_ref().map(|it| &it.inventory);
+        if load || reopened {
+            self.feed.target(&target, reopened);
+        }
+        if inventory || reopened || old.is_none() || !worker.strangers.is_empty() {
+            self.sketch.worker(&target);
+        }
+        self.eager |= reopened;
+        self.unsilence(&target, turn);
+        self.cache(&target, cache);
+        self.compare(&target, turn);
+    }
+
+    /// Publishes changes of prefix caches.
+    fn cache(&mut self, target: &TargetId, events: Vec<CacheEvent>) {
+        if !events.is_empty() {
+            self.feed.push(Change::Cache(target.clone(), events), false);
+        }
+    }
+
+    /// Notes in the state that a silent target is heard again.
+    fn unsilence(&mut self, target: &TargetId, turn: &mut Turn) {
+        let known = turn.state.fleet().get(target);
+        if let Some(known) = known.filter(|known| known.silent) {
+            let command = Command::Silence {
+                target: target.clone(),
+                incarnation: known.announcement.incarnation,
+                silent: false,
+            };
+            self.pending.propose(command, turn);
+        }
+    }
+
+    /// Compares a worker's inventory with its replicas.
+    fn compare(&mut self, target: &TargetId, turn: &mut Turn) {
+        let state = turn.state;
+        let replicas: Vec<&Replica> = state.replicas().on(target).collect();
+        for replica in &replicas {
+            self.compare_replica(replica, turn);
+        }
+        let settings = state.catalogue().fleet();
+        let Some(worker) = self.workers.get_mut(target) else {
+            return;
+        };
+        let before: Vec<ReplicaId> = worker.observed.iter().map(|it| it.replica).collect();
+        if worker.sort(target, &replicas, settings, turn.now) {
+            let observed = worker.observed.clone();
+            self.publish_observed(before, observed);
+        }
+        let strangers = self.workers[target].strangers.clone();
+        for stranger in &strangers {
+            self.meet(target, stranger, turn);
+        }
+    }
+
+    /// Publishes the copies of unmanaged models on a worker.
+    fn publish_observed(
+        &mut self,
+        before: Vec<ReplicaId>,
+        observed: Vec<cornelhitch_types::view::Replica>,
+    ) {
+        for id in before {
+            if observed.iter().all(|it| it.replica != id) {
+                self.feed.push(Change::ReplicaGone(id), true);
+            }
+        }
+        for replica in observed {
+            self.feed.push(Change::Replica(replica), true);
+        }
+    }
+
+    /// Compares one replica with the newest inventory of its worker.
+    fn compare_replica(&mut self, replica: &Replica, turn: &mut Turn) {
+        let Some(worker) = self.workers.get(&replica.target) else {
+            return;
+        };
+        let Some(beat) = &worker.beat else {
+            return;
+        };
+        let sequence = beat.sequence;
+        let Some(track) = self.tracks.get_mut(&replica.id) else {
+            return;
+        };
+        if track.inherited {
+            track.base.get_or_insert(sequence);
+        }
+        track.lapse(turn.now.saturating_sub(turn.timing.order), turn.now);
+        let holding = beat.inventory.iter().find(|it| explains(replica, it));
+        if let Some(holding) = holding {
+            track.seen = Some(sequence);
+            let holding = holding.clone();
+            self.shown(replica, &holding, sequence, turn);
+        } else if track.is_gone(replica, fencing(replica, turn), sequence) {
+            let command = Command::Release {
+                replica: replica.id,
+                evidence: Evidence::Inventory { sequence },
+                unknown: track.doubtful,
+            };
+            self.pending.propose(command, turn);
+        }
+        self.drive(replica.id, turn);
+    }
+
+    /// Notes what a worker shows of a replica.
+    fn shown(&mut self, replica: &Replica, holding: &Holding, sequence: u64, turn: &mut Turn) {
+        if holding.stage == Stage::Ready && replica.state == State::Loading {
+            let command = Command::Ready {
+                replica: replica.id,
+                sequence,
+            };
+            self.pending.propose(command, turn);
+        }
+        let Some(track) = self.tracks.get_mut(&replica.id) else {
+            return;
+        };
+        if track.adapters != holding.adapters {
+            track.adapters.clone_from(&holding.adapters);
+            self.adapters.retain(|adapter, _| {
+                adapter.replica != replica.id || !holding.adapters.contains(&adapter.name)
+            });
+            self.sketch.replica(replica.id, &replica.target);
+            self.feed.replica(replica.id, true);
+            self.eager = true;
+        }
+    }
+
+    /// Deals with a copy that no replica explains.
+    ///
+    /// In managed groups a copy without an id is made a replica where the rules
+    /// allow it, so that moving a group over ends no request; others are
+    /// unloaded. In unmanaged groups, and where the catalogue does not know
+    /// the model, it is left alone.
+    fn meet(&mut self, target: &TargetId, stranger: &Stranger, turn: &mut Turn) {
+        let settings = turn.state.catalogue().fleet();
+        let model = settings.model(&stranger.model.model);
+        let Some(model) = model.filter(|model| settings.managed(model)) else {
+            return;
+        };
+        let Some(worker) = self.workers.get(target) else {
+            return;
+        };
+        let sequence = worker.sequence();
+        if sequence < stranger.first.saturating_add(PERSISTENT) {
+            return;
+        }
+        let mut peers = turn.state.replicas().on(target);
+        let alone = peers.all(|replica| replica.model != stranger.model.model);
+        let adoptable = alone && stranger.ready && stranger.replica.is_none() && !stranger.refused;
+        if adoptable && stranger.ordered.is_none() {
+            let decide = Decide {
+                model: stranger.model.model.clone(),
+                version: stranger.model.version.clone(),
+                target: target.clone(),
+                incarnation: worker.incarnation,
+                bytes: stranger.bytes.max(model.bytes),
+                after: sequence,
+                adopted: true,
+            };
+            self.pending.propose(Command::Decide(decide), turn);
+            return;
+        }
+        self.unload_stranger(target, stranger, sequence, turn);
+    }
+
+    /// Orders a copy that no replica explains to be unloaded, once nothing runs on it.
+    fn unload_stranger(
+        &mut self,
+        target: &TargetId,
+        stranger: &Stranger,
+        sequence: u64,
+        turn: &mut Turn,
+    ) {
+        // A worker that knows only model names would unload the replica's copy.
+        let mut peers = turn.state.replicas().on(target);
+        let named = stranger.replica.is_some() || stranger.model.version.is_some();
+        if !named && peers.any(|replica| replica.model == stranger.model.model) {
+            return;
+        }
+        let asked = |ordered: u64| sequence < ordered.saturating_add(QUIET_BEATS);
+        let drained = self.is_drained(target, &stranger.model.model, stranger.since, turn);
+        if !drained || stranger.ordered.is_some_and(asked) {
+            return;
+        }
+        let model = stranger.model.clone();
+        self.order(
+            target,
+            stranger.replica.unwrap_or(0),
+            Action::Unload { model },
+            turn,
+        );
+        let Some(worker) = self.workers.get_mut(target) else {
+            return;
+        };
+        let until = turn.now + crate::replicas::QUIET;
+        worker.back_off(&stranger.model.model, until, turn.now);
+        let same =
+            |it: &&mut Stranger| it.model == stranger.model && it.replica == stranger.replica;
+        if let Some(known) = worker.strangers.iter_mut().find(same) {
+            known.ordered = Some(sequence);
+        }
+    }
+
+    /// An entry host lost its connections to a target.
+    pub(crate) fn lost(&mut self, target: &TargetId, incarnation: Incarnation, turn: &mut Turn) {
+        let worker = self.workers.get_mut(target);
+        let Some(worker) = worker.filter(|worker| worker.incarnation == incarnation) else {
+            return;
+        };
+        if !worker.suspected {
+            worker.suspected = true;
+            self.suspect(target, turn);
+        }
+    }
+
+    /// Suspects targets that are silent, and lets go of those that have been for long.
+    pub(crate) fn watch(&mut self, turn: &mut Turn) {
+        let mut suspects = Vec::new();
+        for (target, worker) in self.workers.iter_mut() {
+            let silence = turn.now.saturating_sub(worker.heard);
+            if silence < turn.timing.suspicion {
+                continue;
+            }
+            let first = !worker.suspected;
+            worker.suspected = true;
+            suspects.push((target.clone(), silence, first));
+        }
+        for (target, silence, first) in suspects {
+            if first {
+                self.suspect(&target, turn);
+            }
+            if silence >= turn.timing.silence {
+                self.silent(&target, silence >= turn.timing.dismissal, turn);
+            }
+        }
+    }
+
+    /// Keeps new work from a target.
+    fn suspect(&mut self, target: &TargetId, turn: &mut Turn) {
+        self.feed.target(target, true);
+        self.sketch.worker(target);
+        self.eager = true;
+        let on = turn.state.replicas().on(target);
+        let ids: Vec<ReplicaId> = on.map(|replica| replica.id).collect();
+        for id in ids {
+            self.drive(id, turn);
+        }
+    }
+
+    /// Notes in the state that a target is silent, or lets it go.
+    fn silent(&mut self, target: &TargetId, long: bool, turn: &mut Turn) {
+        let Some(known) = turn.state.fleet().get(target) else {
+            return;
+        };
+        let target = target.clone();
+        let incarnation = known.announcement.incarnation;
+        if !known.silent {
+            let command = Command::Silence {
+                target,
+                incarnation,
+                silent: true,
+            };
+            self.pending.propose(command, turn);
+        } else if long && turn.state.replicas().reserved(&target) == 0 {
+            let command = Command::Dismiss {
+                target,
+                incarnation,
+                attested: false,
+            };
+            self.pending.propose(command, turn);
+        }
+    }
+}
+
+/// Whether a replica's worker refuses orders with an old fencing number.
+pub(crate) fn fencing(replica: &Replica, turn: &Turn) -> bool {
+    let target = turn.state.fleet().get(&replica.target);
+    target.is_some_and(|target| target.announcement.fencing)
+}
--- /dev/null
+++ b/crates/control/src/claims.rs
@@ -0,0 +1,460 @@
+//! Claims on requests that may not be repeated.
+//!
+//! An entry host claims `(caller, key)` before the first byte leaves, and
+//! records the outcome afterwards. Within the retention time a key is granted
+//! once: whatever is dropped for its size leaves a tombstone, and when those
+//! are full too, new claims are refused as not run.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cornelhitch_types::id::{CallerId, HostId, Incarnation, Name, Time};
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter};
+
+use crate::tombstones::Tombstones;
+
+/// The longest caller and key in bytes.
+pub const NAME: usize = 256;
+
+/// The largest body of an answer that is kept, in bytes.
+pub const BODY: usize = 16 << 10;
+
+/// The longest content type that is kept, in bytes.
+pub const CONTENT: usize = 256;
+
+/// What the table may hold before the oldest outcomes shrink.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of all kept bodies.
+    pub bodies: usize,
+    /// Claims with their outcome.
+    pub records: usize,
+    /// Claims of which only a digest is left.
+    pub tombstones: usize,
+}
+
+/// The limits of every member; they decide replies, so they may not differ within a cluster.
+pub const LIMITS: Limits = Limits {
+    bodies: 8 << 20,
+    records: 20_000,
+    tombstones: 200_000,
+};
+
+/// A request, as its caller names it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key {
+    /// The caller.
+    pub caller: CallerId,
+    /// The caller's idempotency key.
+    pub key: Name,
+}
+
+/// One life of an entry host, which holds claims.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Holder {
+    /// The entry host.
+    pub host: HostId,
+    /// Its life.
+    pub incarnation: Incarnation,
+}
+
+/// A request to claim a key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The request.
+    pub key: Key,
+    /// Digest of the request; a resend has the same one.
+    pub digest: [u8; 32],
+    /// Who would send it.
+    pub holder: Holder,
+    /// When the caller first sent it, since the Unix epoch, where the caller says so.
+    pub issued: Option<Time>,
+}
+
+/// A request to record an outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finish {
+    /// The request.
+    pub key: Key,
+    /// Who sent it.
+    pub holder: Holder,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+/// What became of a claimed request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It was answered, and this is the answer.
+    Answered {
+        /// The HTTP status.
+        status: u16,
+        /// The content type.
+        content: Name,
+        /// The body, of at most [`BODY`] bytes.
+        body: Bytes,
+    },
+    /// It was answered, but the body is not kept.
+    Completed {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// It may have run; nobody knows.
+    Unknown,
+}
+
+/// What became of a command about a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The holder may send the request, once.
+    Granted,
+    /// It was claimed before and is in progress.
+    InProgress,
+    /// It was claimed before, and this became of it.
+    Recorded(Outcome),
+    /// The key was used with another request.
+    Mismatch,
+    /// It was claimed before, or is older than what is kept; its outcome is no longer known.
+    Forgotten,
+    /// The outcome was recorded, or the claim given back.
+    Done,
+    /// Nothing was granted or changed.
+    Refused(Refusal),
+}
+
+/// Why nothing was granted or changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Refusal {
+    /// The caller or the key is empty or longer than [`NAME`].
+    Malformed,
+    /// As many claims are kept as may be.
+    Full,
+    /// There is no such claim.
+    Absent,
+    /// Someone else holds the claim.
+    Holder,
+    /// Its outcome is recorded.
+    Ended,
+}
+
+/// A claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Record {
+    digest: [u8; 32],
+    holder: Holder,
+    outcome: Option<Outcome>,
+}
+
+/// When a claim ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct End {
+    time: Time,
+    key: Key,
+}
+
+/// All claims.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Image", into = "Image")]
+pub struct Claims {
+    records: BTreeMap<Key, Record>,
+    /// Ended claims with a record, oldest first.
+    ended: VecDeque<End>,
+    /// How many of `ended` have lost their body, from the front.
+    bare: usize,
+    tombstones: Tombstones,
+    watermark: Time,
+    /// Follows from `records`.
+    bodies: usize,
+    /// Follows from `records`.
+    running: BTreeMap<Holder, BTreeSet<Key>>,
+}
+
+/// Claims as a snapshot holds them.
+#[derive(Debug, Serialize, Deserialize)]
+struct Image {
+    records: BTreeMap<Key, Record>,
+    ended: VecDeque<End>,
+    bare: usize,
+    tombstones: Tombstones,
+    watermark: Time,
+}
+
+impl From<Claims> for Image {
+    fn from(claims: Claims) -> Self {
+        Self {
+            records: claims.records,
+            ended: claims.ended,
+            bare: claims.bare,
+            tombstones: claims.tombstones,
+            watermark: claims.watermark,
+        }
+    }
+}
+
+impl From<Image> for Claims {
+    fn from(image: Image) -> Self {
+        let mut claims = Self {
+            bare: image.bare.min(image.ended.len()),
+            ended: image.ended,
+            tombstones: image.tombstones,
+            watermark: image.watermark,
+            ..Self::default()
+        };
+        for (key, record) in &image.records {
+            match &record.outcome {
+                Some(outcome) => claims.bodies += outcome.size(),
+                None => claims.hold(record.holder, key),
+            }
+        }
+        claims.records = image.records;
+        claims
+    }
+}
+
+impl Claims {
+    /// How many claims have a record.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no claim has a record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Claims of which only a digest is left.
+    #[must_use]
+    pub fn tombstones(&self) -> usize {
+        self.tombstones.len()
+    }
+
+    /// Requests first sent before this are answered as forgotten.
+    #[must_use]
+    pub fn watermark(&self) -> Time {
+        self.watermark
+    }
+
+    /// The lives of entry hosts that hold claims in progress.
+    pub fn holders(&self) -> impl Iterator<Item = Holder> {
+        self.running.keys().copied()
+    }
+
+    /// Grants a key that was not claimed, or says what became of it.
+    pub(crate) fn claim(&mut self, claim: &Claim, limits: &Limits) -> Answer {
+        if !claim.key.is_valid() {
+            return Answer::Refused(Refusal::Malformed);
+        }
+        if let Some(record) = self.records.get(&claim.key) {
+            return record.answer(claim);
+        }
+        let early = claim.issued.is_some_and(|issued| issued < self.watermark);
+        if early || self.tombstones.contains(&claim.key) {
+            return Answer::Forgotten;
+        }
+        let full = limits.records + limits.tombstones;
+        if self.records.len() + self.tombstones.len() >= full {
+            return Answer::Refused(Refusal::Full);
+        }
+        let record = Record {
+            digest: claim.digest,
+            holder: claim.holder,
+            outcome: None,
+        };
+        self.records.insert(claim.key.clone(), record);
+        self.hold(claim.holder, &claim.key);
+        Answer::Granted
+    }
+
+    /// Records an outcome; the holder may replace an unknown one.
+    pub(crate) fn finish(&mut self, finish: Finish, limits: &Limits, now: Time) -> Answer {
+        let Some(record) = self.records.get_mut(&finish.key) else {
+            return Answer::Refused(Refusal::Absent);
+        };
+        if record.holder != finish.holder {
+            return Answer::Refused(Refusal::Holder);
+        }
+        let outcome = finish.outcome.bounded();
+        match &record.outcome {
+            Some(Outcome::Unknown) => {
+                // It keeps its place among the ended ones, which may be past those that lost
+                // their bodies, so only the short form is kept.
+                record.outcome = Some(outcome.short());
+                return Answer::Done;
+            }
+            Some(_) => return Answer::Refused(Refusal::Ended),
+            None => {}
+        }
+        self.bodies += outcome.size();
+        record.outcome = Some(outcome);
+        self.ended(finish.holder, finish.key, now);
+        self.shrink(limits);
+        Answer::Done
+    }
+
+    /// Frees a claim whose request was not sent.
+    pub(crate) fn abandon(&mut self, key: &Key, holder: Holder) -> Answer {
+        let Some(record) = self.records.get(key) else {
+            return Answer::Refused(Refusal::Absent);
+        };
+        if record.holder != holder {
+            return Answer::Refused(Refusal::Holder);
+        }
+        if record.outcome.is_some() {
+            return Answer::Refused(Refusal::Ended);
+        }
+        self.records.remove(key);
+        self.drop_hold(holder, key);
+        Answer::Done
+    }
+
+    /// Marks what the ended lives of a host held as unknown.
+    pub(crate) fn host_ended(
+        &mut self,
+        host: HostId,
+        newest: Incarnation,
+        limits: &Limits,
+        now: Time,
+    ) -> Answer {
+        let first = Holder {
+            host,
+            incarnation: 0,
+        };
+        let last = Holder {
+            host,
+            incarnation: newest,
+        };
+        let lives: Vec<Holder> = self
+            .running
+            .range(first..=last)
+            .map(|(it, _)| *it)
+            .collect();
+        for life in lives {
+            for key in self.running.remove(&life).unwrap_or_default() {
+                if let Some(record) = self.records.get_mut(&key) {
+                    record.outcome = Some(Outcome::Unknown);
+                }
+                self.ended.push_back(End { time: now, key });
+            }
+        }
+        self.shrink(limits);
+        Answer::Done
+    }
+
+    /// Forgets what ended before the retention time.
+    pub(crate) fn expire(&mut self, retention: Duration, now: Time) {
+        let watermark = now.saturating_sub(retention);
+        if watermark <= self.watermark {
+            return;
+        }
+        self.watermark = watermark;
+        while self.ended.front().is_some_and(|end| end.time < watermark) {
+            self.forget();
+        }
+        self.tombstones.expire(watermark);
+    }
+
+    /// Holds the limits: bodies go first, then records leave tombstones.
+    fn shrink(&mut self, limits: &Limits) {
+        while self.bodies > limits.bodies && self.bare < self.ended.len() {
+            let record = self.records.get_mut(&self.ended[self.bare].key);
+            self.bare += 1;
+            if let Some(outcome) = record.and_then(|record| record.outcome.as_mut()) {
+                self.bodies -= outcome.size();
+                *outcome = outcome.short();
+            }
+        }
+        while self.records.len() > limits.records {
+            let Some(end) = self.forget() else {
+                return;
+            };
+            self.tombstones.insert(&end.key, end.time);
+        }
+    }
+
+    /// Drops the record that ended first.
+    fn forget(&mut self) -> Option<End> {
+        let end = self.ended.pop_front()?;
+        self.bare = self.bare.saturating_sub(1);
+        let record = self.records.remove(&end.key);
+        let outcome = record.and_then(|record| record.outcome);
+        self.bodies -= outcome.map_or(0, |outcome| outcome.size());
+        Some(end)
+    }
+
+    /// Notes that a claim is no longer in progress.
+    fn ended(&mut self, holder: Holder, key: Key, now: Time) {
+        self.drop_hold(holder, &key);
+        self.ended.push_back(End { time: now, key });
+    }
+
+    /// Notes that a holder has a claim in progress.
+    fn hold(&mut self, holder: Holder, key: &Key) {
+        self.running.entry(holder).or_default().insert(key.clone());
+    }
+
+    /// Notes that a holder no longer has a claim in progress.
+    fn drop_hold(&mut self, holder: Holder, key: &Key) {
+        if let Some(keys) = self.running.get_mut(&holder) {
+            keys.remove(key);
+            if keys.is_empty() {
+                self.running.remove(&holder);
+            }
+        }
+    }
+}
+
+impl Key {
+    /// Whether both parts have an allowed length.
+    fn is_valid(&self) -> bool {
+        let allowed = 1..=NAME;
+        allowed.contains(&self.caller.len()) && allowed.contains(&self.key.len())
+    }
+}
+
+impl Record {
+    /// What a resend is told.
+    fn answer(&self, claim: &Claim) -> Answer {
+        if self.digest != claim.digest {
+            return Answer::Mismatch;
+        }
+        match &self.outcome {
+            Some(outcome) => Answer::Recorded(outcome.clone()),
+            None => Answer::InProgress,
+        }
+    }
+}
+
+impl Outcome {
+    /// Bytes of the body that is kept.
+    fn size(&self) -> usize {
+        match self {
+            Self::Answered { body, .. } => body.len(),
+            Self::Completed { .. } | Self::Unknown => 0,
+        }
+    }
+
+    /// The outcome without its body.
+    fn short(&self) -> Self {
+        match self {
+            Self::Answered { status, .. } => Self::Completed { status: *status },
+            other => other.clone(),
+        }
+    }
+
+    /// The outcome, without its body when that is too large.
+    fn bounded(self) -> Self {
+        match &self {
+            Self::Answered { content, body, .. }
+                if body.len() > BODY || content.len() > CONTENT =>
+            {
+                self.short()
+            }
+            _ => self,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/feed.rs
@@ -0,0 +1,195 @@
+//! The view that is published, as numbered changes.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use cornelhitch_types::id::{HostId, ReplicaId, TargetId, Term, Time};
+use cornelhitch_types::view::{Change, View};
+
+use crate::output::{Audience, Output};
+use crate::scene::Scene;
+
+/// Changes that are kept for hosts that missed them.
+const KEPT: usize = 20_000;
+
+/// The changes of one publication.
+#[derive(Debug)]
+struct Page {
+    sequence: u64,
+    changes: Vec<Change>,
+}
+
+/// What was published, and what is to be.
+#[derive(Debug)]
+pub(crate) struct Feed {
+    term: Term,
+    sequence: u64,
+    published: Option<Time>,
+    pages: VecDeque<Page>,
+    kept: usize,
+    urgent: bool,
+    targets: BTreeSet<TargetId>,
+    replicas: BTreeSet<ReplicaId>,
+    hosts: BTreeSet<HostId>,
+    others: Vec<Change>,
+}
+
+impl Feed {
+    /// A feed that has published nothing.
+    pub(crate) fn new(term: Term) -> Self {
+        Self {
+            term,
+            sequence: 1,
+            published: None,
+            pages: VecDeque::new(),
+            kept: 0,
+            urgent: false,
+            targets: BTreeSet::new(),
+            replicas: BTreeSet::new(),
+            hosts: BTreeSet::new(),
+            others: Vec::new(),
+        }
+    }
+
+    /// Notes that a target changed; an urgent change is published in this call.
+    pub(crate) fn target(&mut self, target: &TargetId, urgent: bool) {
+        self.targets.insert(target.clone());
+        self.urgent |= urgent;
+    }
+
+    /// Notes that a replica changed; an urgent change is published in this call.
+    pub(crate) fn replica(&mut self, replica: ReplicaId, urgent: bool) {
+        self.replicas.insert(replica);
+        self.urgent |= urgent;
+    }
+
+    /// Notes that an entry host changed.
+    pub(crate) fn host(&mut self, host: HostId) {
+        self.hosts.insert(host);
+    }
+
+    /// Adds a change that stands for itself; an urgent one is published in this call.
+    pub(crate) fn push(&mut self, change: Change, urgent: bool) {
+        self.others.push(change);
+        self.urgent |= urgent;
+    }
+
+    /// Whether the whole has been published.
+    pub(crate) fn is_open(&self) -> bool {
+        self.published.is_some()
+    }
+
+    /// Publishes the whole to every host.
+    pub(crate) fn open(&mut self, scene: &Scene) -> Output {
+        self.published = Some(scene.now);
+        self.clear();
+        self.whole(Audience::All, scene)
+    }
+
+    /// Publishes what changed, if it is urgent or `interval` has passed.
+    pub(crate) fn flush(&mut self, scene: &Scene, interval: Time) -> Option<Output> {
+        let published = self.published?;
+        if !self.urgent && scene.now < published + interval {
+            return None;
+        }
+        self.published = Some(scene.now);
+        let changes = self.collect(scene);
+        if changes.is_empty() {
+            return None;
+        }
+        let from = self.sequence;
+        self.sequence += 1;
+        self.keep(changes.clone());
+        let view = View {
+            term: self.term,
+            from,
+            to: self.sequence,
+            changes,
+        };
+        Some(Output::Publish {
+            to: Audience::All,
+            view,
+        })
+    }
+
+    /// Answers a host that has the view of a term up to a sequence number.
+    pub(crate) fn resync(
+        &self,
+        host: HostId,
+        term: Term,
+        sequence: u64,
+        scene: &Scene,
+    ) -> Option<Output> {
+        self.published?;
+        let to = Audience::Host(host);
+        let first = self
+            .pages
+            .front()
+            .map_or(self.sequence + 1, |page| page.sequence);
+        let known = (first.saturating_sub(1)..=self.sequence).contains(&sequence);
+        if term != self.term || !known {
+            return Some(self.whole(to, scene));
+        }
+        let missed = self.pages.iter().filter(|page| page.sequence > sequence);
+        let view = View {
+            term: self.term,
+            from: sequence,
+            to: self.sequence,
+            changes: missed.flat_map(|page| page.changes.clone()).collect(),
+        };
+        Some(Output::Publish { to, view })
+    }
+
+    /// The whole view.
+    fn whole(&self, to: Audience, scene: &Scene) -> Output {
+        let view = View {
+            term: self.term,
+            from: 0,
+            to: self.sequence,
+            changes: scene.whole(),
+        };
+        Output::Publish { to, view }
+    }
+
+    /// What changed since the last publication.
+    fn collect(&mut self, scene: &Scene) -> Vec<Change> {
+        let mut changes = std::mem::take(&mut self.others);
+        for target in std::mem::take(&mut self.targets) {
+            let now = scene.target(&target).map(Change::Target);
+            changes.push(now.unwrap_or(Change::TargetGone(target)));
+        }
+        for replica in std::mem::take(&mut self.replicas) {
+            let now = scene.replica(replica).map(Change::Replica);
+            changes.push(now.unwrap_or(Change::ReplicaGone(replica)));
+        }
+        for host in std::mem::take(&mut self.hosts) {
+            let now = scene.leases.get(host).and_then(|lease| scene.entry(lease));
+            changes.push(now.unwrap_or(Change::EntryGone(host)));
+        }
+        self.urgent = false;
+        changes
+    }
+
+    /// Forgets what changed, since the whole is published.
+    fn clear(&mut self) {
+        self.others.clear();
+        self.targets.clear();
+        self.replicas.clear();
+        self.hosts.clear();
+        self.urgent = false;
+    }
+
+    /// Keeps changes for hosts that miss them.
+    fn keep(&mut self, changes: Vec<Change>) {
+        self.kept += changes.len();
+        self.pages.push_back(Page {
+            sequence: self.sequence,
+            changes,
+        });
+        while self.kept > KEPT {
+            let Some(page) = self.pages.pop_front() else {
+                return;
+            };
+            self.kept -= page.changes.len();
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/leader.rs
@@ -0,0 +1,129 @@
+//! The soft state of the host that leads.
+
+use std::fmt;
+
+use cornelhitch_planner::Planner;
+use cornelhitch_types::id::{Term, Time, Version};
+use cornelhitch_types::view::View;
+
+use crate::input::Input;
+use crate::output::Output;
+use crate::reign::Reign;
+use crate::state::State;
+use crate::timing::Timing;
+use crate::turn::Turn;
+
+/// What the leader of the replicated log does besides applying it.
+///
+/// It is sans-I/O: [`Leader::handle`] takes one [`Input`] and returns
+/// [`Output`]s. On a host that does not lead it does nothing.
+///
+/// ```
+/// use cornelhitch_control::prelude::*;
+/// use cornelhitch_planner::{Planner, decision::Decision, picture::Picture};
+/// use cornelhitch_types::id::Time;
+///
+/// struct Nothing;
+///
+/// impl Planner for Nothing {
+///     fn plan(&mut self, _: &Picture, _: Time) -> Vec<Decision> {
+///         Vec::new()
+///     }
+///     fn explain(&self, _: &str, _: Time) -> Vec<String> {
+///         Vec::new()
+///     }
+/// }
+///
+/// let state = State::default();
+/// let mut leader = Leader::new(Box::new(Nothing));
+/// let now = Time::from_secs(1_800_000_000);
+/// assert!(leader.handle(Input::Tick, &state, now).is_empty());
+/// leader.handle(Input::Elected { term: 1 }, &state, now);
+/// assert_eq!(leader.term(), Some(1));
+/// ```
+pub struct Leader {
+    timing: Timing,
+    planner: Box<dyn Planner>,
+    reign: Option<Reign>,
+}
+
+impl fmt::Debug for Leader {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = f.debug_struct("Leader");
+        debug.field("timing", &self.timing);
+        debug.field("reign", &self.reign).finish_non_exhaustive()
+    }
+}
+
+impl Leader {
+    /// A host that does not lead yet.
+    #[must_use]
+    pub fn new(planner: Box<dyn Planner>) -> Self {
+        Self::with_timing(planner, Timing::default())
+    }
+
+    /// A host that does not lead yet, with other lengths of time.
+    #[must_use]
+    pub fn with_timing(planner: Box<dyn Planner>, timing: Timing) -> Self {
+        Self {
+            timing,
+            planner,
+            reign: None,
+        }
+    }
+
+    /// The term in which this host leads.
+    #[must_use]
+    pub fn term(&self) -> Option<Term> {
+        self.reign.as_ref().map(|reign| reign.term)
+    }
+
+    /// Takes one event.
+    ///
+    /// `state` holds every committed entry that this host knows of, and `now`
+    /// is the clock that stamps the entries which this host proposes: time
+    /// since the Unix epoch that never goes back while the process runs.
+    pub fn handle(&mut self, input: Input, state: &State, now: Time) -> Vec<Output> {
+        let mut turn = Turn {
+            state,
+            now,
+            timing: &self.timing,
+            out: Vec::new(),
+        };
+        match input {
+            Input::Elected { term } => self.reign = Some(Reign::new(term, &turn)),
+            Input::Deposed => self.reign = None,
+            input => {
+                if let Some(reign) = &mut self.reign {
+                    reign.handle(input, self.planner.as_mut(), &mut turn);
+                }
+            }
+        }
+        turn.out
+    }
+
+    /// Whether no entry host acts on settings older than a version.
+    #[must_use]
+    pub fn in_force(&self, version: Version, now: Time) -> bool {
+        let reign = self.reign.as_ref();
+        reign.is_some_and(|reign| reign.leases.in_force(version, now))
+    }
+
+    /// The whole view as it stands, for operators; empty when this host does not lead.
+    #[must_use]
+    pub fn view(&self, state: &State, now: Time) -> View {
+        let reign = self.reign.as_ref();
+        View {
+            term: self.term().unwrap_or_default(),
+            from: 0,
+            to: 0,
+            changes: reign.map_or_else(Vec::new, |reign| reign.scene(state, now).whole()),
+        }
+    }
+
+    /// Why a model is where it is, one line a step, for operators.
+    #[must_use]
+    pub fn explain(&self, model: &str, now: Time) -> Vec<String> {
+        self.planner.explain(model, now)
+    }
+}
--- /dev/null
+++ b/crates/control/src/levels.rs
@@ -0,0 +1,186 @@
+//! Demand as the entry hosts report it: levels that overwrite one another.
+
+use std::collections::BTreeMap;
+
+use cornelhitch_planner::picture;
+use cornelhitch_types::demand::{Demand, Report};
+use cornelhitch_types::id::{HostId, Incarnation, ModelId, Name, RegionId, Time};
+
+/// What a row of demand is for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Subject {
+    model: ModelId,
+    version: Option<Name>,
+}
+
+/// What a row of the planner's picture is for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    subject: Subject,
+    region: RegionId,
+}
+
+/// The newest report of one entry host.
+#[derive(Debug)]
+struct Level {
+    incarnation: Incarnation,
+    sequence: u64,
+    received: Time,
+    region: RegionId,
+    rows: Vec<Demand>,
+    /// Arrivals that were counted, by what they are for.
+    counted: BTreeMap<Subject, u64>,
+}
+
+/// The newest reports of all entry hosts.
+#[derive(Debug, Default)]
+pub(crate) struct Levels {
+    hosts: BTreeMap<HostId, Level>,
+    arrivals: BTreeMap<Place, u64>,
+    running: BTreeMap<ModelId, u32>,
+}
+
+impl Levels {
+    /// Takes a report, and says whether more requests wait for some model than before.
+    pub(crate) fn take(&mut self, report: Report, now: Time) -> bool {
+        let old = self.hosts.remove(&report.host);
+        let mut counted = BTreeMap::new();
+        let mut before = Vec::new();
+        if let Some(old) = old {
+            let newest = (old.incarnation, old.sequence);
+            if (report.incarnation, report.sequence) <= newest {
+                self.hosts.insert(report.host, old);
+                return false;
+            }
+            self.count_running(&old.rows, false);
+            before = old.rows;
+            if report.incarnation == old.incarnation {
+                counted = old.counted;
+            }
+        }
+        let grown = report.rows.iter().any(|row| grows(row, &before));
+        self.count_arrivals(&report, &mut counted);
+        self.count_running(&report.rows, true);
+        let level = Level {
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            received: now,
+            region: report.region,
+            rows: report.rows,
+            counted,
+        };
+        self.hosts.insert(report.host, level);
+        grown
+    }
+
+    /// Drops what hosts reported before a time; their sequence numbers stay.
+    pub(crate) fn expire(&mut self, before: Time) {
+        let mut dropped = Vec::new();
+        for level in self.hosts.values_mut() {
+            if level.received < before {
+                dropped.append(&mut level.rows);
+            }
+        }
+        self.count_running(&dropped, false);
+    }
+
+    /// Requests in progress on replicas of a model.
+    pub(crate) fn running(&self, model: &str) -> u32 {
+        self.running.get(model).copied().unwrap_or(0)
+    }
+
+    /// Rows for the planner's picture; arrivals count from the last call.
+    pub(crate) fn rows(&mut self) -> Vec<picture::Demand> {
+        let mut rows: BTreeMap<Place, picture::Demand> = BTreeMap::new();
+        for level in self.hosts.values() {
+            for demand in &level.rows {
+                let place = Place {
+                    subject: Subject::of(demand),
+                    region: level.region.clone(),
+                };
+                let row = rows.entry(place).or_insert_with_key(empty);
+                add(row, demand, level.received);
+            }
+        }
+        for (place, arrivals) in std::mem::take(&mut self.arrivals) {
+            let row = rows.entry(place).or_insert_with_key(empty);
+            row.arrivals += arrivals;
+        }
+        rows.into_values().collect()
+    }
+
+    /// Counts arrivals since the last report of the same life.
+    fn count_arrivals(&mut self, report: &Report, counted: &mut BTreeMap<Subject, u64>) {
+        for row in &report.rows {
+            let subject = Subject::of(row);
+            let seen = counted.insert(subject.clone(), row.arrivals);
+            // A first report to this leader counts what waits, since its older arrivals may have
+            // been counted by the leader before.
+            let base = seen.unwrap_or(row.arrivals.saturating_sub(u64::from(row.waiting)));
+            let place = Place {
+                subject,
+                region: report.region.clone(),
+            };
+            *self.arrivals.entry(place).or_default() += row.arrivals.saturating_sub(base);
+        }
+    }
+
+    /// Adds rows to the requests in progress, or takes them away.
+    fn count_running(&mut self, rows: &[Demand], add: bool) {
+        for row in rows {
+            let sum = self.running.entry(row.model.clone()).or_default();
+            *sum = if add {
+                sum.saturating_add(row.running)
+            } else {
+                sum.saturating_sub(row.running)
+            };
+        }
+    }
+}
+
+impl Subject {
+    /// What a row is for.
+    fn of(demand: &Demand) -> Self {
+        Self {
+            model: demand.model.clone(),
+            version: demand.version.clone(),
+        }
+    }
+}
+
+/// Whether more requests wait than in the rows before.
+fn grows(row: &Demand, before: &[Demand]) -> bool {
+    let same = |old: &&Demand| old.model == row.model && old.version == row.version;
+    let old = before.iter().find(same);
+    row.waiting > old.map_or(0, |old| old.waiting)
+}
+
+/// A row without requests.
+fn empty(place: &Place) -> picture::Demand {
+    picture::Demand {
+        model: place.subject.model.clone(),
+        version: place.subject.version.clone(),
+        region: place.region.clone(),
+        waiting: 0,
+        running: 0,
+        deadline: Time::MAX,
+        weight: 0,
+        arrivals: 0,
+        adapters: Vec::new(),
+    }
+}
+
+/// Adds one host's demand to a row.
+fn add(row: &mut picture::Demand, demand: &Demand, received: Time) {
+    row.waiting = row.waiting.saturating_add(demand.waiting);
+    row.running = row.running.saturating_add(demand.running);
+    if demand.waiting > 0 {
+        row.deadline = row.deadline.min(received.saturating_add(demand.slack));
+        row.weight = row.weight.max(demand.weight);
+    }
+    for adapter in &demand.adapters {
+        if !row.adapters.contains(adapter) {
+            row.adapters.push(adapter.clone());
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,55 @@
-//! Placeholder.
+//! The replicated state machine and what its leader does.
+//!
+//! Two aggregates, both sans-I/O. [`state::State`] is what every control host
+//! agrees on: it takes committed [`command::Command`]s and is deterministic.
+//! [`leader::Leader`] is the soft state of the host that leads: it takes
+//! heartbeats, reports and the replies of applied commands, and returns
+//! commands to propose, orders to send and views to publish.
+//!
+//! ```
+//! use cornelhitch_control::prelude::*;
+//! use std::time::Duration;
+//!
+//! let mut state = State::default();
+//! let entry = Entry { index: 1, term: 1, time: Duration::from_secs(1) };
+//! let apply = Apply {
+//!     operator: "ann".into(),
+//!     request: "1".into(),
+//!     base: 0,
+//!     text: "models: [{ name: report, bytes: 1000 }]".into(),
+//! };
+//! state.apply(&entry, Command::Apply(apply));
+//! assert_eq!(state.catalogue().version(), 1);
+//!
+//! let copy = State::restore(&state.snapshot())?;
+//! assert_eq!(copy.digest(), state.digest());
+//! # Ok::<(), cornelhitch_control::error::Error>(())
+//! ```
+
+mod beats;
+pub mod catalogue;
+pub mod claims;
+pub mod command;
+pub mod error;
+mod feed;
+pub mod fleet;
+pub mod input;
+pub mod leader;
+mod leases;
+mod levels;
+mod orders;
+pub mod output;
+mod pending;
+mod plan;
+pub mod prelude;
+mod reign;
+pub mod replicas;
+mod scene;
+mod sketch;
+pub mod state;
+pub mod strikes;
+pub mod timing;
+mod tombstones;
+mod tracks;
+mod turn;
+mod workers;
--- /dev/null
+++ b/crates/control/src/orders.rs
@@ -0,0 +1,254 @@
+//! Orders, and what is known of them.
+
+use cornelhitch_types::id::{ModelId, ReplicaId, TargetId, Time};
+use cornelhitch_types::model::Reference;
+use cornelhitch_types::order::{Action, Order, Outcome, Reply};
+use cornelhitch_types::target::Stage;
+use cornelhitch_types::view::State;
+
+use crate::beats::fencing;
+use crate::command::Command;
+use crate::output::Output;
+use crate::reign::{Adapter, Reign};
+use crate::replicas::{Evidence, QUIET_BEATS, Replica};
+use crate::tracks::Sent;
+use crate::turn::Turn;
+use crate::workers::Worker;
+
+impl Reign {
+    /// Gives out an order under this term's fencing number.
+    pub(crate) fn order(
+        &mut self,
+        target: &TargetId,
+        replica: ReplicaId,
+        action: Action,
+        turn: &mut Turn,
+    ) {
+        let Some(worker) = self.workers.get(target) else {
+            return;
+        };
+        turn.out.push(Output::Order(Order {
+            fence: self.term,
+            target: target.clone(),
+            incarnation: worker.incarnation,
+            replica,
+            action,
+        }));
+    }
+
+    /// Sends whatever order a replica needs now.
+    pub(crate) fn drive(&mut self, id: ReplicaId, turn: &mut Turn) {
+        let Some(replica) = turn.state.replicas().get(id) else {
+            return;
+        };
+        match replica.state {
+            State::Loading => self.drive_load(replica, turn),
+            State::Ready => {}
+            State::Retiring => self.drive_unload(replica, turn),
+        }
+    }
+
+    /// Sends a load order, if it is due.
+    fn drive_load(&mut self, replica: &Replica, turn: &mut Turn) {
+        let Some(worker) = self.workers.get(&replica.target) else {
+            return;
+        };
+        let reserved = turn.state.replicas().reserved(&replica.target);
+        let memory = turn.state.fleet().get(&replica.target);
+        let memory = memory.map_or(0, |target| target.announcement.memory);
+        let room = reserved.saturating_add(worker.unexplained()) <= memory;
+        let usable = room && worker.is_loadable();
+        let sequence = worker.sequence();
+        let Some(track) = self.tracks.get_mut(&replica.id) else {
+            return;
+        };
+        if replica.adopted || track.seen.is_some() {
+            return;
+        }
+        if track.is_unsent(replica) && !usable {
+            self.refuse_load(replica, turn);
+            return;
+        }
+        // Without a check of fencing numbers an order of an earlier leader, or one with unknown
+        // outcome, may still arrive; a second one could load a second copy.
+        let fencing = fencing(replica, turn);
+        let due = match track.load {
+            Sent::Never => !track.inherited || fencing,
+            Sent::Unknown { at } => fencing && turn.now >= at + turn.timing.resend,
+            Sent::Out { .. } | Sent::Settled => false,
+        };
+        if !due || !usable {
+            return;
+        }
+        track.load = Sent::Out { at: turn.now };
+        track.base = Some(sequence);
+        let action = Action::Load {
+            model: reference(replica),
+            bytes: replica.bytes,
+        };
+        self.order(&replica.target, replica.id, action, turn);
+    }
+
+    /// Sends an unload order, if it is due.
+    fn drive_unload(&mut self, replica: &Replica, turn: &mut Turn) {
+        let Some(worker) = self.workers.get(&replica.target) else {
+            return;
+        };
+        let sequence = worker.sequence();
+        let heard = !worker.suspected && worker.beat.is_some();
+        let Some(track) = self.tracks.get(&replica.id) else {
+            return;
+        };
+        if track.is_unsent(replica) {
+            self.refuse_load(replica, turn);
+            return;
+        }
+        let since = track.retired.unwrap_or(turn.now);
+        if !heard || !self.is_drained(&replica.target, &replica.model, since, turn) {
+            return;
+        }
+        let fencing = fencing(replica, turn);
+        let Some(track) = self.tracks.get_mut(&replica.id) else {
+            return;
+        };
+        let shown = track.seen == Some(sequence);
+        let quiet = track
+            .base
+            .is_none_or(|base| sequence >= base.saturating_add(QUIET_BEATS));
+        let due = match track.unload {
+            Sent::Never => true,
+            Sent::Unknown { at } if fencing => turn.now >= at + turn.timing.resend,
+            Sent::Unknown { .. } | Sent::Settled => quiet,
+            Sent::Out { .. } => false,
+        };
+        if !due || !shown {
+            return;
+        }
+        track.unload = Sent::Out { at: turn.now };
+        track.base = Some(sequence);
+        let model = reference(replica);
+        self.order(&replica.target, replica.id, Action::Unload { model }, turn);
+    }
+
+    /// Whether nothing runs on a model's copy that got its last new request at `since`.
+    pub(crate) fn is_drained(
+        &self,
+        target: &TargetId,
+        model: &ModelId,
+        since: Time,
+        turn: &Turn,
+    ) -> bool {
+        let Some(worker) = self.workers.get(target) else {
+            return false;
+        };
+        if turn.now >= since + turn.timing.drain {
+            return true;
+        }
+        let settled = since + turn.timing.settle;
+        let idle = worker.is_idle() && worker.heard >= settled;
+        turn.now >= settled && (idle || self.levels.running(model) == 0)
+    }
+
+    /// Learns the outcome of an order.
+    pub(crate) fn order_done(&mut self, order: &Order, outcome: &Outcome, turn: &mut Turn) {
+        if order.fence != self.term {
+            return;
+        }
+        match &order.action {
+            Action::Load { .. } => self.load_done(order, outcome, turn),
+            Action::Unload { .. } => self.unload_done(order, outcome, turn),
+            Action::Adapter { model } => {
+                let refused = matches!(
+                    outcome,
+                    Outcome::Unsent
+                        | Outcome::Answered(Reply::Refused { .. } | Reply::Fenced { .. })
+                );
+                if let Some(name) = model.adapter.clone().filter(|_| refused) {
+                    let replica = order.replica;
+                    self.adapters.remove(&Adapter { replica, name });
+                }
+            }
+            Action::Warm { .. } | Action::Role { .. } => {}
+        }
+    }
+
+    /// Learns the outcome of a load order.
+    fn load_done(&mut self, order: &Order, outcome: &Outcome, turn: &mut Turn) {
+        let Some(replica) = turn.state.replicas().get(order.replica) else {
+            return;
+        };
+        let base = self.workers.get(&order.target).map(Worker::sequence);
+        let Some(track) = self.tracks.get_mut(&order.replica) else {
+            return;
+        };
+        let certain = !track.doubtful && !track.inherited && track.seen.is_none();
+        match outcome {
+            Outcome::Answered(Reply::Accepted) => {
+                track.load = Sent::Settled;
+                track.base = base;
+            }
+            Outcome::Unknown => {
+                track.doubtful = true;
+                track.load = Sent::Unknown { at: turn.now };
+                track.base = base;
+            }
+            Outcome::Unsent | Outcome::Answered(_) if certain => {
+                track.load = Sent::Settled;
+                track.base = base;
+                self.refuse_load(replica, turn);
+            }
+            Outcome::Unsent => track.load = Sent::Unknown { at: turn.now },
+            Outcome::Answered(_) => {
+                track.load = Sent::Settled;
+                track.base = base;
+            }
+        }
+    }
+
+    /// Learns the outcome of an unload order.
+    fn unload_done(&mut self, order: &Order, outcome: &Outcome, turn: &Turn) {
+        let Some(track) = self.tracks.get_mut(&order.replica) else {
+            return;
+        };
+        track.unload = match outcome {
+            Outcome::Answered(_) => Sent::Settled,
+            Outcome::Unsent => Sent::Never,
+            Outcome::Unknown => {
+                track.doubtful = true;
+                Sent::Unknown { at: turn.now }
+            }
+        };
+    }
+
+    /// Gives back what was reserved for a load that did not take place.
+    fn refuse_load(&mut self, replica: &Replica, turn: &mut Turn) {
+        if let Some(worker) = self.workers.get_mut(&replica.target) {
+            let until = turn.now + turn.timing.backoff;
+            worker.back_off(&replica.model, until, turn.now);
+        }
+        self.sketch.worker(&replica.target);
+        let command = Command::Release {
+            replica: replica.id,
+            evidence: Evidence::Refused,
+            unknown: false,
+        };
+        self.pending.propose(command, turn);
+    }
+
+    /// Where the weights of a replica are nearest on its worker.
+    pub(crate) fn nearest(&self, replica: &Replica) -> Stage {
+        let worker = self.workers.get(&replica.target);
+        let beat = worker.and_then(|worker| worker.beat.as_ref());
+        let inventory = beat.into_iter().flat_map(|beat| &beat.inventory);
+        let copies = inventory.filter(|it| it.model.model == replica.model);
+        copies.map(|it| it.stage).max().unwrap_or(Stage::Remote)
+    }
+}
+
+/// A replica's model and version.
+pub(crate) fn reference(replica: &Replica) -> Reference {
+    Reference {
+        version: replica.version.clone(),
+        ..Reference::base(replica.model.clone())
+    }
+}
--- /dev/null
+++ b/crates/control/src/plan.rs
@@ -0,0 +1,140 @@
+//! Asking the planner, and proposing what it decides.
+
+use std::collections::BTreeMap;
+
+use cornelhitch_planner::Planner;
+use cornelhitch_planner::decision::{Action, Decision};
+use cornelhitch_types::id::{ModelId, Name, ReplicaId, TargetId};
+use cornelhitch_types::model::Reference;
+use cornelhitch_types::order;
+use cornelhitch_types::view::State;
+
+use crate::command::Command;
+use crate::orders::reference;
+use crate::reign::{Adapter, Reign};
+use crate::replicas::Decide;
+use crate::turn::Turn;
+use crate::workers::Worker;
+
+/// Memory that decisions of one plan take, by worker.
+type Taken = BTreeMap<TargetId, u64>;
+
+impl Reign {
+    /// Asks the planner, if it is time.
+    pub(crate) fn plan(&mut self, planner: &mut dyn Planner, turn: &mut Turn) {
+        if !self.is_plan_due(turn) {
+            return;
+        }
+        self.planned = Some(turn.now);
+        self.eager = false;
+        let adapters = u32::try_from(self.adapters.len()).unwrap_or(u32::MAX);
+        let picture = self.sketch.refresh(
+            &self.workers,
+            &mut self.tracks,
+            &mut self.levels,
+            adapters,
+            turn,
+        );
+        let decisions = planner.plan(picture, turn.now);
+        let mut taken = Taken::new();
+        for decision in decisions {
+            self.carry_out(decision, &mut taken, turn);
+        }
+    }
+
+    /// Whether the planner may be asked now.
+    fn is_plan_due(&self, turn: &Turn) -> bool {
+        let wait = if self.eager {
+            turn.timing.plan
+        } else {
+            turn.timing.replan
+        };
+        let due = self
+            .planned
+            .is_none_or(|planned| turn.now >= planned + wait);
+        due && self.is_gathered(turn) && !self.pending.is_deciding(turn)
+    }
+
+    /// Proposes or orders what the planner decided.
+    fn carry_out(&mut self, decision: Decision, taken: &mut Taken, turn: &mut Turn) {
+        match decision.action {
+            Action::Load {
+                model,
+                version,
+                target,
+                bytes,
+            } => {
+                let decide = Decide {
+                    model,
+                    version,
+                    incarnation: self.workers.get(&target).map_or(0, |it| it.incarnation),
+                    after: self.workers.get(&target).map_or(0, Worker::sequence),
+                    target,
+                    bytes,
+                    adopted: false,
+                };
+                self.decide(decide, taken, turn);
+            }
+            Action::Unload { replica } => {
+                let standing = turn.state.replicas().get(replica);
+                if standing.is_some_and(|it| it.state != State::Retiring) {
+                    self.pending.propose(Command::Retire { replica }, turn);
+                }
+            }
+            Action::Adapter { replica, adapter } => self.load_adapter(replica, adapter, turn),
+            Action::Warm { model, target } => self.warm(model, &target, turn),
+        }
+    }
+
+    /// Proposes a replica, if the worker may be loaded and has room besides unexplained copies.
+    fn decide(&mut self, decide: Decide, taken: &mut Taken, turn: &mut Turn) {
+        let Some(worker) = self.workers.get(&decide.target) else {
+            return;
+        };
+        let Some(known) = turn.state.fleet().get(&decide.target) else {
+            return;
+        };
+        let sum = taken.entry(decide.target.clone()).or_default();
+        let used = turn.state.replicas().reserved(&decide.target);
+        let used = used.saturating_add(worker.unexplained());
+        let used = used.saturating_add(*sum).saturating_add(decide.bytes);
+        let room = used <= known.announcement.memory;
+        if room && worker.is_loadable() && !worker.blocks(&decide.model, turn.now) {
+            *sum = sum.saturating_add(decide.bytes);
+            self.pending.propose(Command::Decide(decide), turn);
+        }
+    }
+
+    /// Orders an adapter onto a ready replica.
+    fn load_adapter(&mut self, replica: ReplicaId, name: Name, turn: &mut Turn) {
+        let standing = turn.state.replicas().get(replica);
+        let Some(standing) = standing.filter(|it| it.state == State::Ready) else {
+            return;
+        };
+        let adapter = Adapter {
+            replica,
+            name: name.clone(),
+        };
+        let open = self.workers.get(&standing.target);
+        let open = open.is_some_and(Worker::is_loadable);
+        if !open || self.adapters.contains_key(&adapter) {
+            return;
+        }
+        self.adapters.insert(adapter, turn.now);
+        let model = Reference {
+            adapter: Some(name),
+            ..reference(standing)
+        };
+        let action = order::Action::Adapter { model };
+        self.order(&standing.target, replica, action, turn);
+    }
+
+    /// Orders a model nearer to a worker's accelerators.
+    fn warm(&mut self, model: ModelId, target: &TargetId, turn: &mut Turn) {
+        let open = self.workers.get(target);
+        if open.is_some_and(Worker::is_loadable) {
+            let model = Reference::base(model);
+            self.order(target, 0, order::Action::Warm { model }, turn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/reign.rs
@@ -0,0 +1,363 @@
+//! What the leader knows and does within one term.
+
+use std::collections::BTreeMap;
+
+use cornelhitch_planner::Planner;
+use cornelhitch_types::id::{Name, ReplicaId, TargetId, Term, Time};
+
+use crate::catalogue;
+use crate::command::{Command, Reply};
+use crate::feed::Feed;
+use crate::fleet;
+use crate::input::Input;
+use crate::leases::Leases;
+use crate::levels::Levels;
+use crate::pending::Pending;
+use crate::replicas::{Answer, Replica};
+use crate::scene::Scene;
+use crate::sketch::Sketch;
+use crate::state::State;
+use crate::strikes::Count;
+use crate::tracks::{Track, Tracks};
+use crate::turn::Turn;
+use crate::workers::{Worker, Workers};
+
+/// An adapter load that was ordered.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Adapter {
+    /// The replica.
+    pub(crate) replica: ReplicaId,
+    /// The adapter.
+    pub(crate) name: Name,
+}
+
+/// The soft state of one term.
+#[derive(Debug)]
+pub(crate) struct Reign {
+    pub(crate) term: Term,
+    pub(crate) since: Time,
+    pub(crate) workers: Workers,
+    pub(crate) tracks: Tracks,
+    pub(crate) levels: Levels,
+    pub(crate) leases: Leases,
+    pub(crate) feed: Feed,
+    pub(crate) sketch: Sketch,
+    pub(crate) pending: Pending,
+    /// Adapter loads in flight, and since when.
+    pub(crate) adapters: BTreeMap<Adapter, Time>,
+    /// Fingerprints that are refused for a time, and until when.
+    pub(crate) quarantine: BTreeMap<u64, Time>,
+    /// When the planner was last asked.
+    pub(crate) planned: Option<Time>,
+    /// Whether something new calls for a plan.
+    pub(crate) eager: bool,
+}
+
+impl Reign {
+    /// The start of a term: nothing has been heard, and everything decided may have been ordered.
+    pub(crate) fn new(term: Term, turn: &Turn) -> Self {
+        let mut reign = Self {
+            term,
+            since: turn.now,
+            workers: Workers::default(),
+            tracks: Tracks::default(),
+            levels: Levels::default(),
+            leases: Leases::new(turn),
+            feed: Feed::new(term),
+            sketch: Sketch::default(),
+            pending: Pending::default(),
+            adapters: BTreeMap::new(),
+            quarantine: BTreeMap::new(),
+            planned: None,
+            eager: true,
+        };
+        for known in turn.state.fleet().iter() {
+            let announcement = &known.announcement;
+            let worker = Worker::new(announcement.incarnation, turn.now);
+            let target = announcement.target.clone();
+            reign.sketch.worker(&target);
+            reign.workers.insert(target, worker);
+        }
+        for replica in turn.state.replicas().iter() {
+            let track = Track::inherit(replica, turn.now);
+            reign.tracks.insert(replica.id, track);
+            reign.sketch.replica(replica.id, &replica.target);
+        }
+        for count in turn.state.strikes().iter() {
+            reign.refuse(count);
+        }
+        reign
+    }
+
+    /// Takes one event.
+    pub(crate) fn handle(&mut self, input: Input, planner: &mut dyn Planner, turn: &mut Turn) {
+        match input {
+            Input::Elected { .. } | Input::Deposed => {}
+            Input::Applied { command, reply } => self.applied(command, reply, turn),
+            Input::Announcement(announcement) => self.announcement(announcement, turn),
+            Input::Heartbeat(heartbeat) => self.heartbeat(heartbeat, turn),
+            Input::Report(report) => {
+                if self.levels.take(report, turn.now) {
+                    self.eager = true;
+                    self.plan(planner, turn);
+                }
+            }
+            Input::Renewal(host) => {
+                let id = host.host;
+                if self.leases.renew(host, turn) {
+                    self.feed.host(id);
+                }
+                self.leases.announce(turn);
+            }
+            Input::OrderDone { order, outcome } => self.order_done(&order, &outcome, turn),
+            Input::Lost {
+                target,
+                incarnation,
+            } => self.lost(&target, incarnation, turn),
+            Input::Subscribe {
+                host,
+                term,
+                sequence,
+            } => {
+                let scene = self.scene(turn.state, turn.now);
+                let answer = self.feed.resync(host, term, sequence, &scene);
+                turn.out.extend(answer);
+            }
+            Input::Tick => self.tick(planner, turn),
+        }
+        self.flush(turn);
+    }
+
+    /// What views are built from.
+    pub(crate) fn scene<'a>(&'a self, state: &'a State, now: Time) -> Scene<'a> {
+        Scene {
+            state,
+            workers: &self.workers,
+            tracks: &self.tracks,
+            leases: &self.leases,
+            now,
+        }
+    }
+
+    /// Publishes what is due.
+    fn flush(&mut self, turn: &mut Turn) {
+        let scene = Scene {
+            state: turn.state,
+            workers: &self.workers,
+            tracks: &self.tracks,
+            leases: &self.leases,
+            now: turn.now,
+        };
+        if self.feed.is_open() {
+            let view = self.feed.flush(&scene, turn.timing.publication);
+            turn.out.extend(view);
+        } else if self.is_gathered(turn) {
+            turn.out.push(self.feed.open(&scene));
+        }
+    }
+
+    /// Whether every target was heard in this term, or has had its time to be.
+    pub(crate) fn is_gathered(&self, turn: &Turn) -> bool {
+        turn.now >= self.since + turn.timing.gather
+            || self.workers.values().all(|it| it.beat.is_some())
+    }
+
+    /// Learns what became of a committed command.
+    fn applied(&mut self, command: Command, reply: Reply, turn: &mut Turn) {
+        self.pending.applied(&command);
+        match (command, reply) {
+            (Command::Batch(commands), Reply::Batch(replies)) => {
+                for (command, reply) in commands.into_iter().zip(replies) {
+                    self.applied(command, reply, turn);
+                }
+            }
+            (_, Reply::Settings(catalogue::Answer::Accepted { .. })) => {
+                let settings = self.scene(turn.state, turn.now).settings();
+                if let Some(change) = settings {
+                    self.feed.push(change, true);
+                }
+                self.eager = true;
+            }
+            (Command::Register(announcement), Reply::Target(answer)) => {
+                self.registered(&announcement.target, answer, turn);
+            }
+            (Command::Dismiss { target, .. }, Reply::Target(fleet::Answer::Done)) => {
+                self.workers.remove(&target);
+                self.forget_replicas(&target, turn);
+            }
+            (Command::Silence { target, .. }, Reply::Target(_)) => {
+                self.sketch.worker(&target);
+                self.feed.target(&target, true);
+                self.eager = true;
+            }
+            (_, Reply::Strike(answer)) => {
+                for count in answer.counts {
+                    self.refuse(count);
+                    let change = self.scene(turn.state, turn.now).strike(count);
+                    self.feed.push(change, true);
+                }
+            }
+            (command, Reply::Replica(answer)) => self.replica_changed(&command, answer, turn),
+            _ => {}
+        }
+    }
+
+    /// Learns that a target was taken in.
+    fn registered(&mut self, target: &TargetId, answer: fleet::Answer, turn: &mut Turn) {
+        let Some(known) = turn.state.fleet().get(target) else {
+            return;
+        };
+        let incarnation = known.announcement.incarnation;
+        let stands = self.workers.get(target);
+        if stands.is_none_or(|worker| worker.incarnation != incarnation) {
+            let worker = Worker::new(incarnation, turn.now);
+            self.workers.insert(target.clone(), worker);
+        }
+        match answer {
+            fleet::Answer::Registered => self.forget_replicas(target, turn),
+            fleet::Answer::Changed => self.feed.target(target, true),
+            _ => {}
+        }
+    }
+
+    /// Drops what is known of a target's replicas that no longer stand.
+    fn forget_replicas(&mut self, target: &TargetId, turn: &Turn) {
+        let standing = turn.state.replicas();
+        let gone: Vec<ReplicaId> = self
+            .tracks
+            .keys()
+            .copied()
+            .filter(|id| standing.get(*id).is_none())
+            .collect();
+        for id in gone {
+            self.forget(id, target);
+        }
+        self.sketch.worker(target);
+        self.feed.target(target, true);
+        self.eager = true;
+    }
+
+    /// Drops what is known of a replica.
+    fn forget(&mut self, id: ReplicaId, target: &TargetId) {
+        self.tracks.remove(&id);
+        self.adapters.retain(|adapter, _| adapter.replica != id);
+        self.sketch.replica(id, target);
+        self.feed.replica(id, true);
+    }
+
+    /// Learns what became of a command about a replica.
+    fn replica_changed(&mut self, command: &Command, answer: Answer, turn: &mut Turn) {
+        match (command, answer) {
+            (Command::Decide(_), Answer::Decided(replica)) => self.decided(&replica, turn),
+            (Command::Decide(decide), Answer::Refused(_)) => {
+                let until = turn.now + turn.timing.backoff;
+                if let Some(worker) = self.workers.get_mut(&decide.target) {
+                    worker.back_off(&decide.model, until, turn.now);
+                    let mut strangers = worker.strangers.iter_mut();
+                    if let Some(it) = strangers.find(|it| it.model.model == decide.model) {
+                        it.refused |= decide.adopted;
+                    }
+                }
+                self.sketch.worker(&decide.target);
+            }
+            (Command::Ready { replica, .. }, Answer::Done) => self.touch(*replica, turn),
+            (Command::Retire { replica }, Answer::Done) => {
+                if let Some(track) = self.tracks.get_mut(replica) {
+                    track.retired = track.retired.or(Some(turn.now));
+                }
+                self.touch(*replica, turn);
+            }
+            (Command::Release { .. }, Answer::Released(replica)) => {
+                self.forget(replica.id, &replica.target);
+                self.eager = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Learns that a replica was decided, and orders its load.
+    fn decided(&mut self, replica: &Replica, turn: &mut Turn) {
+        if turn.state.replicas().get(replica.id).is_none() {
+            return;
+        }
+        let from = self.nearest(replica);
+        let mut track = Track::new(from, turn.now);
+        // A proposal of an earlier leader may be committed in this term's first entries; only what
+        // carries this term is certain not to have been ordered.
+        track.inherited = replica.term != self.term;
+        track.doubtful = track.inherited;
+        self.tracks.insert(replica.id, track);
+        self.touch(replica.id, turn);
+        self.drive(replica.id, turn);
+    }
+
+    /// Notes that a replica changed.
+    fn touch(&mut self, id: ReplicaId, turn: &Turn) {
+        if let Some(replica) = turn.state.replicas().get(id) {
+            self.sketch.replica(id, &replica.target);
+        }
+        self.feed.replica(id, true);
+        self.eager = true;
+    }
+
+    /// Notes until when a fingerprint is refused.
+    fn refuse(&mut self, count: Count) {
+        match count.until {
+            Some(until) => self.quarantine.insert(count.fingerprint, until),
+            None => self.quarantine.remove(&count.fingerprint),
+        };
+    }
+
+    /// Lets time pass.
+    fn tick(&mut self, planner: &mut dyn Planner, turn: &mut Turn) {
+        self.pending.expire(turn);
+        self.watch(turn);
+        self.levels
+            .expire(turn.now.saturating_sub(turn.timing.report));
+        self.end_hosts(turn);
+        self.end_quarantine(turn);
+        let adapter = turn.timing.adapter;
+        self.adapters.retain(|_, since| turn.now < *since + adapter);
+        self.leases.announce(turn);
+        self.plan(planner, turn);
+    }
+
+    /// Lets entry hosts go whose leases ran out, and claims of lives that ended.
+    fn end_hosts(&mut self, turn: &mut Turn) {
+        for id in self.leases.lapsed(turn.now) {
+            self.feed.host(id);
+        }
+        self.leases.expire(turn);
+        let heard = turn.now >= self.since + turn.timing.host;
+        for holder in turn.state.claims().holders() {
+            let ended = match self.leases.get(holder.host) {
+                Some(lease) => lease.host.incarnation > holder.incarnation,
+                None => heard,
+            };
+            if ended {
+                let command = Command::HostEnded {
+                    host: holder.host,
+                    incarnation: holder.incarnation,
+                };
+                self.pending.propose(command, turn);
+            }
+        }
+    }
+
+    /// Publishes that fingerprints are no longer refused.
+    fn end_quarantine(&mut self, turn: &Turn) {
+        let over = |until: &Time| *until <= turn.now;
+        let ended: Vec<u64> = self
+            .quarantine
+            .iter()
+            .filter(|(_, until)| over(until))
+            .map(|(fingerprint, _)| *fingerprint)
+            .collect();
+        for fingerprint in ended {
+            self.quarantine.remove(&fingerprint);
+            let count = turn.state.strikes().count(fingerprint);
+            let change = self.scene(turn.state, turn.now).strike(count);
+            self.feed.push(change, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/replicas.rs
@@ -0,0 +1,438 @@
+//! Decided replicas and the memory they reserve.
+//!
+//! A replica stands from its decision to its release. Its memory is reserved
+//! that whole time, and only [`Evidence`] ends it; a timeout never does.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use cornelhitch_settings::fleet::Fleet as Settings;
+use cornelhitch_types::id::{Incarnation, ModelId, Name, ReplicaId, TargetId, Term, Time};
+use cornelhitch_types::target::Kind;
+use cornelhitch_types::view::State;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter};
+
+use crate::command::Entry;
+use crate::fleet::{Fleet, Target};
+
+/// Heartbeats of a target's own running time after which an order that was sent before them, and
+/// whose connection was closed, can no longer be taken up.
+pub const QUIET_BEATS: u64 = 10;
+
+/// How long a model is not loaded again on a worker after an order with unknown outcome.
+pub const QUIET: Duration = Duration::from_secs(10);
+
+/// A request to decide a replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decide {
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: Option<Name>,
+    /// The worker.
+    pub target: TargetId,
+    /// The worker's life.
+    pub incarnation: Incarnation,
+    /// Accelerator memory to reserve, in bytes.
+    pub bytes: u64,
+    /// The newest heartbeat of the worker that the leader has seen.
+    pub after: u64,
+    /// Whether the worker already holds the copy, so that no order follows.
+    pub adopted: bool,
+}
+
+/// What shows that a replica's memory is free.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Evidence {
+    /// An inventory of the same incarnation, later than the order, without the replica.
+    Inventory {
+        /// The heartbeat that carried it.
+        sequence: u64,
+    },
+    /// The worker's incarnation ended.
+    Ended,
+    /// The worker refused the load order, or it never left, and no other was sent.
+    Refused,
+}
+
+/// Why a decision or a change of a replica was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Refusal {
+    /// No such target.
+    Target,
+    /// The target runs plain services.
+    Service,
+    /// The worker has another incarnation.
+    Incarnation,
+    /// The worker has been silent for long.
+    Silent,
+    /// The model is not in the catalogue.
+    Model,
+    /// The model's group is unmanaged.
+    Unmanaged,
+    /// Less memory was asked for than the model takes.
+    Bytes,
+    /// The worker's memory has no room.
+    Memory,
+    /// The model has its allowed replicas.
+    Limit,
+    /// The worker has a replica of the model.
+    Present,
+    /// An order for the model with unknown outcome may still arrive at the worker.
+    Quiet,
+    /// No such replica.
+    Replica,
+    /// The evidence does not show that the memory is free.
+    Evidence,
+}
+
+/// What became of a command about a replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// It was decided.
+    Decided(Replica),
+    /// It changed as asked, or stood so before.
+    Done,
+    /// Its reservation ended.
+    Released(Replica),
+    /// Nothing changed.
+    Refused(Refusal),
+}
+
+/// A replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replica {
+    /// Its id.
+    pub id: ReplicaId,
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: Option<Name>,
+    /// The worker.
+    pub target: TargetId,
+    /// The worker's life.
+    pub incarnation: Incarnation,
+    /// Accelerator memory reserved, in bytes.
+    pub bytes: u64,
+    /// Its state.
+    pub state: State,
+    /// The term in which it was decided.
+    pub term: Term,
+    /// When it was decided.
+    pub decided: Time,
+    /// When it was seen ready.
+    pub ready: Option<Time>,
+    /// Whether the worker held it before the decision, so that it was never ordered.
+    pub adopted: bool,
+    /// The newest heartbeat known when it was decided, or that showed it ready.
+    pub after: u64,
+}
+
+/// A model that may not be loaded on a worker for a while.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quiet {
+    /// The worker.
+    pub target: TargetId,
+    /// The worker's life.
+    pub incarnation: Incarnation,
+    /// The model.
+    pub model: ModelId,
+    /// Until when, in the log's time.
+    pub until: Time,
+}
+
+/// All replicas that hold a reservation.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Image", into = "Image")]
+pub struct Replicas {
+    last: ReplicaId,
+    standing: BTreeMap<ReplicaId, Replica>,
+    quiet: VecDeque<Quiet>,
+    /// Follows from `standing`.
+    targets: BTreeMap<TargetId, Room>,
+    /// Follows from `standing`.
+    models: BTreeMap<ModelId, BTreeSet<ReplicaId>>,
+}
+
+/// What the replicas of one worker take.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Room {
+    reserved: u64,
+    replicas: BTreeSet<ReplicaId>,
+}
+
+/// Replicas as a snapshot holds them.
+#[derive(Debug, Serialize, Deserialize)]
+struct Image {
+    last: ReplicaId,
+    standing: Vec<Replica>,
+    quiet: VecDeque<Quiet>,
+}
+
+impl From<Replicas> for Image {
+    fn from(replicas: Replicas) -> Self {
+        Self {
+            last: replicas.last,
+            standing: replicas.standing.into_values().collect(),
+            quiet: replicas.quiet,
+        }
+    }
+}
+
+impl From<Image> for Replicas {
+    fn from(image: Image) -> Self {
+        let mut replicas = Self {
+            last: image.last,
+            quiet: image.quiet,
+            ..Self::default()
+        };
+        for replica in image.standing {
+            replicas.insert(replica);
+        }
+        replicas
+    }
+}
+
+impl Replicas {
+    /// A replica.
+    #[must_use]
+    pub fn get(&self, replica: ReplicaId) -> Option<&Replica> {
+        self.standing.get(&replica)
+    }
+
+    /// All replicas in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = &Replica> {
+        self.standing.values()
+    }
+
+    /// The replicas of one worker.
+    pub fn on<'a>(&'a self, target: &str) -> impl Iterator<Item = &'a Replica> {
+        let ids = self.targets.get(target).into_iter();
+        ids.flat_map(|room| &room.replicas)
+            .filter_map(|id| self.standing.get(id))
+    }
+
+    /// The replicas of one model.
+    pub fn of<'a>(&'a self, model: &str) -> impl Iterator<Item = &'a Replica> {
+        let ids = self.models.get(model).into_iter().flatten();
+        ids.filter_map(|id| self.standing.get(id))
+    }
+
+    /// Memory reserved on a worker, in bytes.
+    #[must_use]
+    pub fn reserved(&self, target: &str) -> u64 {
+        self.targets.get(target).map_or(0, |room| room.reserved)
+    }
+
+    /// Models that may not be loaded on workers for a while.
+    pub fn quiet(&self) -> impl Iterator<Item = &Quiet> {
+        self.quiet.iter()
+    }
+
+    /// The newest replica id that was given out.
+    #[must_use]
+    pub fn last(&self) -> ReplicaId {
+        self.last
+    }
+
+    /// Decides a replica, if every rule allows it.
+    pub(crate) fn decide(
+        &mut self,
+        decide: Decide,
+        settings: &Settings,
+        fleet: &Fleet,
+        entry: &Entry,
+    ) -> Answer {
+        if let Err(refusal) = self.check(&decide, settings, fleet, entry.time) {
+            return Answer::Refused(refusal);
+        }
+        self.last += 1;
+        let replica = Replica {
+            id: self.last,
+            model: decide.model,
+            version: decide.version,
+            target: decide.target,
+            incarnation: decide.incarnation,
+            bytes: decide.bytes,
+            state: State::Loading,
+            term: entry.term,
+            decided: entry.time,
+            ready: None,
+            adopted: decide.adopted,
+            after: decide.after,
+        };
+        self.insert(replica.clone());
+        Answer::Decided(replica)
+    }
+
+    /// Checks every rule of a decision.
+    fn check(
+        &self,
+        decide: &Decide,
+        settings: &Settings,
+        fleet: &Fleet,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        let target = fleet.get(&decide.target).ok_or(Refusal::Target)?;
+        usable(target, decide.incarnation)?;
+        let model = settings.model(&decide.model).ok_or(Refusal::Model)?;
+        require(settings.managed(model), Refusal::Unmanaged)?;
+        require(decide.bytes >= model.bytes.max(1), Refusal::Bytes)?;
+        let present = self.on(&decide.target).any(|it| it.model == decide.model);
+        require(!present, Refusal::Present)?;
+        let free = target.announcement.memory;
+        let free = free.saturating_sub(self.reserved(&decide.target));
+        require(decide.bytes <= free, Refusal::Memory)?;
+        let counted = self.of(&decide.model).filter(|it| counts(it, fleet));
+        let limit = settings.rules(&decide.model).replicas as usize;
+        require(counted.count() < limit, Refusal::Limit)?;
+        require(!self.is_quiet(decide, now), Refusal::Quiet)
+    }
+
+    /// Whether an order for the model may still arrive at the worker.
+    fn is_quiet(&self, decide: &Decide, now: Time) -> bool {
+        let mut quiet = self.quiet.iter();
+        quiet.any(|quiet| {
+            quiet.target == decide.target
+                && quiet.incarnation == decide.incarnation
+                && quiet.model == decide.model
+                && now < quiet.until
+                && !decide.adopted
+        })
+    }
+
+    /// Notes that a worker showed a replica ready.
+    pub(crate) fn ready(&mut self, id: ReplicaId, sequence: u64, now: Time) -> Answer {
+        let Some(replica) = self.standing.get_mut(&id) else {
+            return Answer::Refused(Refusal::Replica);
+        };
+        replica.after = replica.after.max(sequence);
+        if replica.ready.is_none() {
+            replica.ready = Some(now);
+        }
+        if replica.state == State::Loading {
+            replica.state = State::Ready;
+        }
+        Answer::Done
+    }
+
+    /// Takes a replica out of use.
+    pub(crate) fn retire(&mut self, id: ReplicaId) -> Answer {
+        let Some(replica) = self.standing.get_mut(&id) else {
+            return Answer::Refused(Refusal::Replica);
+        };
+        replica.state = State::Retiring;
+        Answer::Done
+    }
+
+    /// Ends a reservation, if the evidence shows that its memory is free.
+    pub(crate) fn release(
+        &mut self,
+        id: ReplicaId,
+        evidence: Evidence,
+        unknown: bool,
+        fleet: &Fleet,
+        now: Time,
+    ) -> Answer {
+        let Some(replica) = self.standing.get(&id) else {
+            return Answer::Refused(Refusal::Replica);
+        };
+        let alive = fleet.alive(&replica.target, replica.incarnation);
+        let shown = match evidence {
+            Evidence::Inventory { sequence } => replica.absent(sequence),
+            Evidence::Ended => alive.is_none(),
+            Evidence::Refused => replica.ready.is_none() && !replica.adopted,
+        };
+        if !shown {
+            return Answer::Refused(Refusal::Evidence);
+        }
+        let Some(replica) = self.remove(id) else {
+            return Answer::Refused(Refusal::Replica);
+        };
+        self.quiet.retain(|quiet| now < quiet.until);
+        if unknown {
+            self.quiet.push_back(Quiet {
+                target: replica.target.clone(),
+                incarnation: replica.incarnation,
+                model: replica.model.clone(),
+                until: now.saturating_add(QUIET),
+            });
+        }
+        Answer::Released(replica)
+    }
+
+    /// Ends all reservations on a worker whose incarnation ended.
+    pub(crate) fn end(&mut self, target: &str) {
+        let ids: Vec<ReplicaId> = self.on(target).map(|replica| replica.id).collect();
+        for id in ids {
+            self.remove(id);
+        }
+        self.quiet.retain(|quiet| &*quiet.target != target);
+    }
+
+    /// Adds a replica and counts its memory.
+    fn insert(&mut self, replica: Replica) {
+        let room = self.targets.entry(replica.target.clone()).or_default();
+        room.reserved = room.reserved.saturating_add(replica.bytes);
+        room.replicas.insert(replica.id);
+        let ids = self.models.entry(replica.model.clone()).or_default();
+        ids.insert(replica.id);
+        self.standing.insert(replica.id, replica);
+    }
+
+    /// Removes a replica and gives its memory back.
+    fn remove(&mut self, id: ReplicaId) -> Option<Replica> {
+        let replica = self.standing.remove(&id)?;
+        if let Some(room) = self.targets.get_mut(&replica.target) {
+            room.reserved = room.reserved.saturating_sub(replica.bytes);
+            room.replicas.remove(&id);
+            if room.replicas.is_empty() {
+                self.targets.remove(&replica.target);
+            }
+        }
+        if let Some(ids) = self.models.get_mut(&replica.model) {
+            ids.remove(&id);
+            if ids.is_empty() {
+                self.models.remove(&replica.model);
+            }
+        }
+        Some(replica)
+    }
+}
+
+impl Replica {
+    /// Whether an inventory without this replica shows that it is gone.
+    ///
+    /// Once it was seen ready, any later inventory does. Before that its order may still be on
+    /// its way, so the worker must have run on for [`QUIET_BEATS`] heartbeats.
+    pub(crate) fn absent(&self, sequence: u64) -> bool {
+        match self.ready {
+            Some(_) => sequence > self.after,
+            None => sequence >= self.after.saturating_add(QUIET_BEATS),
+        }
+    }
+}
+
+/// Whether a replica counts against its model's limit.
+fn counts(replica: &Replica, fleet: &Fleet) -> bool {
+    let target = fleet.alive(&replica.target, replica.incarnation);
+    target.is_some_and(|target| !target.silent)
+}
+
+/// Checks that a target may be loaded.
+fn usable(target: &Target, incarnation: Incarnation) -> Result<(), Refusal> {
+    let announcement = &target.announcement;
+    require(announcement.kind == Kind::Worker, Refusal::Service)?;
+    require(
+        announcement.incarnation == incarnation,
+        Refusal::Incarnation,
+    )?;
+    require(!target.silent, Refusal::Silent)
+}
+
+/// Refuses unless a rule holds.
+fn require(holds: bool, refusal: Refusal) -> Result<(), Refusal> {
+    if holds { Ok(()) } else { Err(refusal) }
+}
--- /dev/null
+++ b/crates/control/src/scene.rs
@@ -0,0 +1,123 @@
+//! The fleet as entry hosts see it, built from committed and soft state.
+
+use cornelhitch_settings::fleet::Loading;
+use cornelhitch_types::id::{ReplicaId, Time};
+use cornelhitch_types::target::Stage;
+use cornelhitch_types::view::{self, Change};
+
+use crate::leases::{Lease, Leases};
+use crate::replicas::Replica;
+use crate::state::State;
+use crate::strikes::Count;
+use crate::tracks::Tracks;
+use crate::workers::Workers;
+
+/// One gibibyte.
+const GIB: u64 = 1 << 30;
+
+/// What a view is built from.
+pub(crate) struct Scene<'a> {
+    /// The replicated state.
+    pub(crate) state: &'a State,
+    /// What is heard of targets.
+    pub(crate) workers: &'a Workers,
+    /// What is known of replicas' orders.
+    pub(crate) tracks: &'a Tracks,
+    /// The entry hosts.
+    pub(crate) leases: &'a Leases,
+    /// The time.
+    pub(crate) now: Time,
+}
+
+impl Scene<'_> {
+    /// A target, if it is known.
+    pub(crate) fn target(&self, target: &str) -> Option<view::Target> {
+        let known = self.state.fleet().get(target)?;
+        let announcement = &known.announcement;
+        let worker = self.workers.get(target);
+        let beat = worker.and_then(|worker| worker.beat.as_ref());
+        Some(view::Target {
+            target: announcement.target.clone(),
+            incarnation: announcement.incarnation,
+            kind: announcement.kind,
+            address: announcement.address,
+            region: announcement.region.clone(),
+            zone: announcement.zone.clone(),
+            services: announcement.services.clone(),
+            open: !known.silent && worker.is_some_and(crate::workers::Worker::is_open),
+            load: beat.map(|beat| beat.load).unwrap_or_default(),
+        })
+    }
+
+    /// A decided replica, if it stands.
+    pub(crate) fn replica(&self, id: ReplicaId) -> Option<view::Replica> {
+        let replica = self.state.replicas().get(id)?;
+        let track = self.tracks.get(&id);
+        let from = track.map_or(Stage::Remote, |track| track.from);
+        Some(view::Replica {
+            replica: id,
+            model: replica.model.clone(),
+            version: replica.version.clone(),
+            target: replica.target.clone(),
+            state: replica.state,
+            ready_in_ms: self.ready_in(replica, from),
+            adapters: track.map(|it| it.adapters.clone()).unwrap_or_default(),
+        })
+    }
+
+    /// How long until a replica is expected to be ready, in milliseconds.
+    fn ready_in(&self, replica: &Replica, from: Stage) -> u32 {
+        if replica.state != view::State::Loading {
+            return 0;
+        }
+        let rate = rate(&self.state.catalogue().fleet().loading, from);
+        let length = replica.bytes.div_ceil(GIB).saturating_mul(rate);
+        let ready = replica.decided.saturating_add(Time::from_millis(length));
+        let left = ready.saturating_sub(self.now).as_millis();
+        u32::try_from(left).unwrap_or(u32::MAX)
+    }
+
+    /// An entry host, if callers may be sent to it.
+    pub(crate) fn entry(&self, lease: &Lease) -> Option<Change> {
+        (self.now <= lease.until).then(|| Change::Entry(lease.host.clone()))
+    }
+
+    /// The settings, if there are any.
+    pub(crate) fn settings(&self) -> Option<Change> {
+        let catalogue = self.state.catalogue();
+        let version = catalogue.version();
+        (version > 0).then(|| Change::Settings(version, catalogue.text().clone()))
+    }
+
+    /// A struck fingerprint; one whose time is over counts 0.
+    pub(crate) fn strike(&self, count: Count) -> Change {
+        let over = count.until.is_some_and(|until| until <= self.now);
+        Change::Strike(count.fingerprint, if over { 0 } else { count.lost })
+    }
+
+    /// Everything.
+    pub(crate) fn whole(&self) -> Vec<Change> {
+        let state = self.state;
+        let targets = state.fleet().iter();
+        let targets = targets.filter_map(|it| self.target(&it.announcement.target));
+        let replicas = state.replicas().iter();
+        let replicas = replicas.filter_map(|it| self.replica(it.id));
+        let observed = self.workers.values().flat_map(|it| it.observed.clone());
+        let strikes = state.strikes().iter().map(|count| self.strike(count));
+        let mut changes: Vec<Change> = self.settings().into_iter().collect();
+        changes.extend(targets.map(Change::Target));
+        changes.extend(replicas.chain(observed).map(Change::Replica));
+        changes.extend(self.leases.iter().filter_map(|lease| self.entry(lease)));
+        changes.extend(strikes);
+        changes
+    }
+}
+
+/// Milliseconds of a load, a gibibyte.
+fn rate(loading: &Loading, from: Stage) -> u64 {
+    match from {
+        Stage::Remote => loading.remote_ms_per_gib,
+        Stage::Disk => loading.disk_ms_per_gib,
+        Stage::Memory | Stage::Loading | Stage::Ready => loading.memory_ms_per_gib,
+    }
+}
--- /dev/null
+++ b/crates/control/src/sketch.rs
@@ -0,0 +1,179 @@
+//! The planner's picture, kept up to date by what changed.
+
+use std::collections::BTreeSet;
+
+use cornelhitch_planner::picture::{Copy, Picture, Quiet, Replica, Worker};
+use cornelhitch_types::id::{ReplicaId, TargetId};
+use cornelhitch_types::target::{Kind, Stage};
+use cornelhitch_types::view::State;
+
+use crate::levels::Levels;
+use crate::tracks::Tracks;
+use crate::turn::Turn;
+use crate::workers::Workers;
+
+/// The picture, and what in it is out of date.
+#[derive(Debug, Default)]
+pub(crate) struct Sketch {
+    picture: Picture,
+    workers: BTreeSet<TargetId>,
+    replicas: BTreeSet<ReplicaId>,
+}
+
+impl Sketch {
+    /// Notes that a worker changed.
+    pub(crate) fn worker(&mut self, target: &TargetId) {
+        self.workers.insert(target.clone());
+    }
+
+    /// Notes that a replica changed, and with it the room on its worker.
+    pub(crate) fn replica(&mut self, replica: ReplicaId, target: &TargetId) {
+        self.replicas.insert(replica);
+        self.worker(target);
+    }
+
+    /// Brings the picture up to date.
+    pub(crate) fn refresh(
+        &mut self,
+        workers: &Workers,
+        tracks: &mut Tracks,
+        levels: &mut Levels,
+        adapters: u32,
+        turn: &Turn,
+    ) -> &Picture {
+        self.picture.settings = turn.state.catalogue().fleet().clone();
+        for target in std::mem::take(&mut self.workers) {
+            self.put_worker(&target, workers, turn);
+        }
+        for replica in std::mem::take(&mut self.replicas) {
+            self.put_replica(replica, tracks, turn);
+        }
+        self.count_running(tracks, levels, turn);
+        self.picture.demand = levels.rows();
+        self.picture.adapters_in_flight = adapters;
+        &self.picture
+    }
+
+    /// Puts a worker in its place, or takes it out.
+    fn put_worker(&mut self, target: &TargetId, workers: &Workers, turn: &Turn) {
+        let place = self
+            .picture
+            .workers
+            .binary_search_by(|it| it.target.cmp(target));
+        match (place, draw_worker(target, workers, turn)) {
+            (Ok(at), Some(worker)) => self.picture.workers[at] = worker,
+            (Err(at), Some(worker)) => self.picture.workers.insert(at, worker),
+            (Ok(at), None) => {
+                self.picture.workers.remove(at);
+            }
+            (Err(_), None) => {}
+        }
+    }
+
+    /// Puts a replica in its place, or takes it out.
+    fn put_replica(&mut self, id: ReplicaId, tracks: &Tracks, turn: &Turn) {
+        let place = self
+            .picture
+            .replicas
+            .binary_search_by(|it| it.replica.cmp(&id));
+        match (place, draw_replica(id, tracks, turn)) {
+            (Ok(at), Some(replica)) => self.picture.replicas[at] = replica,
+            (Err(at), Some(replica)) => self.picture.replicas.insert(at, replica),
+            (Ok(at), None) => {
+                self.picture.replicas.remove(at);
+            }
+            (Err(_), None) => {}
+        }
+    }
+
+    /// Shares the requests in progress out among each model's replicas.
+    fn count_running(&mut self, tracks: &mut Tracks, levels: &Levels, turn: &Turn) {
+        for replica in &mut self.picture.replicas {
+            let running = levels.running(&replica.model);
+            if running == 0 {
+                replica.running = 0;
+                continue;
+            }
+            if replica.state == State::Loading {
+                continue;
+            }
+            let peers = turn.state.replicas().of(&replica.model);
+            let peers = peers.filter(|it| it.state != State::Loading).count();
+            let peers = u32::try_from(peers).unwrap_or(u32::MAX).max(1);
+            replica.running = running.div_ceil(peers);
+            replica.used = turn.now;
+            if let Some(track) = tracks.get_mut(&replica.replica) {
+                track.used = turn.now;
+            }
+        }
+    }
+}
+
+/// A worker as the planner sees it; none for a plain service.
+fn draw_worker(target: &TargetId, workers: &Workers, turn: &Turn) -> Option<Worker> {
+    let known = turn.state.fleet().get(target)?;
+    let announcement = &known.announcement;
+    let worker = workers.get(target)?;
+    if announcement.kind != Kind::Worker {
+        return None;
+    }
+    let taken = turn.state.replicas().reserved(target);
+    let taken = taken.saturating_add(worker.unexplained());
+    let inventory = worker.beat.iter().flat_map(|beat| &beat.inventory);
+    let copies = inventory.filter(|it| matches!(it.stage, Stage::Disk | Stage::Memory));
+    let copies = copies.map(|it| Copy {
+        model: it.model.model.clone(),
+        stage: it.stage,
+    });
+    Some(Worker {
+        target: target.clone(),
+        region: announcement.region.clone(),
+        zone: announcement.zone.clone(),
+        memory: announcement.memory,
+        free: announcement.memory.saturating_sub(taken),
+        accelerators: announcement.accelerators,
+        open: worker.is_loadable() && !known.silent,
+        copies: copies.collect(),
+        quiet: quiet(target, worker, turn),
+    })
+}
+
+/// Models that may not be loaded on a worker for a while.
+fn quiet(target: &TargetId, worker: &crate::workers::Worker, turn: &Turn) -> Vec<Quiet> {
+    let committed = turn.state.replicas().quiet();
+    let committed = committed.filter(|it| it.target == *target);
+    let committed = committed.map(|it| Quiet {
+        model: it.model.clone(),
+        until: it.until,
+    });
+    let backoff = worker.backoff.iter().map(|it| Quiet {
+        model: it.model.clone(),
+        until: it.until,
+    });
+    let strangers = worker.strangers.iter().map(|it| Quiet {
+        model: it.model.model.clone(),
+        until: turn.now + turn.timing.backoff,
+    });
+    let quiet = committed.chain(backoff).chain(strangers);
+    quiet.filter(|it| turn.now < it.until).collect()
+}
+
+/// A replica as the planner sees it.
+fn draw_replica(id: ReplicaId, tracks: &Tracks, turn: &Turn) -> Option<Replica> {
+    let replica = turn.state.replicas().get(id)?;
+    let track = tracks.get(&id);
+    Some(Replica {
+        replica: id,
+        model: replica.model.clone(),
+        version: replica.version.clone(),
+        target: replica.target.clone(),
+        bytes: replica.bytes,
+        state: replica.state,
+        decided: replica.decided,
+        ready: replica.ready,
+        from: track.map_or(Stage::Remote, |track| track.from),
+        running: 0,
+        used: track.map_or(replica.decided, |track| track.used),
+        adapters: track.map(|it| it.adapters.clone()).unwrap_or_default(),
+    })
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,263 @@
+//! The replicated state machine.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cornelhitch_types::id::{TargetId, Term, Time};
+use cornelhitch_types::target::Announcement;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, ensure};
+
+use crate::catalogue::{self, Catalogue};
+use crate::claims::{Claims, LIMITS};
+use crate::command::{Command, Entry, Reply};
+use crate::error::{Error, FormSnafu, LeftSnafu, MalformedSnafu};
+use crate::fleet::{self, Fleet};
+use crate::replicas::{Answer, Decide, Replicas};
+use crate::strikes::Strikes;
+
+/// The first byte of a snapshot.
+pub const FORM: u8 = 1;
+
+/// What every control host agrees on.
+///
+/// The same commands in the same order give the same state on every host:
+/// nothing in it depends on a clock, a random source or a hash map's order.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct State {
+    entry: Entry,
+    catalogue: Catalogue,
+    fleet: Fleet,
+    replicas: Replicas,
+    claims: Claims,
+    strikes: Strikes,
+}
+
+/// A state as a snapshot holds it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Image {
+    entry: Entry,
+    catalogue: catalogue::Image,
+    fleet: Fleet,
+    replicas: Replicas,
+    claims: Claims,
+    strikes: Strikes,
+}
+
+impl State {
+    /// The newest entry that was applied.
+    #[must_use]
+    pub fn entry(&self) -> Entry {
+        self.entry
+    }
+
+    /// The settings.
+    #[must_use]
+    pub fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    /// The targets.
+    #[must_use]
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The replicas and their reservations.
+    #[must_use]
+    pub fn replicas(&self) -> &Replicas {
+        &self.replicas
+    }
+
+    /// The claims.
+    #[must_use]
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// The strikes.
+    #[must_use]
+    pub fn strikes(&self) -> &Strikes {
+        &self.strikes
+    }
+
+    /// Applies a committed command.
+    ///
+    /// Entries come in the order of their index, each once. A time that goes
+    /// back is taken as the newest time seen.
+    pub fn apply(&mut self, entry: &Entry, command: Command) -> Reply {
+        self.entry = Entry {
+            time: self.entry.time.max(entry.time),
+            ..*entry
+        };
+        self.run(command)
+    }
+
+    /// Runs one command, or each of a batch.
+    fn run(&mut self, command: Command) -> Reply {
+        let now = self.entry.time;
+        match command {
+            Command::Nothing => Reply::Nothing,
+            Command::Apply(apply) => Reply::Settings(self.catalogue.apply(apply)),
+            Command::Register(announcement) => Reply::Target(self.register(announcement, now)),
+            Command::Dismiss {
+                target,
+                incarnation,
+                attested,
+            } => Reply::Target(self.dismiss(&target, incarnation, attested)),
+            Command::Silence {
+                target,
+                incarnation,
+                silent,
+            } => Reply::Target(self.fleet.silence(&target, incarnation, silent)),
+            Command::Batch(commands) => {
+                Reply::Batch(commands.into_iter().map(|it| self.run(it)).collect())
+            }
+            command => self.run_work(command, now),
+        }
+    }
+
+    /// Runs a command about replicas, claims or strikes.
+    fn run_work(&mut self, command: Command, now: Time) -> Reply {
+        match command {
+            Command::Decide(decide) => Reply::Replica(self.decide(decide)),
+            Command::Ready { replica, sequence } => {
+                Reply::Replica(self.replicas.ready(replica, sequence, now))
+            }
+            Command::Retire { replica } => Reply::Replica(self.replicas.retire(replica)),
+            Command::Release {
+                replica,
+                evidence,
+                unknown,
+            } => {
+                let fleet = &self.fleet;
+                let answer = self
+                    .replicas
+                    .release(replica, evidence, unknown, fleet, now);
+                Reply::Replica(answer)
+            }
+            Command::Strike(strike) => {
+                let quarantine = self.quarantine();
+                self.strikes.expire(quarantine, now);
+                Reply::Strike(self.strikes.strike(strike, quarantine, now))
+            }
+            Command::Pardon { fingerprint } => Reply::Strike(self.strikes.pardon(fingerprint)),
+            command => self.run_claim(command, now),
+        }
+    }
+
+    /// Runs a command about claims.
+    fn run_claim(&mut self, command: Command, now: Time) -> Reply {
+        self.claims.expire(self.retention(), now);
+        let answer = match command {
+            Command::Claim(claim) => self.claims.claim(&claim, &LIMITS),
+            Command::Finish(finish) => self.claims.finish(finish, &LIMITS, now),
+            Command::Abandon { key, holder } => self.claims.abandon(&key, holder),
+            Command::HostEnded { host, incarnation } => {
+                self.claims.host_ended(host, incarnation, &LIMITS, now)
+            }
+            _ => return Reply::Nothing,
+        };
+        Reply::Claim(answer)
+    }
+
+    /// Decides a replica.
+    fn decide(&mut self, decide: Decide) -> Answer {
+        let settings = self.catalogue.fleet();
+        self.replicas
+            .decide(decide, settings, &self.fleet, &self.entry)
+    }
+
+    /// Takes a target in, and ends its earlier life's reservations.
+    fn register(&mut self, announcement: Announcement, now: Time) -> fleet::Answer {
+        let target = announcement.target.clone();
+        let answer = self.fleet.register(announcement, now);
+        if answer == fleet::Answer::Registered {
+            self.replicas.end(&target);
+        }
+        answer
+    }
+
+    /// Lets a target go, and ends its reservations.
+    fn dismiss(&mut self, target: &TargetId, incarnation: u64, attested: bool) -> fleet::Answer {
+        let reserved = self.replicas.reserved(target) > 0;
+        let answer = self.fleet.dismiss(target, incarnation, attested, reserved);
+        if answer == fleet::Answer::Done {
+            self.replicas.end(target);
+        }
+        answer
+    }
+
+    /// How long outcomes of claims are kept.
+    fn retention(&self) -> Duration {
+        Duration::from_secs(self.catalogue.fleet().refusing.claims_s)
+    }
+
+    /// How long a struck request is refused.
+    fn quarantine(&self) -> Duration {
+        Duration::from_secs(self.catalogue.fleet().refusing.quarantine_s)
+    }
+
+    /// The whole state as bytes.
+    #[must_use]
+    pub fn snapshot(&self) -> Bytes {
+        let image = Image {
+            entry: self.entry,
+            catalogue: self.catalogue.image(),
+            fleet: self.fleet.clone(),
+            replicas: self.replicas.clone(),
+            claims: self.claims.clone(),
+            strikes: self.strikes.clone(),
+        };
+        let mut bytes = vec![FORM];
+        bytes.extend(postcard::to_stdvec(&image).unwrap_or_default());
+        bytes.into()
+    }
+
+    /// The state in a snapshot.
+    ///
+    /// # Errors
+    /// When the bytes are of another form, malformed, cut or too many, or hold
+    /// settings that this build refuses.
+    pub fn restore(bytes: &[u8]) -> Result<Self, Error> {
+        let what = "snapshot";
+        let (&form, rest) = bytes.split_first().ok_or(Error::Empty { what })?;
+        ensure!(
+            form == FORM,
+            FormSnafu {
+                what,
+                found: form,
+                known: FORM
+            }
+        );
+        let (image, left): (Image, &[u8]) =
+            postcard::take_from_bytes(rest).context(MalformedSnafu { what })?;
+        ensure!(
+            left.is_empty(),
+            LeftSnafu {
+                what,
+                left: left.len()
+            }
+        );
+        Ok(Self {
+            entry: image.entry,
+            catalogue: Catalogue::from_image(image.catalogue)?,
+            fleet: image.fleet,
+            replicas: image.replicas,
+            claims: image.claims,
+            strikes: image.strikes,
+        })
+    }
+
+    /// A digest of the whole state; equal states have equal digests.
+    #[must_use]
+    pub fn digest(&self) -> [u8; 32] {
+        *blake3::hash(&self.snapshot()).as_bytes()
+    }
+
+    /// The term of the newest entry.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.entry.term
+    }
+}
--- /dev/null
+++ b/crates/control/src/strikes.rs
@@ -0,0 +1,141 @@
+//! Requests that were in progress when targets were lost.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cornelhitch_types::id::{Incarnation, TargetId, Time};
+use serde::{Deserialize, Serialize};
+
+/// Lives of targets that one fingerprint may end before it is refused.
+pub const LIMIT: usize = 2;
+
+/// Fingerprints that are remembered at most; the oldest go first.
+pub const FINGERPRINTS: usize = 10_000;
+
+/// A target was lost with requests in progress.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Strike {
+    /// The requests' fingerprints: digests of model and body.
+    pub fingerprints: Vec<u64>,
+    /// The target.
+    pub target: TargetId,
+    /// Its life that ended.
+    pub incarnation: Incarnation,
+}
+
+/// What became of a strike or a pardon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Every fingerprint that was named.
+    pub counts: Vec<Count>,
+}
+
+/// How a fingerprint stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// The fingerprint.
+    pub fingerprint: u64,
+    /// Lives of targets that ended with it in progress.
+    pub lost: u32,
+    /// Until when it is refused, if it is.
+    pub until: Option<Time>,
+}
+
+/// A fingerprint with strikes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Suspect {
+    lost: BTreeSet<Life>,
+    last: Time,
+    until: Option<Time>,
+}
+
+/// One life of a target.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct Life {
+    target: TargetId,
+    incarnation: Incarnation,
+}
+
+/// All fingerprints with strikes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Strikes {
+    suspects: BTreeMap<u64, Suspect>,
+}
+
+impl Strikes {
+    /// How a fingerprint stands.
+    #[must_use]
+    pub fn count(&self, fingerprint: u64) -> Count {
+        let suspect = self.suspects.get(&fingerprint);
+        let lost = suspect.map_or(0, |suspect| suspect.lost.len());
+        Count {
+            fingerprint,
+            lost: u32::try_from(lost).unwrap_or(u32::MAX),
+            until: suspect.and_then(|suspect| suspect.until),
+        }
+    }
+
+    /// All fingerprints with strikes.
+    pub fn iter(&self) -> impl Iterator<Item = Count> {
+        self.suspects
+            .keys()
+            .map(|fingerprint| self.count(*fingerprint))
+    }
+
+    /// Notes a strike; at [`LIMIT`] lost lives the fingerprint is refused for `quarantine`.
+    pub(crate) fn strike(&mut self, strike: Strike, quarantine: Duration, now: Time) -> Answer {
+        let life = Life {
+            target: strike.target,
+            incarnation: strike.incarnation,
+        };
+        for fingerprint in &strike.fingerprints {
+            let suspect = self.suspects.entry(*fingerprint).or_default();
+            if suspect.lost.len() < LIMIT {
+                suspect.lost.insert(life.clone());
+            }
+            suspect.last = now;
+            if suspect.lost.len() >= LIMIT {
+                suspect.until = Some(now.saturating_add(quarantine));
+            }
+        }
+        self.bound();
+        self.answer(strike.fingerprints)
+    }
+
+    /// Forgets a fingerprint's strikes.
+    pub(crate) fn pardon(&mut self, fingerprint: u64) -> Answer {
+        self.suspects.remove(&fingerprint);
+        self.answer(vec![fingerprint])
+    }
+
+    /// Forgets strikes that are older than `quarantine`, and returns their fingerprints.
+    pub(crate) fn expire(&mut self, quarantine: Duration, now: Time) {
+        self.suspects.retain(|_, suspect| {
+            now < suspect
+                .until
+                .unwrap_or(suspect.last.saturating_add(quarantine))
+        });
+    }
+
+    /// How some fingerprints stand.
+    fn answer(&self, fingerprints: Vec<u64>) -> Answer {
+        let counts = fingerprints.into_iter().map(|it| self.count(it));
+        Answer {
+            counts: counts.collect(),
+        }
+    }
+
+    /// Lets the oldest go when there are too many, those that are not refused first.
+    fn bound(&mut self) {
+        while self.suspects.len() > FINGERPRINTS {
+            let oldest = self
+                .suspects
+                .iter()
+                .min_by_key(|(_, suspect)| (suspect.until.is_some(), suspect.last));
+            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.suspects.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/tracks.rs
@@ -0,0 +1,142 @@
+//! What the leader knows of each replica's orders.
+
+use std::collections::BTreeMap;
+
+use cornelhitch_types::id::{Name, ReplicaId, Time};
+use cornelhitch_types::target::Stage;
+use cornelhitch_types::view::State;
+
+use crate::replicas::{QUIET_BEATS, Replica};
+
+/// An order, as far as it is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sent {
+    /// This leader has not sent it.
+    Never,
+    /// It was given out, and its outcome is not known yet.
+    Out {
+        /// When.
+        at: Time,
+    },
+    /// It may have arrived.
+    Unknown {
+        /// Since when that is known.
+        at: Time,
+    },
+    /// The worker answered it.
+    Settled,
+}
+
+/// One replica.
+#[derive(Debug, Clone)]
+pub(crate) struct Track {
+    /// Whether an earlier leader decided it, and may have sent any order for it.
+    pub(crate) inherited: bool,
+    /// Its load order.
+    pub(crate) load: Sent,
+    /// Its unload order.
+    pub(crate) unload: Sent,
+    /// Whether an order for it may still arrive.
+    pub(crate) doubtful: bool,
+    /// The heartbeat that was newest when an order was last sent or answered, or the first one
+    /// that this leader heard.
+    pub(crate) base: Option<u64>,
+    /// The newest heartbeat that showed it.
+    pub(crate) seen: Option<u64>,
+    /// When it was retired.
+    pub(crate) retired: Option<Time>,
+    /// When a request was last in progress on it.
+    pub(crate) used: Time,
+    /// Where its weights came from.
+    pub(crate) from: Stage,
+    /// Adapters ready on it.
+    pub(crate) adapters: Vec<Name>,
+}
+
+impl Track {
+    /// A replica that this leader decided.
+    pub(crate) fn new(from: Stage, now: Time) -> Self {
+        Self {
+            inherited: false,
+            load: Sent::Never,
+            unload: Sent::Never,
+            doubtful: false,
+            base: None,
+            seen: None,
+            retired: None,
+            used: now,
+            from,
+            adapters: Vec::new(),
+        }
+    }
+
+    /// A replica that an earlier leader decided.
+    pub(crate) fn inherit(replica: &Replica, now: Time) -> Self {
+        Self {
+            inherited: true,
+            doubtful: replica.state != State::Ready,
+            retired: (replica.state == State::Retiring).then_some(now),
+            ..Self::new(Stage::Remote, now)
+        }
+    }
+
+    /// Whether no load order has ever left.
+    pub(crate) fn is_unsent(&self, replica: &Replica) -> bool {
+        let unseen = self.seen.is_none() && replica.ready.is_none();
+        unseen && !replica.adopted && !self.inherited && self.load == Sent::Never
+    }
+
+    /// Whether a heartbeat without the replica shows that it is gone and stays gone.
+    ///
+    /// `fencing` says that the worker refuses orders with an old fencing number, so that a load
+    /// order is sent again until it is answered.
+    pub(crate) fn is_gone(&self, replica: &Replica, fencing: bool, sequence: u64) -> bool {
+        if !replica.absent(sequence) {
+            return false;
+        }
+        if let Some(seen) = self.seen {
+            return sequence > seen;
+        }
+        if replica.ready.is_some() {
+            return true;
+        }
+        let resending = fencing && replica.state == State::Loading && !replica.adopted;
+        let quiet = self
+            .base
+            .is_some_and(|base| sequence >= base.saturating_add(QUIET_BEATS));
+        match self.load {
+            Sent::Out { .. } => false,
+            Sent::Unknown { .. } => quiet && !resending,
+            Sent::Never => quiet && (replica.adopted || self.inherited && !resending),
+            Sent::Settled => quiet,
+        }
+    }
+
+    /// Counts an order as unknown that has been out for too long.
+    pub(crate) fn lapse(&mut self, before: Time, now: Time) {
+        for sent in [&mut self.load, &mut self.unload] {
+            if matches!(sent, Sent::Out { at } if *at < before) {
+                *sent = Sent::Unknown { at: now };
+                self.doubtful = true;
+            }
+        }
+    }
+}
+
+/// All replicas by their ids.
+#[derive(Debug, Default)]
+pub(crate) struct Tracks(BTreeMap<ReplicaId, Track>);
+
+impl std::ops::Deref for Tracks {
+    type Target = BTreeMap<ReplicaId, Track>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
+impl std::ops::DerefMut for Tracks {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        &mut self.0
+    }
+}
--- /dev/null
+++ b/crates/control/src/workers.rs
@@ -0,0 +1,258 @@
+//! What the leader has heard of targets.
+
+use std::collections::BTreeMap;
+
+use cornelhitch_settings::fleet::Fleet as Settings;
+use cornelhitch_types::id::{Incarnation, ModelId, ReplicaId, TargetId, Time};
+use cornelhitch_types::model::Reference;
+use cornelhitch_types::target::{Heartbeat, Holding, Load, Stage};
+use cornelhitch_types::view;
+
+use crate::replicas::Replica;
+
+/// The newest heartbeat of a target.
+#[derive(Debug, Clone)]
+pub(crate) struct Beat {
+    /// Its sequence number.
+    pub(crate) sequence: u64,
+    /// What the target holds.
+    pub(crate) inventory: Vec<Holding>,
+    /// Its load.
+    pub(crate) load: Load,
+}
+
+/// A copy in accelerator memory that no replica explains.
+#[derive(Debug, Clone)]
+pub(crate) struct Stranger {
+    /// The model.
+    pub(crate) model: Reference,
+    /// The replica that the worker names, which stands no more.
+    pub(crate) replica: Option<ReplicaId>,
+    /// Memory that it takes, in bytes.
+    pub(crate) bytes: u64,
+    /// Whether it answers.
+    pub(crate) ready: bool,
+    /// When it was first seen.
+    pub(crate) since: Time,
+    /// The heartbeat that first showed it.
+    pub(crate) first: u64,
+    /// Whether the state machine refused to make a replica of it.
+    pub(crate) refused: bool,
+    /// The heartbeat that was newest when an unload was ordered.
+    pub(crate) ordered: Option<u64>,
+}
+
+/// A model that is not loaded on a worker before a time.
+#[derive(Debug, Clone)]
+pub(crate) struct Backoff {
+    /// The model.
+    pub(crate) model: ModelId,
+    /// Until when.
+    pub(crate) until: Time,
+}
+
+/// One life of a target.
+#[derive(Debug, Clone)]
+pub(crate) struct Worker {
+    /// Its life.
+    pub(crate) incarnation: Incarnation,
+    /// When it was last heard of, or when the leader began to listen.
+    pub(crate) heard: Time,
+    /// Its newest heartbeat in this term.
+    pub(crate) beat: Option<Beat>,
+    /// Whether it is suspected to have failed.
+    pub(crate) suspected: bool,
+    /// Whether it leaves.
+    pub(crate) leaving: bool,
+    /// Copies that no replica explains.
+    pub(crate) strangers: Vec<Stranger>,
+    /// Replicas of unmanaged models, as entry hosts see them.
+    pub(crate) observed: Vec<view::Replica>,
+    /// Models that are not loaded here for a while.
+    pub(crate) backoff: Vec<Backoff>,
+}
+
+impl Worker {
+    /// A target that has not been heard in this term.
+    pub(crate) fn new(incarnation: Incarnation, now: Time) -> Self {
+        Self {
+            incarnation,
+            heard: now,
+            beat: None,
+            suspected: false,
+            leaving: false,
+            strangers: Vec::new(),
+            observed: Vec::new(),
+            backoff: Vec::new(),
+        }
+    }
+
+    /// The newest heartbeat's number; 0 before the first.
+    pub(crate) fn sequence(&self) -> u64 {
+        self.beat.as_ref().map_or(0, |beat| beat.sequence)
+    }
+
+    /// Whether it may get new work.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.leaving && !self.suspected
+    }
+
+    /// Whether it may be loaded.
+    pub(crate) fn is_loadable(&self) -> bool {
+        self.is_open() && self.beat.is_some()
+    }
+
+    /// Accelerator memory that no replica explains, in bytes.
+    pub(crate) fn unexplained(&self) -> u64 {
+        let bytes = self.strangers.iter().map(|stranger| stranger.bytes);
+        bytes.fold(0, u64::saturating_add)
+    }
+
+    /// Whether nothing runs or waits inside it.
+    pub(crate) fn is_idle(&self) -> bool {
+        let load = self.beat.as_ref().map(|beat| beat.load);
+        load.is_some_and(|load| load.running == 0 && load.queued == 0)
+    }
+
+    /// Whether a model may not be loaded here now.
+    pub(crate) fn blocks(&self, model: &str, now: Time) -> bool {
+        let stranger = self.strangers.iter().any(|it| &*it.model.model == model);
+        let mut backoff = self.backoff.iter();
+        stranger || backoff.any(|it| &*it.model == model && now < it.until)
+    }
+
+    /// Does not load a model here until a time.
+    pub(crate) fn back_off(&mut self, model: &ModelId, until: Time, now: Time) {
+        self.backoff
+            .retain(|it| now < it.until && it.model != *model);
+        self.backoff.push(Backoff {
+            model: model.clone(),
+            until,
+        });
+    }
+
+    /// Takes a heartbeat.
+    pub(crate) fn take(&mut self, heartbeat: Heartbeat, now: Time) {
+        self.heard = now;
+        self.suspected = false;
+        self.leaving = heartbeat.leaving;
+        self.beat = Some(Beat {
+            sequence: heartbeat.sequence,
+            inventory: heartbeat.inventory,
+            load: heartbeat.load,
+        });
+    }
+
+    /// Sorts the copies that no replica explains: unmanaged ones are observed, others are strangers.
+    ///
+    /// Says whether the observed ones changed.
+    pub(crate) fn sort(
+        &mut self,
+        target: &TargetId,
+        replicas: &[&Replica],
+        settings: &Settings,
+        now: Time,
+    ) -> bool {
+        let Some(beat) = &self.beat else {
+            return false;
+        };
+        let mut strangers = Vec::new();
+        let mut observed = Vec::new();
+        for holding in unexplained(&beat.inventory, replicas) {
+            let model = settings.model(&holding.model.model);
+            if model.is_some_and(|model| !settings.managed(model)) && holding.stage == Stage::Ready
+            {
+                observed.push(observe(target, self.incarnation, holding));
+            }
+            strangers.push(self.stranger(holding, beat.sequence, now));
+        }
+        let changed = observed != self.observed;
+        self.strangers = strangers;
+        self.observed = observed;
+        changed
+    }
+
+    /// A stranger, with what is known of it from earlier heartbeats.
+    fn stranger(&self, holding: &Holding, sequence: u64, now: Time) -> Stranger {
+        let same = |it: &&Stranger| it.model == holding.model && it.replica == holding.replica;
+        let old = self.strangers.iter().find(same);
+        Stranger {
+            model: holding.model.clone(),
+            replica: holding.replica,
+            bytes: holding.bytes,
+            ready: holding.stage == Stage::Ready,
+            since: old.map_or(now, |old| old.since),
+            first: old.map_or(sequence, |old| old.first),
+            refused: old.is_some_and(|old| old.refused),
+            ordered: old.and_then(|old| old.ordered),
+        }
+    }
+}
+
+/// Whether a copy is a replica's.
+///
+/// Workers that keep replica ids are matched by id, others by model and version.
+pub(crate) fn explains(replica: &Replica, holding: &Holding) -> bool {
+    if let Some(id) = holding.replica {
+        return id == replica.id;
+    }
+    let version = holding.model.version.as_ref();
+    let version = version.zip(replica.version.as_ref());
+    holding.stage >= Stage::Loading
+        && holding.model.model == replica.model
+        && version.is_none_or(|(held, decided)| held == decided)
+}
+
+/// Copies in accelerator memory that no replica explains; each replica explains one.
+fn unexplained<'a>(inventory: &'a [Holding], replicas: &[&Replica]) -> Vec<&'a Holding> {
+    let mut explained = Vec::new();
+    let mut left = Vec::new();
+    for holding in inventory.iter().filter(|it| it.stage >= Stage::Loading) {
+        let mut free = replicas.iter().filter(|it| !explained.contains(&it.id));
+        match free.find(|replica| explains(replica, holding)) {
+            Some(replica) => explained.push(replica.id),
+            None => left.push(holding),
+        }
+    }
+    left
+}
+
+/// An unmanaged copy as entry hosts see it, under an id that no decision gives out.
+fn observe(target: &TargetId, incarnation: Incarnation, holding: &Holding) -> view::Replica {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(target.as_bytes());
+    hasher.update(&incarnation.to_le_bytes());
+    hasher.update(holding.model.to_string().as_bytes());
+    let mut id = [0; 8];
+    id.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    view::Replica {
+        replica: ReplicaId::from_le_bytes(id) | OBSERVED,
+        model: holding.model.model.clone(),
+        version: holding.model.version.clone(),
+        target: target.clone(),
+        state: view::State::Ready,
+        ready_in_ms: 0,
+        adapters: holding.adapters.clone(),
+    }
+}
+
+/// The bit that ids of observed replicas have and ids of decided ones never reach.
+pub(crate) const OBSERVED: ReplicaId = 1 << 63;
+
+/// All targets by their names.
+#[derive(Debug, Default)]
+pub(crate) struct Workers(BTreeMap<TargetId, Worker>);
+
+impl std::ops::Deref for Workers {
+    type Target = BTreeMap<TargetId, Worker>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
+impl std::ops::DerefMut for Workers {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        &mut self.0
+    }
+}
