Random schedules over fake workers, and faults that they find

Cause: the leader's rules were only tried on one quiet way.

While writing it: an order that was refused is withheld for good, so that a release on its way cannot meet a later order; unconfirmed replicas are counted by heartbeats heard apart, so that one late heartbeat at a new leader does not make old orders look dead; no load onto a worker that shows an unexplained copy of the model.

--- a/crates/control/src/beats.rs
+++ b/crates/control/src/beats.rs
@@ -133,22 +133,23 @@
         let Some(track) = self.tracks.get_mut(&replica.id) else {
             return;
         };
-        if track.inherited {
-            track.base.get_or_insert(sequence);
-        }
         track.lapse(turn.now.saturating_sub(turn.timing.order), turn.now);
         let holding = beat.inventory.iter().find(|it| explains(replica, it));
         if let Some(holding) = holding {
             track.seen = Some(sequence);
+            track.stir();
             let holding = holding.clone();
             self.shown(replica, &holding, sequence, turn);
-        } else if track.is_gone(replica, fencing(replica, turn), sequence) {
-            let command = Command::Release {
-                replica: replica.id,
-                evidence: Evidence::Inventory { sequence },
-                unknown: track.doubtful,
-            };
-            self.pending.propose(command, turn);
+        } else {
+            track.rest(turn.now);
+            if track.is_gone(replica, fencing(replica, turn), sequence) {
+                let command = Command::Release {
+                    replica: replica.id,
+                    evidence: Evidence::Inventory { sequence },
+                    unknown: track.doubtful,
+                };
+                self.pending.propose(command, turn);
+            }
         }
         self.drive(replica.id, turn);
     }
@@ -280,6 +281,7 @@
             if first {
                 self.suspect(&target, turn);
             }
+            self.drive_all(&target, turn);
             if silence >= turn.timing.silence {
                 self.silent(&target, silence >= turn.timing.dismissal, turn);
             }
@@ -291,6 +293,11 @@
         self.feed.target(target, true);
         self.sketch.worker(target);
         self.eager = true;
+        self.drive_all(target, turn);
+    }
+
+    /// Sends or gives back what the replicas of a target need now.
+    fn drive_all(&mut self, target: &TargetId, turn: &mut Turn) {
         let on = turn.state.replicas().on(target);
         let ids: Vec<ReplicaId> = on.map(|replica| replica.id).collect();
         for id in ids {
--- a/crates/control/src/catalogue.rs
+++ b/crates/control/src/catalogue.rs
@@ -9,6 +9,7 @@
 use snafu::ResultExt;
 
 use crate::error::{Error, SettingsSnafu};
+use crate::mutation::{self, Mutation};
 
 /// Answers to operators that are kept for resends.
 pub const ANSWERS: usize = 4_096;
@@ -124,7 +125,7 @@
         if let Some(faults) = oversized(apply) {
             return Answer::Faulty { faults };
         }
-        if apply.base != self.version {
+        if apply.base != self.version && !mutation::is(Mutation::NoBaseCheck) {
             return Answer::Conflict {
                 version: self.version,
             };
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter};
 
+use crate::mutation::{self, Mutation};
 use crate::tombstones::Tombstones;
 
 /// The longest caller and key in bytes.
@@ -335,6 +336,10 @@
             .collect();
         for life in lives {
             for key in self.running.remove(&life).unwrap_or_default() {
+                if mutation::is(Mutation::FreedClaims) {
+                    self.records.remove(&key);
+                    continue;
+                }
                 if let Some(record) = self.records.get_mut(&key) {
                     record.outcome = Some(Outcome::Unknown);
                 }
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -5,6 +5,7 @@
 use cornelhitch_types::entry;
 use cornelhitch_types::id::{HostId, Time, Version};
 
+use crate::mutation::{self, Mutation};
 use crate::output::Output;
 use crate::turn::Turn;
 
@@ -95,8 +96,10 @@
 
     /// Whether no entry host acts on settings older than a version.
     pub(crate) fn in_force(&self, version: Version, now: Time) -> bool {
-        let current = |lease: &Lease| lease.host.settings >= version || lease.until < now;
-        now > self.inherited && self.hosts.values().all(current)
+        let early = mutation::is(Mutation::EarlyInForce);
+        let current = |lease: &Lease| early || lease.host.settings >= version || lease.until < now;
+        let inherited = now <= self.inherited && !mutation::is(Mutation::NoInheritedLeases);
+        !inherited && self.hosts.values().all(current)
     }
 
     /// Says once that the settings are in force.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod leader;
 mod leases;
 mod levels;
+pub mod mutation;
 mod orders;
 pub mod output;
 mod pending;
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -8,12 +8,12 @@
 
 use crate::beats::fencing;
 use crate::command::Command;
+use crate::mutation::{self, Mutation};
 use crate::output::Output;
 use crate::reign::{Adapter, Reign};
 use crate::replicas::{Evidence, QUIET_BEATS, Replica};
 use crate::tracks::Sent;
 use crate::turn::Turn;
-use crate::workers::Worker;
 
 impl Reign {
     /// Gives out an order under this term's fencing number.
@@ -57,31 +57,32 @@
         let memory = turn.state.fleet().get(&replica.target);
         let memory = memory.map_or(0, |target| target.announcement.memory);
         let room = reserved.saturating_add(worker.unexplained()) <= memory;
-        let usable = room && worker.is_loadable();
-        let sequence = worker.sequence();
+        let alone = !worker.shows(&replica.model);
+        let usable = room && alone && worker.is_loadable();
         let Some(track) = self.tracks.get_mut(&replica.id) else {
             return;
         };
         if replica.adopted || track.seen.is_some() {
             return;
         }
-        if track.is_unsent(replica) && !usable {
+        let withheld = track.load == Sent::Withheld;
+        if track.is_unsent(replica) && (!usable || withheld) {
             self.refuse_load(replica, turn);
             return;
         }
         // Without a check of fencing numbers an order of an earlier leader, or one with unknown
         // outcome, may still arrive; a second one could load a second copy.
-        let fencing = fencing(replica, turn);
+        let fencing = fencing(replica, turn) || mutation::is(Mutation::BlindResend);
         let due = match track.load {
             Sent::Never => !track.inherited || fencing,
             Sent::Unknown { at } => fencing && turn.now >= at + turn.timing.resend,
-            Sent::Out { .. } | Sent::Settled => false,
+            Sent::Out { .. } | Sent::Settled | Sent::Withheld => false,
         };
         if !due || !usable {
             return;
         }
         track.load = Sent::Out { at: turn.now };
-        track.base = Some(sequence);
+        track.stir();
         let action = Action::Load {
             model: reference(replica),
             bytes: replica.bytes,
@@ -112,20 +113,19 @@
             return;
         };
         let shown = track.seen == Some(sequence);
-        let quiet = track
-            .base
-            .is_none_or(|base| sequence >= base.saturating_add(QUIET_BEATS));
+        let asked = track.asked.saturating_add(QUIET_BEATS);
+        let quiet = sequence >= asked;
         let due = match track.unload {
             Sent::Never => true,
             Sent::Unknown { at } if fencing => turn.now >= at + turn.timing.resend,
             Sent::Unknown { .. } | Sent::Settled => quiet,
-            Sent::Out { .. } => false,
+            Sent::Out { .. } | Sent::Withheld => false,
         };
         if !due || !shown {
             return;
         }
         track.unload = Sent::Out { at: turn.now };
-        track.base = Some(sequence);
+        track.asked = sequence;
         let model = reference(replica);
         self.order(&replica.target, replica.id, Action::Unload { model }, turn);
     }
@@ -177,31 +177,24 @@
         let Some(replica) = turn.state.replicas().get(order.replica) else {
             return;
         };
-        let base = self.workers.get(&order.target).map(Worker::sequence);
         let Some(track) = self.tracks.get_mut(&order.replica) else {
             return;
         };
+        track.stir();
         let certain = !track.doubtful && !track.inherited && track.seen.is_none();
         match outcome {
             Outcome::Answered(Reply::Accepted) => {
                 track.load = Sent::Settled;
-                track.base = base;
             }
             Outcome::Unknown => {
                 track.doubtful = true;
                 track.load = Sent::Unknown { at: turn.now };
-                track.base = base;
             }
             Outcome::Unsent | Outcome::Answered(_) if certain => {
-                track.load = Sent::Settled;
-                track.base = base;
                 self.refuse_load(replica, turn);
             }
             Outcome::Unsent => track.load = Sent::Unknown { at: turn.now },
-            Outcome::Answered(_) => {
-                track.load = Sent::Settled;
-                track.base = base;
-            }
+            Outcome::Answered(_) => track.load = Sent::Settled,
         }
     }
 
@@ -222,6 +215,9 @@
 
     /// Gives back what was reserved for a load that did not take place.
     fn refuse_load(&mut self, replica: &Replica, turn: &mut Turn) {
+        if let Some(track) = self.tracks.get_mut(&replica.id) {
+            track.load = Sent::Withheld;
+        }
         if let Some(worker) = self.workers.get_mut(&replica.target) {
             let until = turn.now + turn.timing.backoff;
             worker.back_off(&replica.model, until, turn.now);
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -10,6 +10,7 @@
 use cornelhitch_types::view::State;
 
 use crate::command::Command;
+use crate::mutation::{self, Mutation};
 use crate::orders::reference;
 use crate::reign::{Adapter, Reign};
 use crate::replicas::Decide;
@@ -101,6 +102,13 @@
         let room = used <= known.announcement.memory;
         if room && worker.is_loadable() && !worker.blocks(&decide.model, turn.now) {
             *sum = sum.saturating_add(decide.bytes);
+            if mutation::is(Mutation::EarlyOrder) {
+                let model = Reference::base(decide.model.clone());
+                let bytes = decide.bytes;
+                let next = turn.state.replicas().last() + 1;
+                let action = order::Action::Load { model, bytes };
+                self.order(&decide.target, next, action, turn);
+            }
             self.pending.propose(Command::Decide(decide), turn);
         }
     }
--- a/crates/control/src/replicas.rs
+++ b/crates/control/src/replicas.rs
@@ -15,6 +15,7 @@
 
 use crate::command::Entry;
 use crate::fleet::{Fleet, Target};
+use crate::mutation::{self, Mutation};
 
 /// Heartbeats of a target's own running time after which an order that was sent before them, and
 /// whose connection was closed, can no longer be taken up.
@@ -184,7 +185,11 @@
 impl From<Image> for Replicas {
     fn from(image: Image) -> Self {
         let mut replicas = Self {
-            last: image.last,
+            last: if mutation::is(Mutation::ReusedIds) {
+                0
+            } else {
+                image.last
+            },
             quiet: image.quiet,
             ..Self::default()
         };
@@ -284,10 +289,12 @@
         require(!present, Refusal::Present)?;
         let free = target.announcement.memory;
         let free = free.saturating_sub(self.reserved(&decide.target));
-        require(decide.bytes <= free, Refusal::Memory)?;
+        let fits = decide.bytes <= free || mutation::is(Mutation::NoMemoryCheck);
+        require(fits, Refusal::Memory)?;
         let counted = self.of(&decide.model).filter(|it| counts(it, fleet));
         let limit = settings.rules(&decide.model).replicas as usize;
-        require(counted.count() < limit, Refusal::Limit)?;
+        let allowed = counted.count() < limit || mutation::is(Mutation::NoLimitCheck);
+        require(allowed, Refusal::Limit)?;
         require(!self.is_quiet(decide, now), Refusal::Quiet)
     }
 
@@ -300,6 +307,7 @@
                 && quiet.model == decide.model
                 && now < quiet.until
                 && !decide.adopted
+                && !mutation::is(Mutation::NoQuiet)
         })
     }
 
@@ -410,6 +418,7 @@
     pub(crate) fn absent(&self, sequence: u64) -> bool {
         match self.ready {
             Some(_) => sequence > self.after,
+            None if mutation::is(Mutation::EarlyRelease) => true,
             None => sequence >= self.after.saturating_add(QUIET_BEATS),
         }
     }
--- a/crates/control/src/tombstones.rs
+++ b/crates/control/src/tombstones.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claims::Key;
+use crate::mutation::{self, Mutation};
 
 /// The first half of a blake3 digest of caller and key.
 type Digest = u128;
@@ -33,6 +34,9 @@
 
 impl From<VecDeque<Tombstone>> for Tombstones {
     fn from(order: VecDeque<Tombstone>) -> Self {
+        if mutation::is(Mutation::LostTombstones) {
+            return Self::default();
+        }
         let digests = order.iter().map(|tombstone| tombstone.digest).collect();
         Self { order, digests }
     }
--- a/crates/control/src/tracks.rs
+++ b/crates/control/src/tracks.rs
@@ -6,8 +6,12 @@
 use cornelhitch_types::target::Stage;
 use cornelhitch_types::view::State;
 
+use crate::mutation::{self, Mutation};
 use crate::replicas::{QUIET_BEATS, Replica};
 
+/// Between two heartbeats at least, so that each stands for running time of the worker.
+const APART: Time = Time::from_millis(500);
+
 /// An order, as far as it is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Sent {
@@ -25,6 +29,8 @@
     },
     /// The worker answered it.
     Settled,
+    /// It never left or was refused, and is not sent any more.
+    Withheld,
 }
 
 /// One replica.
@@ -38,9 +44,13 @@
     pub(crate) unload: Sent,
     /// Whether an order for it may still arrive.
     pub(crate) doubtful: bool,
-    /// The heartbeat that was newest when an order was last sent or answered, or the first one
-    /// that this leader heard.
-    pub(crate) base: Option<u64>,
+    /// Heartbeats without the replica since an order was last sent or answered, or since this
+    /// leader began to listen.
+    pub(crate) calm: u64,
+    /// When the last of them came.
+    pub(crate) calmed: Option<Time>,
+    /// The heartbeat that was newest when the unload was last sent.
+    pub(crate) asked: u64,
     /// The newest heartbeat that showed it.
     pub(crate) seen: Option<u64>,
     /// When it was retired.
@@ -61,7 +71,9 @@
             load: Sent::Never,
             unload: Sent::Never,
             doubtful: false,
-            base: None,
+            calm: 0,
+            calmed: None,
+            asked: 0,
             seen: None,
             retired: None,
             used: now,
@@ -83,7 +95,8 @@
     /// Whether no load order has ever left.
     pub(crate) fn is_unsent(&self, replica: &Replica) -> bool {
         let unseen = self.seen.is_none() && replica.ready.is_none();
-        unseen && !replica.adopted && !self.inherited && self.load == Sent::Never
+        let unsent = matches!(self.load, Sent::Never | Sent::Withheld);
+        unseen && !replica.adopted && !self.inherited && unsent
     }
 
     /// Whether a heartbeat without the replica shows that it is gone and stays gone.
@@ -101,17 +114,28 @@
             return true;
         }
         let resending = fencing && replica.state == State::Loading && !replica.adopted;
-        let quiet = self
-            .base
-            .is_some_and(|base| sequence >= base.saturating_add(QUIET_BEATS));
+        let quiet = self.calm >= QUIET_BEATS || mutation::is(Mutation::EarlyRelease);
         match self.load {
-            Sent::Out { .. } => false,
+            Sent::Out { .. } | Sent::Withheld => false,
             Sent::Unknown { .. } => quiet && !resending,
             Sent::Never => quiet && (replica.adopted || self.inherited && !resending),
             Sent::Settled => quiet,
         }
     }
 
+    /// Starts to count heartbeats without the replica.
+    pub(crate) fn stir(&mut self) {
+        self.calm = 0;
+    }
+
+    /// Counts a heartbeat without the replica; several that come at once count as one.
+    pub(crate) fn rest(&mut self, now: Time) {
+        if self.calmed.is_none_or(|calmed| now >= calmed + APART) {
+            self.calmed = Some(now);
+            self.calm += 1;
+        }
+    }
+
     /// Counts an order as unknown that has been out for too long.
     pub(crate) fn lapse(&mut self, before: Time, now: Time) {
         for sent in [&mut self.load, &mut self.unload] {
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -8,6 +8,7 @@
 use cornelhitch_types::target::{Heartbeat, Holding, Load, Stage};
 use cornelhitch_types::view;
 
+use crate::mutation::{self, Mutation};
 use crate::replicas::Replica;
 
 /// The newest heartbeat of a target.
@@ -104,6 +105,9 @@
 
     /// Accelerator memory that no replica explains, in bytes.
     pub(crate) fn unexplained(&self) -> u64 {
+        if mutation::is(Mutation::NoStrangers) {
+            return 0;
+        }
         let bytes = self.strangers.iter().map(|stranger| stranger.bytes);
         bytes.fold(0, u64::saturating_add)
     }
@@ -114,11 +118,16 @@
         load.is_some_and(|load| load.running == 0 && load.queued == 0)
     }
 
+    /// Whether a copy of a model that no replica explains is here.
+    pub(crate) fn shows(&self, model: &str) -> bool {
+        let mut strangers = self.strangers.iter();
+        strangers.any(|it| &*it.model.model == model) && !mutation::is(Mutation::NoStrangers)
+    }
+
     /// Whether a model may not be loaded here now.
     pub(crate) fn blocks(&self, model: &str, now: Time) -> bool {
-        let stranger = self.strangers.iter().any(|it| &*it.model.model == model);
         let mut backoff = self.backoff.iter();
-        stranger || backoff.any(|it| &*it.model == model && now < it.until)
+        self.shows(model) || backoff.any(|it| &*it.model == model && now < it.until)
     }
 
     /// Does not load a model here until a time.
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+pub mod fake;
+pub mod world;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
