Settings in force: a lease counts from its grant, per version

Cause: random schedules showed version 2 said to be in force while a host that had been granted a lease on version 1 fetched it late and acted on it.

Change: the leader keeps, per entry host, each version that it granted and until when; an acknowledgement of a newer version drops the older ones. New test with racing operators, lost and late grants, clocks that run 9% slow, new leaders and restarted hosts.

Conclusion: the in-force answer is true in these schedules.

--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -9,19 +9,32 @@
 use crate::output::Output;
 use crate::turn::Turn;
 
-/// An entry host and its lease.
+/// An entry host and its leases.
 #[derive(Debug, Clone)]
 pub(crate) struct Lease {
     /// What the host said last.
     pub(crate) host: entry::Host,
     /// When it said so.
     pub(crate) heard: Time,
-    /// Until when it may take requests on the settings that it named.
-    pub(crate) until: Time,
-    /// Whether that has passed and was noted.
+    /// Settings that it may act on, and until when.
+    grants: BTreeMap<Version, Time>,
+    /// Whether all of them have run out and that was noted.
     lapsed: bool,
 }
 
+impl Lease {
+    /// Whether the host may take requests.
+    pub(crate) fn is_valid(&self, now: Time) -> bool {
+        self.grants.values().any(|until| now <= *until)
+    }
+
+    /// Whether the host may act on settings older than a version.
+    fn is_behind(&self, version: Version, now: Time) -> bool {
+        let older = self.grants.range(..version);
+        older.into_iter().any(|(_, until)| now <= *until)
+    }
+}
+
 /// All entry hosts that this leader has heard of.
 #[derive(Debug)]
 pub(crate) struct Leases {
@@ -51,21 +64,30 @@
         self.hosts.values()
     }
 
-    /// Renews a lease, if the host acts on the settings in force; says whether the view changes.
+    /// Gives a host a lease on the settings in force; says whether the view changes.
     ///
-    /// A host that acts on older settings is told the version to fetch, and its
-    /// lease on the older ones is not made longer.
+    /// A host that acts on older settings has to fetch these first; its lease on
+    /// the older ones is not made longer. A lease counts from here on, since the
+    /// host may fetch the settings whenever it hears of them.
     pub(crate) fn renew(&mut self, host: entry::Host, turn: &mut Turn) -> bool {
         let version = turn.state.catalogue().version();
-        let old = self.hosts.get(&host.host);
-        if old.is_some_and(|old| old.host.incarnation > host.incarnation) {
+        let old = self.hosts.remove(&host.host);
+        if let Some(newer) = old
+            .as_ref()
+            .filter(|old| old.host.incarnation > host.incarnation)
+        {
+            self.hosts.insert(host.host, newer.clone());
             return false;
         }
-        let mut until = old.map_or(Time::ZERO, |old| old.until);
-        if host.settings >= version && version > 0 {
-            until = turn.now + turn.timing.guarded_lease();
+        let changed = old
+            .as_ref()
+            .is_none_or(|old| old.host != host || !old.is_valid(turn.now));
+        let same = old.filter(|old| old.host.incarnation == host.incarnation);
+        let mut grants = same.map(|old| old.grants).unwrap_or_default();
+        grants.retain(|granted, _| *granted >= host.settings);
+        if version > 0 {
+            grants.insert(version, turn.now + turn.timing.guarded_lease());
         }
-        let changed = old.is_none_or(|old| old.host != host || old.until < turn.now);
         turn.out.push(Output::Lease {
             host: host.host,
             incarnation: host.incarnation,
@@ -74,8 +96,8 @@
         });
         let lease = Lease {
             heard: turn.now,
-            lapsed: until < turn.now,
-            until,
+            lapsed: version == 0,
+            grants,
             host,
         };
         self.hosts.insert(lease.host.host, lease);
@@ -86,7 +108,7 @@
     pub(crate) fn lapsed(&mut self, now: Time) -> Vec<HostId> {
         let mut lapsed = Vec::new();
         for (host, lease) in &mut self.hosts {
-            if !lease.lapsed && lease.until < now {
+            if !lease.lapsed && !lease.is_valid(now) {
                 lease.lapsed = true;
                 lapsed.push(*host);
             }
@@ -97,7 +119,7 @@
     /// Whether no entry host acts on settings older than a version.
     pub(crate) fn in_force(&self, version: Version, now: Time) -> bool {
         let early = mutation::is(Mutation::EarlyInForce);
-        let current = |lease: &Lease| early || lease.host.settings >= version || lease.until < now;
+        let current = |lease: &Lease| early || !lease.is_behind(version, now);
         let inherited = now <= self.inherited && !mutation::is(Mutation::NoInheritedLeases);
         !inherited && self.hosts.values().all(current)
     }
@@ -114,7 +136,7 @@
     /// Drops hosts that have been silent for long, and returns them.
     pub(crate) fn expire(&mut self, turn: &Turn) -> Vec<Lease> {
         let silent =
-            |lease: &Lease| lease.until < turn.now && lease.heard + turn.timing.host < turn.now;
+            |lease: &Lease| !lease.is_valid(turn.now) && lease.heard + turn.timing.host < turn.now;
         let ids: Vec<HostId> = self
             .hosts
             .iter()
--- a/crates/control/src/scene.rs
+++ b/crates/control/src/scene.rs
@@ -79,7 +79,9 @@
 
     /// An entry host, if callers may be sent to it.
     pub(crate) fn entry(&self, lease: &Lease) -> Option<Change> {
-        (self.now <= lease.until).then(|| Change::Entry(lease.host.clone()))
+        lease
+            .is_valid(self.now)
+            .then(|| Change::Entry(lease.host.clone()))
     }
 
     /// The settings, if there are any.
--- /dev/null
+++ b/crates/control/tests/settings.rs
@@ -0,0 +1,318 @@
+//! Settings under racing operators, isolated hosts, drifting clocks and new leaders.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use common::{Trivial, entry_host};
+use cornelhitch_control::catalogue::Answer;
+use cornelhitch_control::mutation::{self, Mutation};
+use cornelhitch_control::prelude::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// Schedules that are run.
+const CASES: u32 = 400;
+
+/// Entry hosts.
+const HOSTS: u64 = 4;
+
+/// One step of a schedule.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Time passes, in units of 100 ms.
+    Pass(u32),
+    /// A host asks for its lease; the answer is lost, or arrives after a while.
+    Renew { host: u64, lost: bool, delay: u32 },
+    /// An operator applies a text made from some versions before the one in force.
+    Apply {
+        operator: u8,
+        request: u8,
+        behind: u64,
+        valid: bool,
+    },
+    /// Another host leads, out of a snapshot.
+    Elect,
+    /// An entry host restarts without settings.
+    Restart(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (1..30_u32).prop_map(Step::Pass),
+        8 => (0..HOSTS, prop::bool::weighted(0.2), 0..40_u32)
+            .prop_map(|(host, lost, delay)| Step::Renew { host, lost, delay }),
+        3 => (0..2_u8, 0..6_u8, 0..2_u64, prop::bool::weighted(0.8)).prop_map(
+            |(operator, request, behind, valid)| Step::Apply { operator, request, behind, valid }
+        ),
+        1 => Just(Step::Elect),
+        1 => (0..HOSTS).prop_map(Step::Restart),
+    ]
+}
+
+/// An entry host as it sees its lease. Its clock runs slow by up to 9%.
+#[derive(Debug, Clone, Default)]
+struct Host {
+    incarnation: u64,
+    acts_on: u64,
+    until: Duration,
+}
+
+/// A lease on its way.
+#[derive(Debug, Clone)]
+struct Grant {
+    host: u64,
+    incarnation: u64,
+    sent: Duration,
+    arrives: Duration,
+    version: u64,
+    length: Duration,
+}
+
+struct World {
+    state: State,
+    leader: Leader,
+    now: Duration,
+    term: u64,
+    index: u64,
+    hosts: Vec<Host>,
+    grants: Vec<Grant>,
+    answers: BTreeMap<(u8, u8), (Apply, Reply)>,
+    newest: u64,
+    accepted: u64,
+    announced: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let host = Host {
+            incarnation: 1,
+            ..Host::default()
+        };
+        let mut world = Self {
+            state: State::default(),
+            leader: Leader::new(Box::new(Trivial)),
+            now: common::START,
+            term: 0,
+            index: 0,
+            hosts: vec![host; usize::try_from(HOSTS).unwrap_or_default()],
+            grants: Vec::new(),
+            answers: BTreeMap::new(),
+            newest: 0,
+            accepted: 0,
+            announced: 0,
+        };
+        world.elect();
+        world
+    }
+
+    fn elect(&mut self) {
+        self.state = State::restore(&self.state.snapshot()).expect("a readable snapshot");
+        self.term += 1;
+        self.leader = Leader::new(Box::new(Trivial));
+        self.give(Input::Elected { term: self.term });
+    }
+
+    fn give(&mut self, input: Input) -> Vec<Output> {
+        let outputs = self.leader.handle(input, &self.state, self.now);
+        for output in &outputs {
+            if let Output::InForce { version } = output {
+                self.announced = self.announced.max(*version);
+            }
+        }
+        outputs
+    }
+
+    fn run(&mut self, step: &Step) -> Result<(), String> {
+        match step.clone() {
+            Step::Pass(count) => {
+                for _ in 0..count {
+                    self.now += Duration::from_millis(100);
+                    self.arrive();
+                    self.give(Input::Tick);
+                    self.check()?;
+                }
+            }
+            Step::Renew { host, lost, delay } => self.renew(host, lost, delay),
+            Step::Apply {
+                operator,
+                request,
+                behind,
+                valid,
+            } => {
+                self.apply(operator, request, behind, valid)?;
+            }
+            Step::Elect => self.elect(),
+            Step::Restart(host) => {
+                let host = &mut self.hosts[usize::try_from(host).unwrap_or_default()];
+                *host = Host {
+                    incarnation: host.incarnation + 1,
+                    ..Host::default()
+                };
+            }
+        }
+        self.check()
+    }
+
+    fn renew(&mut self, host: u64, lost: bool, delay: u32) {
+        let known = &self.hosts[usize::try_from(host).unwrap_or_default()];
+        let mut renewal = entry_host(host, known.acts_on);
+        renewal.incarnation = known.incarnation;
+        let sent = self.now;
+        for output in self.give(Input::Renewal(renewal)) {
+            if let Output::Lease {
+                host,
+                incarnation,
+                length,
+                version,
+            } = output
+                && !lost
+            {
+                let arrives = sent + Duration::from_millis(100) * delay;
+                self.grants.push(Grant {
+                    host,
+                    incarnation,
+                    sent,
+                    arrives,
+                    version,
+                    length,
+                });
+            }
+        }
+        self.arrive();
+    }
+
+    /// Hosts take the leases that have arrived, and fetch the settings that these name.
+    fn arrive(&mut self) {
+        let now = self.now;
+        let (arrived, left): (Vec<Grant>, _) = self
+            .grants
+            .drain(..)
+            .partition(|grant| grant.arrives <= now);
+        self.grants = left;
+        for grant in arrived {
+            let host = &mut self.hosts[usize::try_from(grant.host).unwrap_or_default()];
+            if host.incarnation != grant.incarnation || grant.version == 0 {
+                continue;
+            }
+            if host.acts_on <= grant.version {
+                host.acts_on = grant.version;
+                host.until = host.until.max(grant.sent + grant.length * 109 / 100);
+            }
+        }
+    }
+
+    fn apply(&mut self, operator: u8, request: u8, behind: u64, ok: bool) -> Result<(), String> {
+        let version = self.state.catalogue().version();
+        let text = if ok { common::MODELS } else { "models: 7" };
+        let fresh = Apply {
+            operator: format!("o{operator}").into(),
+            request: format!("r{request}").into(),
+            base: version.saturating_sub(behind),
+            text: text.into(),
+        };
+        let kept = self.answers.get(&(operator, request)).cloned();
+        let apply = kept.as_ref().map_or(fresh, |(apply, _)| apply.clone());
+        self.index += 1;
+        let entry = Entry {
+            index: self.index,
+            term: self.term,
+            time: self.now,
+        };
+        let command = Command::Apply(apply.clone());
+        let reply = self.state.apply(&entry, command.clone());
+        self.give(Input::Applied {
+            command,
+            reply: reply.clone(),
+        });
+        if let Some((_, first)) = kept {
+            let same = first == reply;
+            return same
+                .then_some(())
+                .ok_or(format!("first {first:?}, then {reply:?}"));
+        }
+        if reply
+            == Reply::Settings(Answer::Accepted {
+                version: version + 1,
+            })
+        {
+            self.accepted += 1;
+            if apply.base != version || !ok {
+                return Err(format!("accepted {apply:?} over {version}"));
+            }
+        }
+        self.answers.insert((operator, request), (apply, reply));
+        Ok(())
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        let version = self.state.catalogue().version();
+        if version < self.newest || version != self.accepted {
+            return Err(format!("version {version} after {}", self.newest));
+        }
+        self.newest = version;
+        let claimed = (1..=version)
+            .filter(|it| self.leader.in_force(*it, self.now))
+            .max();
+        let claimed = claimed.unwrap_or(0).max(self.announced);
+        let acting = self.hosts.iter().filter(|host| self.now <= host.until);
+        match acting.clone().find(|host| host.acts_on < claimed) {
+            Some(host) => Err(format!("{claimed} said to be in force, but {host:?}")),
+            None => Ok(()),
+        }
+    }
+}
+
+fn run(steps: &[Step]) -> Result<u64, String> {
+    let mut world = World::new();
+    for step in steps {
+        world.run(step)?;
+    }
+    Ok(world.announced)
+}
+
+/// The first fault within some schedules, and how often settings were said to be in force.
+fn search(cases: u32) -> (Option<String>, u64) {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    let strategy = vec(step(), 1..100);
+    let mut announced = 0;
+    for _ in 0..cases {
+        let steps = strategy
+            .new_tree(&mut runner)
+            .expect("a schedule")
+            .current();
+        match run(&steps) {
+            Ok(count) => announced += count,
+            Err(error) => return (Some(format!("{error}\n{steps:?}")), announced),
+        }
+    }
+    (None, announced)
+}
+
+#[test]
+fn versions_never_go_back_and_in_force_is_true() {
+    let (fault, announced) = search(CASES);
+    assert_eq!(fault, None);
+    assert!(
+        announced > 100,
+        "only {announced} settings were said to be in force"
+    );
+}
+
+#[test]
+fn every_mutation_of_settings_is_found() {
+    for mutation in [
+        Mutation::NoBaseCheck,
+        Mutation::EarlyInForce,
+        Mutation::NoInheritedLeases,
+    ] {
+        mutation::set(Some(mutation));
+        let (fault, _) = search(CASES);
+        mutation::set(None);
+        assert!(fault.is_some(), "{mutation} was not found");
+    }
+}
