Claims under random resends, host deaths and small limits

Cause: nothing showed that a key is granted once when records shrink.

Change: property test of the claims with limits of a few records; claims in progress now also make ended records shrink, which the test found missing.

Conclusion: within the retention a key is granted once, or refused as full.

--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -268,6 +268,7 @@
         };
         self.records.insert(claim.key.clone(), record);
         self.hold(claim.holder, &claim.key);
+        self.shrink(limits);
         Answer::Granted
     }
 
@@ -463,3 +464,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
