--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -9,7 +9,7 @@
 
 use crate::catalogue::{self, Apply};
 use crate::claims::{self, Claim, Finish, Holder, Key};
-use crate::error::{EmptySnafu, Error, FormSnafu, LeftSnafu, MalformedSnafu};
+use crate::error::{Error, FormSnafu, KindSnafu, LeftSnafu, MalformedSnafu};
 use crate::fleet;
 use crate::replicas::{self, Decide, Evidence};
 use crate::strikes::{self, Strike};
@@ -187,7 +187,7 @@
                     postcard::take_from_bytes(rest).context(MalformedSnafu { what })?;
                 (Self::Batch(commands), left)
             }
-            _ => return EmptySnafu { what }.fail(),
+            found => return KindSnafu { found }.fail(),
         };
         ensure!(
             left.is_empty(),
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -22,6 +22,12 @@
         /// The form that this build reads.
         known: u8,
     },
+    /// The second byte of a command is neither that of one command nor that of a batch.
+    #[snafu(display("the command has kind {found}, which this build does not know"))]
+    Kind {
+        /// The byte that was found.
+        found: u8,
+    },
     /// The bytes after the form are malformed.
     #[snafu(display("the {what} is malformed: {source}"))]
     Malformed {
--- a/crates/control/src/mutation.rs
+++ b/crates/control/src/mutation.rs
@@ -18,6 +18,8 @@
     NoStrangers,
     /// Any inventory without the replica releases it.
     EarlyRelease,
+    /// No inventory ever releases a replica.
+    NoRelease,
     /// An unanswered load is sent again to every target.
     BlindResend,
     /// A model is loaded again at once after an order with unknown outcome.
--- a/crates/control/src/tracks.rs
+++ b/crates/control/src/tracks.rs
@@ -104,7 +104,7 @@
     /// `fencing` says that the worker refuses orders with an old fencing number, so that a load
     /// order is sent again until it is answered.
     pub(crate) fn is_gone(&self, replica: &Replica, fencing: bool, sequence: u64) -> bool {
-        if !replica.absent(sequence) {
+        if !replica.absent(sequence) || mutation::is(Mutation::NoRelease) {
             return false;
         }
         if let Some(seen) = self.seen {
--- a/crates/control/tests/common/world.rs
+++ b/crates/control/tests/common/world.rs
@@ -225,6 +225,49 @@
         self.check()
     }
 
+    /// After the faults: what waits is loaded, and what nobody asks for is unloaded.
+    pub fn calm(&mut self) -> Result<(), String> {
+        let second = Step::Second {
+            lost: 0,
+            late: 0,
+            paused: 0,
+        };
+        self.run(&Step::Stall(false))?;
+        for seconds in 0..90_u32 {
+            let waiting = u32::from(seconds < 45);
+            for model in 0..NAMES.len() {
+                let host = 11 + model as u64;
+                self.run(&Step::Demand {
+                    host,
+                    model,
+                    waiting,
+                    running: 0,
+                    old: false,
+                })?;
+            }
+            self.run(&second)?;
+            while !self.flights.is_empty() {
+                self.run(&Step::Order {
+                    which: 0,
+                    fate: Fate::Answered,
+                })?;
+            }
+            if seconds == 44 {
+                let ready = |name: &str| {
+                    let mut replicas = self.state.replicas().of(name);
+                    replicas.any(|it| it.state == Stand::Ready)
+                };
+                if let Some((model, _)) = NAMES.iter().find(|(name, _)| !ready(name)) {
+                    return Err(format!("{model} is not ready after the faults"));
+                }
+            }
+        }
+        match self.state.replicas().iter().next() {
+            Some(replica) => Err(format!("{replica:?} is left though nobody asks for it")),
+            None => Ok(()),
+        }
+    }
+
     /// The end: the log replayed gives the same state.
     pub fn finish(&self) -> Result<(), String> {
         let mut replayed = State::default();
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -29,6 +29,7 @@
     for step in steps {
         world.run(step)?;
     }
+    world.calm()?;
     world.finish()?;
     Ok(world)
 }
@@ -72,6 +73,7 @@
         Mutation::NoLimitCheck,
         Mutation::NoStrangers,
         Mutation::EarlyRelease,
+        Mutation::NoRelease,
         Mutation::BlindResend,
         Mutation::NoQuiet,
         Mutation::ReusedIds,
