Tables of rules and faults for control

Change: tables for decisions, evidence, incarnations and strikes; 24 rows of faults, alone and in pairs, with the loads, decisions and releases they must end in; a target that leaves, falls silent or loses its connections is published as closed within 3 s, also right after an election.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -223,8 +223,8 @@
         self.elect();
     }
 
-    /// Commits a command, and tells the leader.
-    pub fn commit(&mut self, command: &Command) -> Reply {
+    /// Commits a command without telling the leader.
+    pub fn apply(&mut self, command: &Command) -> Reply {
         let entry = Entry {
             index: self.log.len() as u64 + 1,
             term: self.term,
@@ -232,11 +232,15 @@
         };
         let command = Command::decode(&command.encode()).expect("a command is readable");
         self.log.push((entry, command.clone()));
-        let reply = self.state.apply(&entry, command.clone());
-        let told = reply.clone();
+        self.state.apply(&entry, command)
+    }
+
+    /// Commits a command, and tells the leader.
+    pub fn commit(&mut self, command: &Command) -> Reply {
+        let reply = self.apply(command);
         self.give(Input::Applied {
-            command,
-            reply: told,
+            command: command.clone(),
+            reply: reply.clone(),
         });
         reply
     }
--- a/crates/control/tests/common/world.rs
+++ b/crates/control/tests/common/world.rs
@@ -225,6 +225,17 @@
         self.check()
     }
 
+    /// Replicas that were decided.
+    pub fn decided(&self) -> usize {
+        self.decided.len()
+    }
+
+    /// Replicas of a model that are ready.
+    pub fn ready(&self, model: &str) -> usize {
+        let replicas = self.state.replicas().of(model);
+        replicas.filter(|it| it.state == Stand::Ready).count()
+    }
+
     /// After the faults: what waits is loaded, and what nobody asks for is unloaded.
     pub fn calm(&mut self) -> Result<(), String> {
         let second = Step::Second {
@@ -252,14 +263,9 @@
                     fate: Fate::Answered,
                 })?;
             }
-            if seconds == 44 {
-                let ready = |name: &str| {
-                    let mut replicas = self.state.replicas().of(name);
-                    replicas.any(|it| it.state == Stand::Ready)
-                };
-                if let Some((model, _)) = NAMES.iter().find(|(name, _)| !ready(name)) {
-                    return Err(format!("{model} is not ready after the faults"));
-                }
+            let missing = NAMES.iter().find(|(name, _)| self.ready(name) == 0);
+            if let Some((model, _)) = missing.filter(|_| seconds == 44) {
+                return Err(format!("{model} is not ready after the faults"));
             }
         }
         match self.state.replicas().iter().next() {
--- /dev/null
+++ b/crates/control/tests/faults.rs
@@ -0,0 +1,441 @@
+//! The faults of `docs/faults/control.md`, one row each, alone and in pairs.
+
+mod common;
+
+use std::time::Duration;
+
+use common::world::{Fate, Step, World};
+use common::{Bench, MODELS, heartbeat, worker};
+use cornelhitch_control::prelude::*;
+use cornelhitch_types::id::Time;
+use cornelhitch_types::target::Heartbeat;
+use cornelhitch_types::view::Change;
+
+/// The worker that the model is loaded on; the others are never heard.
+#[derive(Debug, Clone, Copy)]
+enum Only {
+    /// It checks fencing numbers and keeps replica ids.
+    Checking = 0b1110,
+    /// It keeps replica ids only.
+    Ids = 0b1101,
+    /// It knows model names only.
+    Names = 0b1011,
+}
+
+/// What a row does, with the worker's mask where it is needed.
+#[derive(Debug, Clone, Copy)]
+enum Act {
+    Seconds(usize),
+    Demand(u32),
+    Burst,
+    Order(Fate),
+    /// The second order on its way.
+    Second(Fate),
+    Elect,
+    Restart(usize),
+    Fail(usize),
+    Pause(usize),
+    Stall(bool),
+    Late,
+    Doubled,
+}
+
+/// A fault and what has to be seen at the end of its row.
+struct Row {
+    fault: &'static str,
+    only: Only,
+    acts: &'static [Act],
+    /// Load orders that left.
+    loads: usize,
+    /// Replicas that were decided.
+    decided: usize,
+    /// Replicas that were released.
+    released: usize,
+    /// Replicas that are ready.
+    ready: usize,
+}
+
+use Act::{
+    Burst, Demand, Doubled, Elect, Fail, Late, Order, Pause, Restart, Second, Seconds, Stall,
+};
+use Fate::{AnswerLost, Answered, Hangs, Lost, Unsent};
+use Only::{Checking, Ids, Names};
+
+const fn row(
+    fault: &'static str,
+    only: Only,
+    acts: &'static [Act],
+    [loads, decided, released, ready]: [usize; 4],
+) -> Row {
+    Row {
+        fault,
+        only,
+        acts,
+        loads,
+        decided,
+        released,
+        ready,
+    }
+}
+
+/// Acts, and then: loads, decided, released, ready.
+const ROWS: &[Row] = &[
+    row(
+        "none",
+        Names,
+        &[Seconds(1), Order(Answered), Seconds(4)],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "burst at every entry host",
+        Ids,
+        &[Burst, Seconds(1), Order(Answered), Burst, Seconds(4)],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "order never left",
+        Names,
+        &[Order(Unsent), Seconds(5), Order(Answered), Seconds(4)],
+        [2, 2, 1, 1],
+    ),
+    row(
+        "answer lost, ids",
+        Ids,
+        &[Order(AnswerLost), Seconds(15)],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "answer lost, names",
+        Names,
+        &[Order(AnswerLost), Seconds(15)],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "answer lost, checking",
+        Checking,
+        &[Order(AnswerLost), Seconds(5)],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "order lost, names",
+        Names,
+        &[Order(Lost), Seconds(9)],
+        [1, 1, 0, 0],
+    ),
+    row(
+        "order lost, names, later",
+        Names,
+        &[Order(Lost), Seconds(24), Order(Answered), Seconds(4)],
+        [2, 2, 1, 1],
+    ),
+    row(
+        "order lost, checking",
+        Checking,
+        &[Order(Lost), Seconds(1), Order(Answered), Seconds(4)],
+        [2, 1, 0, 1],
+    ),
+    row(
+        "order hangs and arrives, names",
+        Names,
+        &[Order(Hangs), Seconds(4), Order(Answered), Seconds(4)],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "order hangs and arrives twice, checking",
+        Checking,
+        &[
+            Order(Hangs),
+            Seconds(2),
+            Second(Answered),
+            Seconds(2),
+            Order(Answered),
+            Seconds(4),
+        ],
+        [2, 1, 0, 1],
+    ),
+    row(
+        "worker dies in mid-load",
+        Names,
+        &[
+            Order(Answered),
+            Restart(2),
+            Seconds(3),
+            Order(Answered),
+            Seconds(4),
+        ],
+        [2, 2, 0, 1],
+    ),
+    row(
+        "load fails in mid-load",
+        Ids,
+        &[
+            Order(Answered),
+            Seconds(1),
+            Fail(1),
+            Seconds(12),
+            Order(Answered),
+            Seconds(4),
+        ],
+        [2, 2, 1, 1],
+    ),
+    row(
+        "leader change, order in flight, names",
+        Names,
+        &[Elect, Demand(1), Seconds(3), Order(Answered), Seconds(4)],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "leader change, order in flight, checking",
+        Checking,
+        &[
+            Elect,
+            Demand(1),
+            Seconds(3),
+            Second(Answered),
+            Order(Answered),
+            Seconds(4),
+        ],
+        [2, 1, 0, 1],
+    ),
+    row(
+        "leader change, order lost, names",
+        Names,
+        &[Order(Lost), Elect, Demand(1), Seconds(9)],
+        [1, 1, 0, 0],
+    ),
+    row(
+        "leader change, order lost, names, later",
+        Names,
+        &[
+            Order(Lost),
+            Elect,
+            Demand(1),
+            Seconds(24),
+            Order(Answered),
+            Seconds(4),
+        ],
+        [2, 2, 1, 1],
+    ),
+    row(
+        "two leader changes, order in flight, ids",
+        Ids,
+        &[
+            Elect,
+            Seconds(1),
+            Elect,
+            Demand(1),
+            Seconds(3),
+            Order(Answered),
+            Seconds(4),
+        ],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "leader change and death in mid-load",
+        Names,
+        &[
+            Order(Answered),
+            Elect,
+            Restart(2),
+            Demand(1),
+            Seconds(4),
+            Order(Answered),
+            Seconds(4),
+        ],
+        [2, 2, 0, 1],
+    ),
+    row(
+        "answer lost and leader change",
+        Ids,
+        &[Order(AnswerLost), Elect, Demand(1), Seconds(15)],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "worker unreachable for a minute",
+        Ids,
+        &[Order(Answered), Seconds(4), Pause(60), Seconds(2)],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "worker unreachable in mid-load, leader change",
+        Names,
+        &[
+            Order(Answered),
+            Pause(20),
+            Elect,
+            Demand(1),
+            Pause(20),
+            Seconds(4),
+        ],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "late and doubled heartbeats",
+        Ids,
+        &[
+            Late,
+            Order(Answered),
+            Seconds(2),
+            Doubled,
+            Doubled,
+            Seconds(4),
+        ],
+        [1, 1, 0, 1],
+    ),
+    row(
+        "commits stall for five seconds",
+        Ids,
+        &[
+            Stall(true),
+            Order(Answered),
+            Seconds(5),
+            Stall(false),
+            Seconds(4),
+        ],
+        [1, 1, 0, 1],
+    ),
+];
+
+impl Row {
+    /// The steps of an act.
+    fn steps(&self, act: Act) -> Vec<Step> {
+        let silent = self.only as u8;
+        let second = |late, paused| Step::Second {
+            lost: 0,
+            late,
+            paused,
+        };
+        let demand = |host, waiting| Step::Demand {
+            host,
+            model: 1,
+            waiting,
+            running: 0,
+            old: false,
+        };
+        match act {
+            Seconds(count) => (0..count)
+                .flat_map(|_| [demand(2, 1), second(0, silent)])
+                .collect(),
+            Demand(waiting) => vec![demand(2, waiting)],
+            Burst => (2..11).map(|host| demand(host, 1)).collect(),
+            Order(fate) => vec![Step::Order { which: 0, fate }],
+            Second(fate) => vec![Step::Order { which: 1, fate }],
+            Elect => vec![Step::Elect {
+                kept: 0,
+                snapshot: true,
+            }],
+            Restart(worker) => vec![Step::Restart {
+                worker,
+                announced: true,
+            }],
+            Fail(worker) => vec![Step::Fail { worker }],
+            Pause(count) => (0..count)
+                .flat_map(|_| [demand(2, 1), second(0, 0b1111)])
+                .collect(),
+            Stall(stalled) => vec![Step::Stall(stalled)],
+            Late => vec![second(0b1111, silent)],
+            Doubled => vec![Step::Late {
+                which: 0,
+                doubled: true,
+            }],
+        }
+    }
+
+    /// Runs the row, and returns what was seen.
+    fn run(&self) -> Result<[usize; 4], String> {
+        let mut world = World::new();
+        for step in [Seconds(3)]
+            .iter()
+            .chain(self.acts)
+            .flat_map(|act| self.steps(*act))
+        {
+            world.run(&step)?;
+        }
+        world.finish()?;
+        Ok([
+            world.loads,
+            world.decided(),
+            world.releases,
+            world.ready("preview"),
+        ])
+    }
+}
+
+#[test]
+fn every_fault_ends_as_its_row_says() {
+    let mut wrong = Vec::new();
+    for row in ROWS {
+        let expected = [row.loads, row.decided, row.released, row.ready];
+        match row.run() {
+            Ok(seen) if seen == expected => {}
+            other => wrong.push(format!("{}: expected {expected:?}, {other:?}", row.fault)),
+        }
+    }
+    assert!(
+        wrong.is_empty(),
+        "loads, decided, released, ready:\n{}",
+        wrong.join("\n")
+    );
+}
+
+/// How a target stops.
+#[derive(Debug, Clone, Copy)]
+enum Stop {
+    /// It says that it leaves.
+    Leaving,
+    /// It falls silent.
+    Silent,
+    /// An entry host loses its connections to it.
+    Hint,
+    /// It is silent, and a new leader was just elected.
+    SilentAfterElection,
+}
+
+#[test]
+fn a_stopped_target_is_published_within_three_seconds() {
+    let limit = Duration::from_secs(3);
+    for stop in [
+        Stop::Leaving,
+        Stop::Silent,
+        Stop::Hint,
+        Stop::SilentAfterElection,
+    ] {
+        let mut bench = Bench::new();
+        bench.apply_settings(MODELS);
+        bench.give(Input::Announcement(worker("w1", 1, 100, false)));
+        bench.give(Input::Heartbeat(heartbeat("w1", 1, 1, vec![])));
+        bench.pass(2);
+        bench.give(Input::Heartbeat(heartbeat("w1", 1, 2, vec![])));
+        bench.changes();
+        let since = bench.now;
+        let (target, incarnation) = ("w1".into(), 1);
+        let leaving = Heartbeat {
+            leaving: true,
+            ..heartbeat("w1", 1, 3, vec![])
+        };
+        match stop {
+            Stop::Leaving => bench.give(Input::Heartbeat(leaving)),
+            Stop::Silent => {}
+            Stop::Hint => bench.give(Input::Lost {
+                target,
+                incarnation,
+            }),
+            Stop::SilentAfterElection => bench.elect(),
+        }
+        let closed = closed_after(&mut bench, since);
+        assert!(closed.is_some_and(|it| it <= limit), "{stop:?}: {closed:?}");
+    }
+}
+
+/// How long after a time the target is published as not open.
+fn closed_after(bench: &mut Bench, since: Time) -> Option<Time> {
+    for _ in 0..100 {
+        let closed = |it: &Change| matches!(it, Change::Target(target) if !target.open);
+        if bench.changes().iter().any(closed) {
+            return Some(bench.now.saturating_sub(since));
+        }
+        bench.now += Duration::from_millis(100);
+        bench.give(Input::Tick);
+    }
+    None
+}
--- /dev/null
+++ b/crates/control/tests/rules.rs
@@ -0,0 +1,284 @@
+//! The rules of the replicated state, as tables of one command and its answer.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Bench, MODELS, worker};
+use cornelhitch_control::fleet;
+use cornelhitch_control::prelude::*;
+use cornelhitch_control::replicas::{Answer, Decide, Evidence, Refusal};
+use cornelhitch_control::strikes::Strike;
+use cornelhitch_types::target::{Announcement, Kind};
+use cornelhitch_types::view::State as Stand;
+use strum::IntoEnumIterator;
+
+/// Two workers with 100 bytes, a service, and a replica of `report` on the first.
+fn bench() -> Bench {
+    let mut bench = Bench::new();
+    bench.apply_settings(MODELS);
+    for name in ["w1", "w2", "w3"] {
+        bench.apply(&Command::Register(worker(name, 2, 100, false)));
+    }
+    let service = Announcement {
+        kind: Kind::Service,
+        ..worker("s1", 2, 100, false)
+    };
+    bench.apply(&Command::Register(service));
+    bench.apply(&Command::Decide(decide()));
+    bench
+}
+
+/// The first decision of every case, which is allowed.
+fn decide() -> Decide {
+    Decide {
+        model: "report".into(),
+        version: None,
+        target: "w1".into(),
+        incarnation: 2,
+        bytes: 40,
+        after: 5,
+        adopted: false,
+    }
+}
+
+/// How a second decision differs from the first, and why it is refused.
+type Row = (
+    Refusal,
+    fn(&mut Decide),
+    &'static [(&'static str, &'static str)],
+);
+
+/// Each refusal of a decision; the pairs are further decisions of a model on a worker before it.
+const DECISIONS: &[Row] = &[
+    (Refusal::Target, |it| it.target = "w9".into(), &[]),
+    (Refusal::Service, |it| it.target = "s1".into(), &[]),
+    (
+        Refusal::Incarnation,
+        |it| (it.target, it.incarnation) = ("w2".into(), 1),
+        &[],
+    ),
+    (
+        Refusal::Incarnation,
+        |it| (it.target, it.incarnation) = ("w2".into(), 3),
+        &[],
+    ),
+    (Refusal::Silent, |it| it.target = "w3".into(), &[]),
+    (Refusal::Model, |it| it.model = "unheard".into(), &[]),
+    (Refusal::Unmanaged, |it| it.model = "script".into(), &[]),
+    (
+        Refusal::Bytes,
+        |it| (it.target, it.bytes) = ("w2".into(), 39),
+        &[],
+    ),
+    (
+        Refusal::Bytes,
+        |it| (it.target, it.bytes) = ("w2".into(), 0),
+        &[],
+    ),
+    (
+        Refusal::Memory,
+        |it| (it.model, it.bytes) = ("lane".into(), 61),
+        &[],
+    ),
+    (
+        Refusal::Memory,
+        |it| (it.model, it.bytes) = ("lane".into(), 50),
+        &[("preview", "w1")],
+    ),
+    (
+        Refusal::Memory,
+        |it| (it.target, it.bytes) = ("w2".into(), u64::MAX),
+        &[],
+    ),
+    (Refusal::Present, |_| {}, &[]),
+    (
+        Refusal::Limit,
+        |it| it.target = "w4".into(),
+        &[("report", "w2")],
+    ),
+];
+
+#[test]
+fn every_rule_of_decisions_refuses() {
+    for (at, (refusal, change, before)) in DECISIONS.iter().enumerate() {
+        let mut bench = bench();
+        bench.apply(&Command::Register(worker("w4", 2, 100, false)));
+        let (target, incarnation) = ("w3".into(), 2);
+        bench.apply(&Command::Silence {
+            target,
+            incarnation,
+            silent: true,
+        });
+        for (model, target) in *before {
+            let (model, target) = ((*model).into(), (*target).into());
+            bench.apply(&Command::Decide(Decide {
+                model,
+                target,
+                ..decide()
+            }));
+        }
+        let digest = bench.state.replicas().clone();
+        let mut second = decide();
+        change(&mut second);
+        let reply = bench.apply(&Command::Decide(second));
+        assert_eq!(reply, Reply::Replica(Answer::Refused(*refusal)), "row {at}");
+        assert_eq!(
+            *bench.state.replicas(),
+            digest,
+            "row {at} changed something"
+        );
+    }
+    let elsewhere = [Refusal::Quiet, Refusal::Replica, Refusal::Evidence];
+    for refusal in Refusal::iter().filter(|it| !elsewhere.contains(it)) {
+        let mut rows = DECISIONS.iter();
+        assert!(rows.any(|row| row.0 == refusal), "no row for {refusal}");
+    }
+}
+
+#[test]
+fn evidence_that_does_not_show_free_memory_is_refused() {
+    let inventory = |sequence| Evidence::Inventory { sequence };
+    // Whether it was seen ready by heartbeat 20, the evidence, and whether that releases it.
+    let rows = [
+        (false, inventory(5), false),
+        (false, inventory(6), false),
+        (false, inventory(14), false),
+        (false, inventory(15), true),
+        (true, inventory(15), false),
+        (true, inventory(20), false),
+        (true, inventory(21), true),
+        (false, Evidence::Refused, true),
+        (true, Evidence::Refused, false),
+        (false, Evidence::Ended, false),
+        (true, Evidence::Ended, false),
+    ];
+    for (ready, evidence, releases) in rows {
+        let mut bench = bench();
+        if ready {
+            bench.apply(&Command::Ready {
+                replica: 1,
+                sequence: 20,
+            });
+        }
+        let unknown = true;
+        let reply = bench.apply(&Command::Release {
+            replica: 1,
+            evidence,
+            unknown,
+        });
+        let released = matches!(reply, Reply::Replica(Answer::Released(_)));
+        assert_eq!(released, releases, "{ready} {evidence:?}: {reply:?}");
+        assert_eq!(
+            bench.state.replicas().reserved("w1"),
+            if releases { 0 } else { 40 }
+        );
+        if releases {
+            let again = bench.apply(&Command::Decide(decide()));
+            assert_eq!(again, Reply::Replica(Answer::Refused(Refusal::Quiet)));
+            bench.now += Duration::from_secs(10);
+            let Reply::Replica(Answer::Decided(again)) = bench.apply(&Command::Decide(decide()))
+            else {
+                panic!("{evidence:?}: it stays quiet for ever");
+            };
+            assert_eq!((again.id, again.state), (2, Stand::Loading));
+        }
+    }
+}
+
+#[test]
+fn incarnations_only_grow() {
+    let moved = Announcement {
+        zone: "a2".into(),
+        ..worker("w1", 2, 100, false)
+    };
+    let dismiss = |target: &str, incarnation, attested| Command::Dismiss {
+        target: target.into(),
+        incarnation,
+        attested,
+    };
+    let register = |incarnation, memory, fencing| {
+        Command::Register(worker("w1", incarnation, memory, fencing))
+    };
+    // A command, its answer, and the memory that is reserved on the worker then.
+    let rows: [(Vec<Command>, fleet::Answer, u64); 10] = [
+        (vec![register(2, 100, false)], fleet::Answer::Unchanged, 40),
+        (vec![Command::Register(moved)], fleet::Answer::Changed, 40),
+        (
+            vec![register(1, 100, false)],
+            fleet::Answer::Ended { next: 2 },
+            40,
+        ),
+        (
+            vec![register(2, 30, false)],
+            fleet::Answer::Inconsistent,
+            40,
+        ),
+        (
+            vec![register(2, 100, true)],
+            fleet::Answer::Inconsistent,
+            40,
+        ),
+        (vec![register(3, 30, true)], fleet::Answer::Registered, 0),
+        (vec![dismiss("w1", 2, false)], fleet::Answer::Reserved, 40),
+        (
+            vec![dismiss("w1", 1, true)],
+            fleet::Answer::Ended { next: 2 },
+            40,
+        ),
+        (
+            vec![dismiss("w1", 2, true), register(2, 100, false)],
+            fleet::Answer::Ended { next: 3 },
+            0,
+        ),
+        (
+            vec![dismiss("w1", 2, true), register(3, 100, false)],
+            fleet::Answer::Registered,
+            0,
+        ),
+    ];
+    for (commands, answer, reserved) in rows {
+        let mut bench = bench();
+        let replies: Vec<Reply> = commands.iter().map(|it| bench.apply(it)).collect();
+        assert_eq!(replies.last(), Some(&Reply::Target(answer)), "{commands:?}");
+        assert_eq!(
+            bench.state.replicas().reserved("w1"),
+            reserved,
+            "{commands:?}"
+        );
+    }
+}
+
+/// A target and its incarnation.
+type Life = (&'static str, u64);
+
+#[test]
+fn a_fingerprint_ends_two_lives_at_most() {
+    // Lives that were lost with the fingerprint in progress, and whether it is refused then.
+    let rows: [(&[Life], u32, bool); 5] = [
+        (&[("w1", 1)], 1, false),
+        (&[("w1", 1), ("w1", 1)], 1, false),
+        (&[("w1", 1), ("w1", 2)], 2, true),
+        (&[("w1", 1), ("w2", 1)], 2, true),
+        (&[("w1", 1), ("w2", 1), ("w3", 1)], 2, true),
+    ];
+    for (lives, lost, refused) in rows {
+        let mut bench = bench();
+        for (target, incarnation) in lives {
+            bench.apply(&Command::Strike(Strike {
+                fingerprints: vec![7],
+                target: (*target).into(),
+                incarnation: *incarnation,
+            }));
+        }
+        bench.restart();
+        let count = bench.state.strikes().count(7);
+        assert_eq!(
+            (count.lost, count.until.is_some()),
+            (lost, refused),
+            "{lives:?}"
+        );
+        bench.apply(&Command::Pardon { fingerprint: 7 });
+        assert_eq!(bench.state.strikes().count(7).lost, 0);
+    }
+}
