--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -8,23 +8,17 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use bytes::Bytes;
 use cornelhitch_types::id::{CallerId, HostId, Incarnation, Name, Time};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 use strum::{Display, EnumIter};
 
 use crate::mutation::{self, Mutation};
+pub use crate::outcome::{BODY, CONTENT, Outcome};
 use crate::tombstones::Tombstones;
 
 /// The longest caller and key in bytes.
 pub const NAME: usize = 256;
 
-/// The largest body of an answer that is kept, in bytes.
-pub const BODY: usize = 16 << 10;
-
-/// The longest content type that is kept, in bytes.
-pub const CONTENT: usize = 256;
-
 /// What the table may hold before the oldest outcomes shrink.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -85,27 +79,6 @@
     pub outcome: Outcome,
 }
 
-/// What became of a claimed request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Outcome {
-    /// It was answered, and this is the answer.
-    Answered {
-        /// The HTTP status.
-        status: u16,
-        /// The content type.
-        content: Name,
-        /// The body, of at most [`BODY`] bytes.
-        body: Bytes,
-    },
-    /// It was answered, but the body is not kept.
-    Completed {
-        /// The HTTP status.
-        status: u16,
-    },
-    /// It may have run; nobody knows.
-    Unknown,
-}
-
 /// What became of a command about a claim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
@@ -157,8 +130,8 @@
 }
 
 /// All claims.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Image", into = "Image")]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(from = "Image")]
 pub struct Claims {
     records: BTreeMap<Key, Record>,
     /// Ended claims with a record, oldest first.
@@ -174,7 +147,7 @@
 }
 
 /// Claims as a snapshot holds them.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Deserialize)]
 struct Image {
     records: BTreeMap<Key, Record>,
     ended: VecDeque<End>,
@@ -183,15 +156,26 @@
     watermark: Time,
 }
 
-impl From<Claims> for Image {
-    fn from(claims: Claims) -> Self {
-        Self {
-            records: claims.records,
-            ended: claims.ended,
-            bare: claims.bare,
-            tombstones: claims.tombstones,
-            watermark: claims.watermark,
-        }
+/// What a snapshot is written from, in the shape of [`Image`].
+#[derive(Serialize)]
+struct Borrowed<'a> {
+    records: &'a BTreeMap<Key, Record>,
+    ended: &'a VecDeque<End>,
+    bare: usize,
+    tombstones: &'a Tombstones,
+    watermark: Time,
+}
+
+impl Serialize for Claims {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let borrowed = Borrowed {
+            records: &self.records,
+            ended: &self.ended,
+            bare: self.bare,
+            tombstones: &self.tombstones,
+            watermark: self.watermark,
+        };
+        borrowed.serialize(serializer)
     }
 }
 
@@ -435,35 +419,5 @@
     }
 }
 
-impl Outcome {
-    /// Bytes of the body that is kept.
-    fn size(&self) -> usize {
-        match self {
-            Self::Answered { body, .. } => body.len(),
-            Self::Completed { .. } | Self::Unknown => 0,
-        }
-    }
-
-    /// The outcome without its body.
-    fn short(&self) -> Self {
-        match self {
-            Self::Answered { status, .. } => Self::Completed { status: *status },
-            other => other.clone(),
-        }
-    }
-
-    /// The outcome, without its body when that is too large.
-    fn bounded(self) -> Self {
-        match &self {
-            Self::Answered { content, body, .. }
-                if body.len() > BODY || content.len() > CONTENT =>
-            {
-                self.short()
-            }
-            _ => self,
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/control/src/outcome.rs
@@ -0,0 +1,62 @@
+//! What is kept of an answer to a request that may not be repeated.
+
+use bytes::Bytes;
+use cornelhitch_types::id::Name;
+use serde::{Deserialize, Serialize};
+
+/// The largest body of an answer that is kept, in bytes.
+pub const BODY: usize = 16 << 10;
+
+/// The longest content type that is kept, in bytes.
+pub const CONTENT: usize = 256;
+
+/// What became of a claimed request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It was answered, and this is the answer.
+    Answered {
+        /// The HTTP status.
+        status: u16,
+        /// The content type.
+        content: Name,
+        /// The body, of at most [`BODY`] bytes.
+        body: Bytes,
+    },
+    /// It was answered, but the body is not kept.
+    Completed {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// It may have run; nobody knows.
+    Unknown,
+}
+
+impl Outcome {
+    /// Bytes of the body that is kept.
+    pub(crate) fn size(&self) -> usize {
+        match self {
+            Self::Answered { body, .. } => body.len(),
+            Self::Completed { .. } | Self::Unknown => 0,
+        }
+    }
+
+    /// The outcome without its body.
+    pub(crate) fn short(&self) -> Self {
+        match self {
+            Self::Answered { status, .. } => Self::Completed { status: *status },
+            other => other.clone(),
+        }
+    }
+
+    /// The outcome, without its body when that is too large.
+    pub(crate) fn bounded(self) -> Self {
+        match &self {
+            Self::Answered { content, body, .. }
+                if body.len() > BODY || content.len() > CONTENT =>
+            {
+                self.short()
+            }
+            _ => self,
+        }
+    }
+}
--- a/crates/control/src/replicas.rs
+++ b/crates/control/src/replicas.rs
@@ -8,13 +8,13 @@
 
 use cornelhitch_settings::fleet::Fleet as Settings;
 use cornelhitch_types::id::{Incarnation, ModelId, Name, ReplicaId, TargetId, Term, Time};
-use cornelhitch_types::target::Kind;
+
 use cornelhitch_types::view::State;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 use strum::{Display, EnumIter};
 
 use crate::command::Entry;
-use crate::fleet::{Fleet, Target};
+use crate::fleet::Fleet;
 use crate::mutation::{self, Mutation};
 
 /// Heartbeats of a target's own running time after which an order that was sent before them, and
@@ -145,8 +145,8 @@
 }
 
 /// All replicas that hold a reservation.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Image", into = "Image")]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(from = "Image")]
 pub struct Replicas {
     last: ReplicaId,
     standing: BTreeMap<ReplicaId, Replica>,
@@ -165,20 +165,29 @@
 }
 
 /// Replicas as a snapshot holds them.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Deserialize)]
 struct Image {
     last: ReplicaId,
     standing: Vec<Replica>,
     quiet: VecDeque<Quiet>,
 }
 
-impl From<Replicas> for Image {
-    fn from(replicas: Replicas) -> Self {
-        Self {
-            last: replicas.last,
-            standing: replicas.standing.into_values().collect(),
-            quiet: replicas.quiet,
-        }
+/// What a snapshot is written from, in the shape of [`Image`].
+#[derive(Serialize)]
+struct Borrowed<'a> {
+    last: ReplicaId,
+    standing: Vec<&'a Replica>,
+    quiet: &'a VecDeque<Quiet>,
+}
+
+impl Serialize for Replicas {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let borrowed = Borrowed {
+            last: self.last,
+            standing: self.standing.values().collect(),
+            quiet: &self.quiet,
+        };
+        borrowed.serialize(serializer)
     }
 }
 
@@ -272,45 +281,6 @@
         Answer::Decided(replica)
     }
 
-    /// Checks every rule of a decision.
-    fn check(
-        &self,
-        decide: &Decide,
-        settings: &Settings,
-        fleet: &Fleet,
-        now: Time,
-    ) -> Result<(), Refusal> {
-        let target = fleet.get(&decide.target).ok_or(Refusal::Target)?;
-        usable(target, decide.incarnation)?;
-        let model = settings.model(&decide.model).ok_or(Refusal::Model)?;
-        require(settings.managed(model), Refusal::Unmanaged)?;
-        require(decide.bytes >= model.bytes.max(1), Refusal::Bytes)?;
-        let present = self.on(&decide.target).any(|it| it.model == decide.model);
-        require(!present, Refusal::Present)?;
-        let free = target.announcement.memory;
-        let free = free.saturating_sub(self.reserved(&decide.target));
-        let fits = decide.bytes <= free || mutation::is(Mutation::NoMemoryCheck);
-        require(fits, Refusal::Memory)?;
-        let counted = self.of(&decide.model).filter(|it| counts(it, fleet));
-        let limit = settings.rules(&decide.model).replicas as usize;
-        let allowed = counted.count() < limit || mutation::is(Mutation::NoLimitCheck);
-        require(allowed, Refusal::Limit)?;
-        require(!self.is_quiet(decide, now), Refusal::Quiet)
-    }
-
-    /// Whether an order for the model may still arrive at the worker.
-    fn is_quiet(&self, decide: &Decide, now: Time) -> bool {
-        let mut quiet = self.quiet.iter();
-        quiet.any(|quiet| {
-            quiet.target == decide.target
-                && quiet.incarnation == decide.incarnation
-                && quiet.model == decide.model
-                && now < quiet.until
-                && !decide.adopted
-                && !mutation::is(Mutation::NoQuiet)
-        })
-    }
-
     /// Notes that a worker showed a replica ready.
     pub(crate) fn ready(&mut self, id: ReplicaId, sequence: u64, now: Time) -> Answer {
         let Some(replica) = self.standing.get_mut(&id) else {
@@ -423,25 +393,3 @@
         }
     }
 }
-
-/// Whether a replica counts against its model's limit.
-fn counts(replica: &Replica, fleet: &Fleet) -> bool {
-    let target = fleet.alive(&replica.target, replica.incarnation);
-    target.is_some_and(|target| !target.silent)
-}
-
-/// Checks that a target may be loaded.
-fn usable(target: &Target, incarnation: Incarnation) -> Result<(), Refusal> {
-    let announcement = &target.announcement;
-    require(announcement.kind == Kind::Worker, Refusal::Service)?;
-    require(
-        announcement.incarnation == incarnation,
-        Refusal::Incarnation,
-    )?;
-    require(!target.silent, Refusal::Silent)
-}
-
-/// Refuses unless a rule holds.
-fn require(holds: bool, refusal: Refusal) -> Result<(), Refusal> {
-    if holds { Ok(()) } else { Err(refusal) }
-}
--- a/crates/control/src/sketch.rs
+++ b/crates/control/src/sketch.rs
@@ -1,9 +1,9 @@
 //! The planner's picture, kept up to date by what changed.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cornelhitch_planner::picture::{Copy, Picture, Quiet, Replica, Worker};
-use cornelhitch_types::id::{ReplicaId, TargetId};
+use cornelhitch_types::id::{ModelId, ReplicaId, TargetId};
 use cornelhitch_types::target::{Kind, Stage};
 use cornelhitch_types::view::State;
 
@@ -88,18 +88,20 @@
 
     /// Shares the requests in progress out among each model's replicas.
     fn count_running(&mut self, tracks: &mut Tracks, levels: &Levels, turn: &Turn) {
+        let mut peers: BTreeMap<ModelId, u32> = BTreeMap::new();
+        for replica in self.picture.replicas.iter().filter(|it| is_used(it)) {
+            *peers.entry(replica.model.clone()).or_default() += 1;
+        }
         for replica in &mut self.picture.replicas {
             let running = levels.running(&replica.model);
             if running == 0 {
                 replica.running = 0;
                 continue;
             }
-            if replica.state == State::Loading {
+            if !is_used(replica) {
                 continue;
             }
-            let peers = turn.state.replicas().of(&replica.model);
-            let peers = peers.filter(|it| it.state != State::Loading).count();
-            let peers = u32::try_from(peers).unwrap_or(u32::MAX).max(1);
+            let peers = peers.get(&replica.model).copied().unwrap_or(1);
             replica.running = running.div_ceil(peers);
             replica.used = turn.now;
             if let Some(track) = tracks.get_mut(&replica.replica) {
@@ -109,6 +111,11 @@
     }
 }
 
+/// Whether requests may be in progress on a replica.
+fn is_used(replica: &Replica) -> bool {
+    replica.state != State::Loading
+}
+
 /// A worker as the planner sees it; none for a plain service.
 fn draw_worker(target: &TargetId, workers: &Workers, turn: &Turn) -> Option<Worker> {
     let known = turn.state.fleet().get(target)?;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -34,7 +34,7 @@
 }
 
 /// A state as a snapshot holds it.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Deserialize)]
 struct Image {
     entry: Entry,
     catalogue: catalogue::Image,
@@ -44,6 +44,17 @@
     strikes: Strikes,
 }
 
+/// What a snapshot is written from, in the shape of [`Image`].
+#[derive(Serialize)]
+struct Borrowed<'a> {
+    entry: Entry,
+    catalogue: catalogue::Image,
+    fleet: &'a Fleet,
+    replicas: &'a Replicas,
+    claims: &'a Claims,
+    strikes: &'a Strikes,
+}
+
 impl State {
     /// The newest entry that was applied.
     #[must_use]
@@ -201,13 +212,13 @@
     /// The whole state as bytes.
     #[must_use]
     pub fn snapshot(&self) -> Bytes {
-        let image = Image {
+        let image = Borrowed {
             entry: self.entry,
             catalogue: self.catalogue.image(),
-            fleet: self.fleet.clone(),
-            replicas: self.replicas.clone(),
-            claims: self.claims.clone(),
-            strikes: self.strikes.clone(),
+            fleet: &self.fleet,
+            replicas: &self.replicas,
+            claims: &self.claims,
+            strikes: &self.strikes,
         };
         let mut bytes = vec![FORM];
         bytes.extend(postcard::to_stdvec(&image).unwrap_or_default());
--- a/crates/control/src/tombstones.rs
+++ b/crates/control/src/tombstones.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use cornelhitch_types::id::Time;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
 use crate::claims::Key;
 use crate::mutation::{self, Mutation};
@@ -12,8 +12,8 @@
 type Digest = u128;
 
 /// Digests in the order in which their claims ended.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "VecDeque<Tombstone>", into = "VecDeque<Tombstone>")]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(from = "VecDeque<Tombstone>")]
 pub(crate) struct Tombstones {
     order: VecDeque<Tombstone>,
     digests: BTreeSet<Digest>,
@@ -26,9 +26,9 @@
     digest: Digest,
 }
 
-impl From<Tombstones> for VecDeque<Tombstone> {
-    fn from(tombstones: Tombstones) -> Self {
-        tombstones.order
+impl Serialize for Tombstones {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.order.serialize(serializer)
     }
 }
 
