--- /dev/null
+++ b/crates/wire/tests/link.rs
@@ -0,0 +1,133 @@
+//! Links: who gets one, and what is refused on it.
+
+use bytes::{Bytes, BytesMut};
+use cornelhitch_wire::frame::Codec;
+use cornelhitch_wire::hello::{Identity, cluster};
+use cornelhitch_wire::key::Key;
+use cornelhitch_wire::link::{self, Link};
+use proptest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// An identity of a cluster with the keys named.
+fn identity(host: u64, name: &str, keys: &str) -> Identity {
+    Identity {
+        cluster: cluster(name),
+        host,
+        incarnation: 1,
+        keys: keys.parse().expect("keys"),
+    }
+}
+
+/// Both ends of a link, or why there is none.
+async fn pair(
+    dials: Identity,
+    accepts: Identity,
+) -> (Result<Link, link::Error>, Result<Link, link::Error>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let accepting = async move {
+        let (stream, _) = listener.accept().await.expect("accept");
+        link::accept(stream, &accepts).await
+    };
+    tokio::join!(link::dial(address, &dials), accepting)
+}
+
+const A: &str = "the old secret of peers";
+const B: &str = "the new secret of peers";
+const AB: &str = "the old secret of peers\nthe new secret of peers";
+const BA: &str = "the new secret of peers\nthe old secret of peers";
+
+#[tokio::test]
+async fn only_holders_of_a_shared_key_get_a_link() {
+    let rows = [
+        ("same key", "co-op", A, "co-op", A, true),
+        ("rotation, dialler behind", "co-op", AB, "co-op", BA, true),
+        ("rotation, dialler ahead", "co-op", BA, "co-op", AB, true),
+        ("other key", "co-op", A, "co-op", B, false),
+        ("other cluster", "co-op", A, "office", A, false),
+    ];
+    for (name, dial_cluster, dial_keys, accept_cluster, accept_keys, linked) in rows {
+        let dials = identity(1, dial_cluster, dial_keys);
+        let accepts = identity(2, accept_cluster, accept_keys);
+        let (dialled, accepted) = pair(dials, accepts).await;
+        assert_eq!(dialled.is_ok(), linked, "{name}: {dialled:?}");
+        assert_eq!(accepted.is_ok(), linked, "{name}: {accepted:?}");
+    }
+}
+
+#[tokio::test]
+async fn payloads_arrive_in_order_on_both_ways() {
+    let (dialled, accepted) = pair(identity(1, "co-op", A), identity(2, "co-op", A)).await;
+    let (mut dialled, mut accepted) = (dialled.expect("link"), accepted.expect("link"));
+    assert_eq!((dialled.peer.host, accepted.peer.host), (2, 1));
+    for n in 0..100_u8 {
+        let payload = Bytes::from(vec![n; usize::from(n) * 50]);
+        dialled.sender.send(payload.clone()).await.expect("send");
+        accepted.sender.send(payload.clone()).await.expect("send");
+        assert_eq!(
+            accepted.receiver.next().await.expect("frame"),
+            Some(payload.clone())
+        );
+        assert_eq!(dialled.receiver.next().await.expect("frame"), Some(payload));
+    }
+}
+
+#[tokio::test]
+async fn garbage_in_place_of_a_hello_is_refused() {
+    let rows: [&[u8]; 4] = [b"GET / HTTP/1.1\r\n\r\n", &[0xff; 64], &[3, 1, 2, 3], b""];
+    for bytes in rows {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let mut stream = TcpStream::connect(address).await.expect("connect");
+        stream.write_all(bytes).await.expect("write");
+        stream.shutdown().await.expect("shutdown");
+        let (accepted, _) = listener.accept().await.expect("accept");
+        let linked = link::accept(accepted, &identity(2, "co-op", A)).await;
+        assert!(linked.is_err(), "{bytes:?}");
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest).await;
+        assert!(rest.is_empty(), "nothing is told to strangers: {rest:?}");
+    }
+}
+
+/// A frame of a session as it stands on the wire.
+fn sealed(codec: &mut Codec, payload: &[u8]) -> BytesMut {
+    let mut out = BytesMut::new();
+    codec
+        .encode(Bytes::copy_from_slice(payload), &mut out)
+        .expect("encode");
+    out
+}
+
+#[test]
+fn a_repeated_or_reordered_frame_is_refused() {
+    let key = Key::new(b"secret").session(b"transcript", 1);
+    let mut sender = Codec::from(key.clone());
+    let (first, second) = (sealed(&mut sender, b"one"), sealed(&mut sender, b"two"));
+    let rows = [
+        ("in order", vec![&first, &second], true),
+        ("repeated", vec![&first, &first], false),
+        ("reordered", vec![&second, &first], false),
+    ];
+    for (name, frames, right) in rows {
+        let mut receiver = Codec::from(key.clone());
+        let mut all = true;
+        for frame in frames {
+            all &= receiver.decode(&mut frame.clone()).is_ok();
+        }
+        assert_eq!(all, right, "{name}");
+    }
+}
+
+proptest! {
+    /// Arbitrary bytes neither panic nor pass, and reserve nothing beyond them.
+    #[test]
+    fn garbage_is_no_frame(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let mut source = BytesMut::from(&bytes[..]);
+        let mut codec = Codec::from(Key::new(b"secret"));
+        prop_assert!(!matches!(codec.decode(&mut source), Ok(Some(_))));
+        prop_assert!(source.capacity() <= bytes.len().max(64));
+    }
+}
