--- /dev/null
+++ b/crates/quorum/src/core.rs
@@ -0,0 +1,437 @@
+//! One member of a group, without clock, socket or disk.
+//!
+//! The rules are Raft's: D. Ongaro and J. Ousterhout, "In Search of an Understandable Consensus
+//! Algorithm" (USENIX ATC 2014), and D. Ongaro, "Consensus: Bridging Theory and Practice" (doctoral
+//! thesis, Stanford 2014): pre-vote §9.6, check-quorum and leases §6.4, single-server changes of
+//! members §4, snapshots §5, pipelined appends §10.2.
+
+mod barrier;
+mod change;
+mod election;
+mod follow;
+mod persist;
+mod progress;
+mod replicate;
+mod transfer;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::action::{Action, Entry, Reason};
+use crate::config::{Config, Fault};
+use crate::event::Event;
+use crate::id::{Index, MemberId, Peer, RequestId, Term, Time};
+use crate::log::{Log, Payload};
+use crate::member::{History, Membership};
+use crate::message::{Envelope, Message};
+use crate::status::{Lease, Role, Status};
+use crate::store::{Ballot, Identity, Recovered};
+
+use barrier::Barrier;
+use persist::Disk;
+use progress::Progress;
+use transfer::Incoming;
+
+/// One member of a group.
+///
+/// Its owner gives it events and the time, and carries out the actions that it returns.
+#[derive(Debug)]
+pub struct Core {
+    config: Config,
+    identity: Identity,
+    rng: SmallRng,
+    now: Time,
+    ballot: Ballot,
+    log: Log,
+    members: History,
+    role: Role,
+    leader: Option<Peer>,
+    commit: Index,
+    applied: Index,
+    /// Agrees with the leader of this term up to here.
+    held: Index,
+    /// The latest stamp of the leader of this term.
+    heard_stamp: Time,
+    /// Grants no vote before this time.
+    promised_until: Time,
+    election_at: Time,
+    votes: BTreeSet<MemberId>,
+    outside: BTreeSet<MemberId>,
+    /// State of a leader.
+    progress: BTreeMap<MemberId, Progress>,
+    heartbeat_at: Time,
+    leader_since: Time,
+    first_of_term: Index,
+    stamp: Time,
+    barriers: VecDeque<Barrier>,
+    change: Option<change::Pending>,
+    disk: Disk,
+    /// Messages to be sent once a batch is synced.
+    waiting: VecDeque<(u64, Envelope)>,
+    proposals: BTreeMap<Index, (Term, RequestId)>,
+    uncommitted: usize,
+    incoming: Option<Incoming>,
+    snapshot_asked: bool,
+    announced: Option<(Role, Term, Option<MemberId>)>,
+    dropped: u64,
+    actions: Vec<Action>,
+}
+
+impl Core {
+    /// A member that goes on from what its store holds. `seed` spreads elections; give each
+    /// member and each start another one.
+    #[must_use]
+    pub fn new(config: Config, recovered: Recovered, seed: u64, now: Time) -> Self {
+        let Recovered {
+            identity,
+            ballot,
+            snapshot,
+            entries,
+        } = recovered;
+        let mut members = History::default();
+        let mut actions = Vec::new();
+        if let Some(snapshot) = &snapshot {
+            members.push(snapshot.index, snapshot.membership.clone());
+            actions.push(Action::Restore(snapshot.clone()));
+        }
+        for entry in &entries {
+            if let Payload::Membership(membership) = &entry.payload {
+                members.push(entry.index, membership.clone());
+            }
+        }
+        let log = Log::new(snapshot, entries);
+        let mut core = Self {
+            promised_until: now + config.election,
+            election_at: now,
+            identity,
+            rng: SmallRng::seed_from_u64(seed),
+            now,
+            ballot,
+            members,
+            role: Role::Follower,
+            leader: None,
+            commit: log.snapshot_index(),
+            applied: log.snapshot_index(),
+            held: 0,
+            heard_stamp: Time::ZERO,
+            votes: BTreeSet::new(),
+            outside: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            heartbeat_at: now,
+            leader_since: now,
+            first_of_term: 0,
+            stamp: Time::ZERO,
+            barriers: VecDeque::new(),
+            change: None,
+            disk: Disk::new(log.last()),
+            waiting: VecDeque::new(),
+            proposals: BTreeMap::new(),
+            uncommitted: 0,
+            incoming: None,
+            snapshot_asked: false,
+            announced: None,
+            dropped: 0,
+            actions,
+            log,
+            config,
+        };
+        core.after_start();
+        core
+    }
+
+    fn after_start(&mut self) {
+        if self.faulty(Fault::ForgetPromise) {
+            self.promised_until = self.now;
+        }
+        let alone = self.is_sole_voter() || self.membership().is_empty();
+        if !alone {
+            self.postpone_election();
+        }
+    }
+
+    /// Takes an event and returns what to do, in order.
+    pub fn handle(&mut self, event: Event, now: Time) -> Vec<Action> {
+        self.handle_all([event], now)
+    }
+
+    /// Takes several events that are there at once; cheaper than one by one, since entries that
+    /// are proposed together go to the disk and to the members together.
+    pub fn handle_all(
+        &mut self,
+        events: impl IntoIterator<Item = Event>,
+        now: Time,
+    ) -> Vec<Action> {
+        self.now = self.now.max(now);
+        self.run_timers();
+        for event in events {
+            self.take(event);
+        }
+        self.flush();
+        std::mem::take(&mut self.actions)
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Tick => {}
+            Event::Receive { from, message } => self.receive(from, message),
+            Event::Propose { id, payload } => self.propose(id, payload),
+            Event::Persisted { token } => self.on_persisted(token),
+            Event::PersistFailed { token } => self.on_persist_failed(token),
+            Event::Change { id, change } => self.on_change(id, change),
+            Event::Snapshot { index, data } => self.on_snapshot(index, data),
+            Event::Barrier { id } => self.on_barrier(id),
+        }
+    }
+
+    fn run_timers(&mut self) {
+        self.check_disk();
+        match self.role {
+            Role::Leader => self.check_quorum(),
+            _ if self.now >= self.election_at => self.on_election_timeout(),
+            _ => {}
+        }
+    }
+
+    fn flush(&mut self) {
+        if self.role == Role::Leader {
+            self.advance_commit();
+            self.drive_change();
+            self.replicate();
+            self.retire_if_removed();
+        }
+        self.apply_committed();
+        self.answer_barriers();
+        self.ask_snapshot();
+        self.announce();
+        self.stage_batch();
+    }
+
+    /// The time at which the core wants the next [`Event::Tick`], if nothing comes before.
+    #[must_use]
+    pub fn next_wake(&self) -> Time {
+        let own = match self.role {
+            Role::Leader => self.heartbeat_at.min(self.quorum_deadline()),
+            _ => self.election_at,
+        };
+        self.disk
+            .deadline(&self.config)
+            .map_or(own, |disk| own.min(disk))
+    }
+
+    /// The right to decide alone, if this member has it at `now`.
+    ///
+    /// Leases of two members never overlap in real time while clocks keep to
+    /// [`DRIFT_PPM`](crate::config::DRIFT_PPM). The check holds for the moment of `now`: a
+    /// process that stops between the check and its act for longer than the rest of the lease
+    /// acts too late, so check right before the act.
+    #[must_use]
+    pub fn lease(&self, now: Time) -> Option<Lease> {
+        let committed = self.commit >= self.first_of_term;
+        if self.role != Role::Leader || !committed {
+            return None;
+        }
+        let until = self.quorum_stamp(now)? + self.config.lease();
+        (now < until).then_some(Lease {
+            term: self.ballot.term,
+            until,
+        })
+    }
+
+    /// What the member shows of itself.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let matched = self
+            .progress
+            .iter()
+            .map(|(id, p)| (*id, p.durable))
+            .collect();
+        Status {
+            cluster: self.identity.cluster,
+            group: self.identity.group,
+            peer: self.identity.peer,
+            lineage: self.ballot.lineage,
+            role: self.role,
+            term: self.ballot.term,
+            leader: self.leader.map(|peer| peer.id),
+            commit: self.commit,
+            applied: self.applied,
+            last: self.log.last(),
+            durable: self.disk.durable,
+            snapshot: self.log.snapshot_index(),
+            members: self.membership(),
+            matched,
+            disk_sick: self.disk.sick(),
+            dropped: self.dropped,
+        }
+    }
+
+    /// The entry at `index`, for checks in tests.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn entry(&self, index: Index) -> Option<&crate::log::Entry> {
+        self.log.entry(index)
+    }
+
+    fn faulty(&self, fault: Fault) -> bool {
+        self.config.fault == Some(fault)
+    }
+
+    fn me(&self) -> Peer {
+        self.identity.peer
+    }
+
+    fn membership(&self) -> Membership {
+        self.members.latest()
+    }
+
+    /// Whether this life of the disk counts in quorums.
+    fn is_voter(&self) -> bool {
+        let members = self.membership();
+        members.is_voter(self.me().id) && members.admits(self.me())
+    }
+
+    fn is_sole_voter(&self) -> bool {
+        self.is_voter() && self.membership().quorum() == 1
+    }
+
+    fn send(&mut self, to: Peer, message: Message) {
+        self.send_in_term(to.id, Some(to.incarnation), self.ballot.term, message);
+    }
+
+    fn send_in_term(
+        &mut self,
+        to: MemberId,
+        incarnation: Option<u64>,
+        term: Term,
+        message: Message,
+    ) {
+        let message = self.envelope(to, incarnation, term, message);
+        self.actions.push(Action::Send { to, message });
+    }
+
+    fn envelope(
+        &self,
+        to: MemberId,
+        incarnation: Option<u64>,
+        term: Term,
+        message: Message,
+    ) -> Envelope {
+        let Identity {
+            cluster,
+            group,
+            peer,
+        } = self.identity;
+        let lineage = self.ballot.lineage;
+        Envelope {
+            cluster,
+            group,
+            lineage,
+            from: peer,
+            to,
+            incarnation,
+            term,
+            message,
+        }
+    }
+
+    /// Whether a message is meant for this group and this life of the disk.
+    fn is_mine(&self, from: MemberId, envelope: &Envelope) -> bool {
+        let lineages = [self.ballot.lineage, envelope.lineage];
+        let addressed = envelope
+            .incarnation
+            .is_none_or(|i| i == self.me().incarnation);
+        envelope.cluster == self.identity.cluster
+            && envelope.group == self.identity.group
+            && envelope.from.id == from
+            && envelope.to == self.me().id
+            && (addressed || self.faulty(Fault::AnyIncarnation))
+            && (lineages.contains(&0) || lineages[0] == lineages[1])
+    }
+
+    fn receive(&mut self, from: MemberId, envelope: Envelope) {
+        if !self.is_mine(from, &envelope) {
+            self.dropped += 1;
+            return;
+        }
+        let Envelope {
+            from,
+            term,
+            lineage,
+            message,
+            ..
+        } = envelope;
+        match message {
+            Message::Vote(vote) => self.on_vote(from, term, lineage, vote),
+            Message::Voted(voted) => self.on_voted(from, term, voted),
+            Message::Append(append) => {
+                if self.accept_leader(from, term, lineage, append.stamp) {
+                    self.on_append(from, append);
+                }
+            }
+            Message::Chunk(chunk) => {
+                if self.accept_leader(from, term, lineage, chunk.stamp) {
+                    self.on_chunk(from, chunk);
+                }
+            }
+            Message::Appended(answer) => self.on_appended(from, term, answer),
+            Message::Refused(answer) => self.on_refused(from, term, answer),
+            Message::Received(answer) => self.on_received(from, term, answer),
+            Message::Join => self.on_join(from),
+            Message::Outside(outside) => self.on_outside(from, outside),
+        }
+    }
+
+    fn apply_committed(&mut self) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.entry(self.applied + 1).cloned() else {
+                return;
+            };
+            self.applied = entry.index;
+            self.apply(entry);
+        }
+    }
+
+    fn apply(&mut self, entry: crate::log::Entry) {
+        let crate::log::Entry {
+            index,
+            term,
+            payload,
+        } = entry;
+        let id = self.settle(index, term);
+        if let Payload::Data(payload) = payload {
+            self.actions.push(Action::Apply(Entry {
+                index,
+                term,
+                payload,
+                id,
+            }));
+        }
+    }
+
+    /// The proposal that became the committed entry; one that another entry replaced is over.
+    fn settle(&mut self, index: Index, term: Term) -> Option<RequestId> {
+        let (proposed, id) = self.proposals.remove(&index)?;
+        if proposed == term {
+            return Some(id);
+        }
+        self.reject(id, Reason::Superseded);
+        None
+    }
+
+    fn reject(&mut self, id: RequestId, reason: Reason) {
+        let leader = self.leader.map(|peer| peer.id);
+        self.actions.push(Action::Rejected { id, reason, leader });
+    }
+
+    fn announce(&mut self) {
+        let state = (self.role, self.ballot.term, self.leader.map(|peer| peer.id));
+        if self.announced == Some(state) {
+            return;
+        }
+        self.announced = Some(state);
+        let (role, term, leader) = state;
+        self.actions.push(Action::Role { role, term, leader });
+    }
+}
