--- /dev/null
+++ b/crates/settings/tests/examples.rs
@@ -0,0 +1,71 @@
+//! The two deployments' example settings load and hold the sizes that the users state.
+
+use cornelhitch_settings::fleet::Fleet;
+
+/// What the example settings of one deployment must hold.
+struct Case {
+    /// The text of the file.
+    text: &'static str,
+    /// Models in the catalogue.
+    models: usize,
+    /// Adapters over all models.
+    adapters: usize,
+    /// Loads that the weight store allows to start, a second.
+    starts: f64,
+    /// The regions.
+    regions: [&'static str; 3],
+    /// Weights of cold starts and of idle accelerator hours.
+    weights: (f64, f64),
+}
+
+const CASES: [Case; 2] = [
+    Case {
+        text: include_str!("../../../examples/co-op.yaml"),
+        models: 40,
+        adapters: 80,
+        starts: 2.0,
+        regions: ["perth-a", "bunbury-a", "kalgoorlie-a"],
+        weights: (0.7, 0.3),
+    },
+    Case {
+        text: include_str!("../../../examples/office.yaml"),
+        models: 25,
+        adapters: 75,
+        starts: 3.0,
+        regions: ["muenchen-a", "nuernberg-a", "augsburg-a"],
+        weights: (0.3, 0.7),
+    },
+];
+
+#[test]
+fn examples_hold_the_stated_sizes() {
+    for case in CASES {
+        let fleet: Fleet = case.text.parse().expect("an example loads");
+        assert_eq!(fleet.models.len(), case.models);
+        let adapters: usize = fleet.models.iter().map(|model| model.adapters.len()).sum();
+        assert_eq!(adapters, case.adapters);
+        assert!((fleet.loading.starts_per_second - case.starts).abs() < f64::EPSILON);
+        assert_eq!(fleet.loading.concurrency, 4);
+        assert_eq!(fleet.loading.adapters_in_flight, 30);
+        let regions: Vec<&str> = fleet.regions.iter().map(|region| &*region.name).collect();
+        assert_eq!(regions, case.regions);
+        let weights = (fleet.keeping.cold_start_weight, fleet.keeping.idle_weight);
+        assert_eq!(weights, case.weights);
+    }
+}
+
+#[test]
+fn every_model_has_a_known_group_and_class() {
+    for case in CASES {
+        let fleet: Fleet = case.text.parse().expect("an example loads");
+        for model in &fleet.models {
+            let class = model.class.as_ref().expect("a class");
+            assert!(fleet.class(class).is_some(), "{}: {class}", model.name);
+            let known = fleet
+                .groups
+                .iter()
+                .any(|group| Some(&group.name) == model.group.as_ref());
+            assert!(known, "{}: {:?}", model.name, model.group);
+        }
+    }
+}
