Planner that loads for waiting demand, keeps by gaps and evicts for need

Cause: the control crate needs a planner to run the whole path with. Change: policy::Policy behind the Planner trait. Demand of all regions is added up a model and version; the worker with the shortest expected ready time is taken (stage of its copy, wait for the store, region, zone, evictions); starts and loads in flight of the store and adapters in flight stay under the settings' limits; idle replicas are kept by a decayed histogram of gaps, after Shahrad et al.; decisions count as pending for 2 s and never as done. Baselines (for ever, time-out, evict when full) swap the keeping policy only. Figures: cargo test -p cornelhitch-planner: 4 tests and 1 doc example pass; 24 pictures in the table lead to the expected decisions.

--- /dev/null
+++ b/crates/planner/src/keep.rs
@@ -0,0 +1,117 @@
+//! How long an idle replica is kept, and what it costs to push it out.
+
+use std::time::Duration;
+
+use cornelhitch_settings::fleet::{Keeping, Rules};
+
+use crate::history::History;
+use crate::number::time;
+
+/// Accelerator seconds that one second of waiting of one request is worth at equal weights.
+const EXCHANGE: f64 = 10.0;
+
+/// What decides on one idle replica.
+#[derive(Debug, Clone, Copy)]
+pub struct Facts<'a> {
+    /// The calls of its model.
+    pub history: &'a History,
+    /// How long its next cold start would take.
+    pub cold: Duration,
+    /// Accelerators that it holds.
+    pub accelerators: u32,
+    /// How long it has been idle.
+    pub idle: Duration,
+    /// The weights.
+    pub keeping: &'a Keeping,
+    /// The rules of its model.
+    pub rules: Rules,
+}
+
+/// How long an idle replica is kept from now, with the figures that decided.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Verdict {
+    /// For how long it is kept from now, if no call comes; zero to unload it now.
+    pub keep: Duration,
+    /// The chance that a call comes in that time.
+    pub chance: f64,
+}
+
+/// A policy of keeping.
+pub trait Keep: Send {
+    /// How long an idle replica is kept from now.
+    fn verdict(&self, facts: &Facts) -> Verdict;
+
+    /// What it costs to push it out for a waiting request, in time to be ready.
+    fn price(&self, facts: &Facts) -> Option<Duration>;
+
+    /// How long a replica is kept idle that others can stand in for, or none for ever.
+    fn surplus(&self) -> Option<Duration>;
+}
+
+/// How long a replica that others can stand in for is kept idle.
+const SURPLUS: Duration = Duration::from_secs(30);
+
+/// Keeps a replica while its next cold start costs more than its accelerators.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Weighed;
+
+impl Keep for Weighed {
+    fn verdict(&self, facts: &Facts) -> Verdict {
+        if facts.idle < facts.rules.minimum {
+            return Verdict {
+                keep: facts.rules.minimum.saturating_sub(facts.idle),
+                chance: 0.0,
+            };
+        }
+        if facts.idle >= facts.rules.maximum {
+            return Verdict {
+                keep: Duration::ZERO,
+                chance: 0.0,
+            };
+        }
+        cheapest(facts)
+    }
+
+    fn price(&self, facts: &Facts) -> Option<Duration> {
+        let chance = facts.history.gaps.chance(facts.idle, facts.cold * 10);
+        let seconds = facts.cold.as_secs_f64() * chance * facts.history.hurt();
+        Some(time(seconds))
+    }
+
+    fn surplus(&self) -> Option<Duration> {
+        Some(SURPLUS)
+    }
+}
+
+/// The time to keep a replica for which its expected cost is least.
+///
+/// Keeping it for `d` costs the accelerators until the next call or `d`, and a
+/// cold start if the call comes after `d`.
+fn cheapest(facts: &Facts) -> Verdict {
+    let idle_price = facts.keeping.idle_weight * f64::from(facts.accelerators);
+    let cold = facts.cold.as_secs_f64() * facts.history.hurt();
+    let cold_price = facts.keeping.cold_start_weight * EXCHANGE * cold;
+    let idle = facts.idle.as_secs_f64();
+    let last = facts.rules.maximum.as_secs_f64();
+    let all: f64 = facts.history.gaps.after(facts.idle).map(|b| b.share).sum();
+    let mut best = (cold_price * all, Duration::ZERO, 0.0);
+    let mut waited = 0.0;
+    let mut come = 0.0;
+    for bucket in facts.history.gaps.after(facts.idle) {
+        if bucket.from >= last {
+            break;
+        }
+        waited += bucket.share * (bucket.middle() - idle);
+        come += bucket.share;
+        let left = all - come;
+        let until = bucket.to.min(last) - idle;
+        let cost = idle_price * (waited + left * until) + cold_price * left;
+        if cost < best.0 {
+            best = (cost, time(until), come / all);
+        }
+    }
+    Verdict {
+        keep: best.1,
+        chance: best.2,
+    }
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -5,8 +5,23 @@
 //! [`decision::Decision`]s. It sends nothing; the caller commits each decision
 //! before any order leaves.
 
+pub mod baseline;
+pub mod catalog;
 pub mod decision;
+pub mod gap;
+pub mod history;
+pub mod keep;
+pub mod need;
+pub mod notes;
+mod number;
+pub mod pending;
 pub mod picture;
+pub mod place;
+pub mod policy;
+mod round;
+pub mod scale;
+pub mod scene;
+pub mod store;
 
 use cornelhitch_types::id::Time;
 
