Core of an entry host: admission, queue, routing, claims, quarantine

Change: crates/entry holds core::Core, a sans-I/O aggregate of small modules, with the send-and-fail table and the table of claim replies as data. The owner asks before each step that cannot be undone: Sent is answered by Proceed, Begun by Deliver, Ended by Finish.

--- /dev/null
+++ b/crates/entry/src/affinity.rs
@@ -0,0 +1,134 @@
+//! Which target holds which prompt prefixes, from cache events that come late and with gaps.
+//!
+//! An event is a hint: a wrong one costs a prefill and nothing else. A gap in a
+//! target's sequence makes what is known of it half as believable, since some
+//! of it may be gone; a late event never overwrites a newer one of the same
+//! prefix.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use cornelhitch_types::id::{ModelId, TargetId};
+use cornelhitch_types::target::CacheEvent;
+use serde::Serialize;
+
+/// Prefixes kept per target; the oldest go first.
+const LIMIT: usize = 4_096;
+
+/// What is left of the trust in old events after a gap.
+const AFTER_GAP: f64 = 0.5;
+
+/// What is known of one prefix.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Entry {
+    /// The event that told it.
+    sequence: u64,
+    /// Whether the prefix is held.
+    held: bool,
+    /// How far it is believed, up to 1.
+    trust: f64,
+}
+
+/// What one target holds.
+#[derive(Debug, Default, Serialize)]
+struct Cache {
+    /// The newest sequence number.
+    newest: u64,
+    /// By model and prefix.
+    entries: HashMap<(ModelId, u64), Entry>,
+    /// In the order of the events, to drop the oldest.
+    order: BTreeSet<(u64, ModelId, u64)>,
+}
+
+/// What all targets hold.
+#[derive(Debug, Default, Serialize)]
+pub struct Caches {
+    /// By target.
+    targets: BTreeMap<TargetId, Cache>,
+}
+
+impl Caches {
+    /// Takes events of a target, in any order.
+    pub fn take(&mut self, target: &TargetId, events: Vec<CacheEvent>) {
+        let cache = self.targets.entry(target.clone()).or_default();
+        for event in events {
+            cache.take(event);
+        }
+    }
+
+    /// Forgets a target, when it is gone or has a new life.
+    pub fn forget(&mut self, target: &str) {
+        self.targets.remove(target);
+    }
+
+    /// How many blocks of a prompt a target is believed to hold, as a mean.
+    ///
+    /// ```
+    /// use cornelhitch_entry::affinity::Caches;
+    /// use cornelhitch_types::target::CacheEvent;
+    ///
+    /// let mut caches = Caches::default();
+    /// let event = CacheEvent { sequence: 1, model: "report".into(), prefix: 9, held: true };
+    /// caches.take(&"worker-1".into(), vec![event]);
+    /// assert!(caches.blocks("worker-1", &"report".into(), &[9, 10]) > 0.9);
+    /// ```
+    #[must_use]
+    pub fn blocks(&self, target: &str, model: &ModelId, prefixes: &[u64]) -> f64 {
+        let Some(cache) = self.targets.get(target) else {
+            return 0.0;
+        };
+        let mut blocks = 0.0;
+        for (index, prefix) in prefixes.iter().enumerate() {
+            let Some(entry) = cache.entries.get(&(model.clone(), *prefix)) else {
+                continue;
+            };
+            if entry.held {
+                let length = u32::try_from(index + 1).unwrap_or(u32::MAX);
+                blocks = f64::max(blocks, f64::from(length) * entry.trust);
+            }
+        }
+        blocks
+    }
+}
+
+impl Cache {
+    /// Takes one event.
+    fn take(&mut self, event: CacheEvent) {
+        if event.sequence > self.newest + 1 && self.newest > 0 {
+            self.doubt();
+        }
+        self.newest = self.newest.max(event.sequence);
+        let at = (event.model, event.prefix);
+        if let Some(known) = self.entries.get(&at) {
+            if known.sequence >= event.sequence {
+                return;
+            }
+            let old = (known.sequence, at.0.clone(), at.1);
+            self.order.remove(&old);
+        }
+        let entry = Entry {
+            sequence: event.sequence,
+            held: event.held,
+            trust: 1.0,
+        };
+        self.order.insert((event.sequence, at.0.clone(), at.1));
+        self.entries.insert(at, entry);
+        self.trim();
+    }
+
+    /// Believes less of what is known: events were lost.
+    fn doubt(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.trust *= AFTER_GAP;
+        }
+    }
+
+    /// Drops the oldest beyond the limit.
+    fn trim(&mut self) {
+        while self.entries.len() > LIMIT {
+            let Some((_, model, prefix)) = self.order.pop_first() else {
+                return;
+            };
+            self.entries.remove(&(model, prefix));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/attempt.rs
@@ -0,0 +1,339 @@
+//! One attempt from its first byte to its end.
+
+use std::time::Duration;
+
+use cornelhitch_types::id::Time;
+use cornelhitch_types::refusal::{Reason, Run};
+
+use crate::action::Action;
+use crate::claim::Outcome;
+use crate::core::Core;
+use crate::event::{Attempt, CallId, Failure, What};
+use crate::fault::Fault;
+use crate::finish::End;
+use crate::quarantine;
+use crate::queue::Key;
+use crate::request::{Call, Reach, Run as Flight, Stage};
+use crate::route::Candidate;
+use crate::rule::{self, Next};
+
+/// The longest time without a part of an answer that has begun; also how far past its deadline a
+/// whole answer may go on that had begun before.
+pub const STALL: Duration = Duration::from_secs(5);
+
+/// Attempts of one request at most.
+const ATTEMPTS: Attempt = 8;
+
+/// The first pause after a target refused, doubled each time.
+const PAUSE: Duration = Duration::from_millis(20);
+
+impl Core {
+    /// The owner is about to write the first byte.
+    pub(crate) fn sent(&mut self, id: CallId, attempt: Attempt) {
+        let Some(run) = self.calls.get(&id).and_then(|call| call.run(attempt)) else {
+            return;
+        };
+        if !self.may_write(run) {
+            self.stop(id);
+            self.again(id, Duration::ZERO);
+            return;
+        }
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.reach = call.reach.max(Reach::Sent);
+        let (begun, deadline) = (call.reach == Reach::Begun, call.deadline);
+        if let Some(run) = call.run_mut(attempt) {
+            run.reach = run.reach.max(Reach::Sent);
+            run.since = now;
+        }
+        if !begun {
+            self.set_timer(id, deadline);
+        }
+        self.actions.push(Action::Proceed { id, attempt });
+    }
+
+    /// Whether the place still takes new work, now that the connection stands.
+    fn may_write(&self, run: &Flight) -> bool {
+        if self.planted(Fault::SendsToClosed) || run.reach > Reach::Unsent {
+            return true;
+        }
+        let open = self.picture.open(&run.place.target, run.incarnation);
+        open && run
+            .place
+            .replica
+            .is_none_or(|replica| self.picture.ready(replica))
+    }
+
+    /// The answer began.
+    pub(crate) fn begun(&mut self, id: CallId, attempt: Attempt) {
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let answered = call.answered;
+        let Some(run) = call.run_mut(attempt) else {
+            return;
+        };
+        if run.reach != Reach::Sent {
+            return;
+        }
+        run.reach = Reach::Begun;
+        let took = now.saturating_sub(run.since);
+        let first = call.reach < Reach::Begun;
+        call.reach = Reach::Begun;
+        let key = call.key.clone();
+        if answered {
+            return;
+        }
+        if first {
+            self.paces.first(&key, took);
+        }
+        self.touch(id);
+        self.actions.push(Action::Deliver { id, attempt });
+    }
+
+    /// A part of a streamed answer was passed on.
+    pub(crate) fn progress(&mut self, id: CallId, attempt: Attempt, offset: u64) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let current = call
+            .run(attempt)
+            .is_some_and(|run| run.reach == Reach::Begun);
+        if !current || call.answered {
+            return;
+        }
+        call.offset = call.offset.max(offset);
+        self.touch(id);
+    }
+
+    /// Sets the timer of an answer that has begun.
+    fn touch(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let at = if call.request.streaming {
+            self.now + STALL
+        } else {
+            call.deadline + STALL
+        };
+        self.set_timer(id, at);
+    }
+
+    /// The terminator came.
+    pub(crate) fn ended(&mut self, id: CallId, attempt: Attempt) {
+        let attempt = self.taken(id, attempt);
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(run) = call.run(attempt) else {
+            return;
+        };
+        if run.reach != Reach::Begun {
+            return;
+        }
+        let (key, took) = (call.key.clone(), self.now.saturating_sub(run.since));
+        let (answered, caller) = (call.answered, call.request.caller.clone());
+        if call.offset == 0 || call.attempts == 1 {
+            self.paces.whole(&key, took);
+        }
+        self.land(id);
+        if !answered {
+            self.actions.push(Action::Finish { id, attempt });
+            self.queue.leave(&caller);
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.answered = true;
+            }
+        }
+        self.record(id, Outcome::Answered);
+    }
+
+    /// The number of the attempt that an event is taken for.
+    fn taken(&self, id: CallId, attempt: Attempt) -> Attempt {
+        if !self.planted(Fault::TakesOldAttempt) {
+            return attempt;
+        }
+        let run = self.calls.get(&id).and_then(Call::running);
+        run.map_or(attempt, |run| run.attempt)
+    }
+
+    /// The attempt failed.
+    pub(crate) fn failed(&mut self, id: CallId, attempt: Attempt, failure: Failure) {
+        let attempt = self.taken(id, attempt);
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(run) = call.run(attempt).cloned() else {
+            return;
+        };
+        if !call.failed.contains(&run.place.target) {
+            call.failed.push(run.place.target.clone());
+        }
+        let (repeatable, reach) = (call.repeatable, call.reach);
+        let service = matches!(call.request.what, What::Service { .. });
+        let (answered, fingerprint) = (call.answered, call.request.fingerprint);
+        self.blame(&run, fingerprint, failure);
+        self.land(id);
+        if answered {
+            self.conclude(id);
+            return;
+        }
+        if self.quarantine.strikes(fingerprint) >= quarantine::LIMIT {
+            let end = self.quarantined(fingerprint);
+            self.refuse(id, end);
+            return;
+        }
+        let (sent, begun) = (reach > Reach::Unsent, reach == Reach::Begun);
+        let next = rule::next(repeatable || self.planted(Fault::SendsTwice), sent, begun);
+        match next {
+            Next::Elsewhere | Next::Retry => self.again(id, pause(failure, attempt)),
+            Next::Resume if service => self.give_up(id, "the answer broke off"),
+            Next::Resume => self.resume(id, &run, failure),
+            Next::Unknown => self.give_up(id, "the target failed after it was sent"),
+        }
+    }
+
+    /// Counts a failure against the target and, if it may be the cause, the request.
+    fn blame(&mut self, run: &Flight, fingerprint: u64, failure: Failure) {
+        let effect = rule::effect(failure);
+        let target = run.place.target.clone();
+        let incarnation = run.incarnation;
+        let current = self.picture.open(&target, incarnation);
+        let eject = effect.eject && self.config.ejecting && current;
+        if eject && self.ejections.eject(&target, self.now) {
+            let target = target.clone();
+            self.actions.push(Action::Suspect {
+                target,
+                incarnation,
+            });
+        }
+        if effect.strike && run.reach > Reach::Unsent {
+            let life = (target.clone(), incarnation);
+            if !self.planted(Fault::ForgetsStrikes) {
+                self.quarantine.strike(fingerprint, life, self.now);
+            }
+            self.actions.push(Action::Strike {
+                fingerprint,
+                target,
+                incarnation,
+            });
+            self.expel(fingerprint);
+        }
+    }
+
+    /// Refuses what waits with a fingerprint that took down as many targets as it may.
+    pub(crate) fn expel(&mut self, fingerprint: u64) {
+        if self.quarantine.strikes(fingerprint) < quarantine::LIMIT {
+            return;
+        }
+        let same = self.calls.values().filter(|call| {
+            let unsent = call.running().is_none_or(|run| run.reach == Reach::Unsent);
+            call.request.fingerprint == fingerprint && unsent && !call.answered
+        });
+        let mut same: Vec<CallId> = same.map(|call| call.request.id).collect();
+        same.sort_unstable();
+        for id in same {
+            let end = self.quarantined(fingerprint);
+            self.refuse(id, end);
+        }
+    }
+
+    /// Puts a request back into the queue for another attempt.
+    fn again(&mut self, id: CallId, pause: Duration) {
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if call.attempts >= ATTEMPTS {
+            self.give_up(id, "every attempt failed");
+            return;
+        }
+        call.stage = Stage::Waiting;
+        if call.reach == Reach::Begun {
+            call.rank = Time::ZERO;
+        }
+        if !pause.is_zero() {
+            call.pause = now + pause;
+            self.pauses.insert((call.pause, id));
+        }
+        self.wait(id);
+    }
+
+    /// Ends a request whose target failed.
+    fn give_up(&mut self, id: CallId, detail: &str) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let unsent = call.reach == Reach::Unsent;
+        let (reason, run) = if unsent {
+            (Reason::Unavailable, Run::NotRun)
+        } else {
+            (Reason::TargetFailed, Run::Unknown)
+        };
+        let end = End {
+            run,
+            ..End::not_run(reason, detail)
+        };
+        let helps = unsent || call.repeatable;
+        let end = if helps {
+            end.after(Duration::ZERO)
+        } else {
+            end
+        };
+        self.refuse(id, end);
+    }
+
+    /// Continues an answer, at the same engine if it still stands.
+    fn resume(&mut self, id: CallId, run: &Flight, failure: Failure) {
+        let stands = failure != Failure::Connect && failure != Failure::Refused;
+        let same = self.same_place(id, run);
+        let afford = self.budget.has(self.now);
+        match same {
+            Some(candidate) if stands && afford => {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.stage = Stage::Waiting;
+                }
+                self.send(id, &candidate);
+            }
+            _ => self.again(id, pause(failure, run.attempt)),
+        }
+    }
+
+    /// The place of an attempt, if it may still be sent to and was not tried over and over.
+    fn same_place(&self, id: CallId, run: &Flight) -> Option<Candidate> {
+        let call = self.calls.get(&id)?;
+        if call.attempts >= ATTEMPTS || !matches!(call.key, Key::Model(..)) {
+            return None;
+        }
+        let open = self.picture.open(&run.place.target, run.incarnation);
+        let ready = run
+            .place
+            .replica
+            .is_some_and(|replica| self.picture.ready(replica));
+        let target = &self.picture.targets.get(&run.place.target)?.view;
+        (open && ready).then(|| Candidate {
+            place: run.place.clone(),
+            incarnation: run.incarnation,
+            address: target.address,
+            region: target.region.clone(),
+            zone: target.zone.clone(),
+            own: 0,
+            others: 0,
+            age: Time::ZERO,
+            capacity: 1,
+            cached: 0.0,
+            distance_ms: 0.0,
+            price: 0.0,
+        })
+    }
+}
+
+/// The pause before another attempt: none where the target is left out anyway.
+fn pause(failure: Failure, attempt: Attempt) -> Duration {
+    if rule::effect(failure).eject {
+        return Duration::ZERO;
+    }
+    PAUSE * 2_u32.saturating_pow(attempt.saturating_sub(1).min(6))
+}
--- /dev/null
+++ b/crates/entry/src/dispatch.rs
@@ -0,0 +1,336 @@
+//! From the queue to a place.
+
+use cornelhitch_types::id::{ModelId, Name, Time};
+use cornelhitch_types::view::State;
+
+use crate::action::{Action, Destination};
+use crate::core::Core;
+use crate::estimate::Supply;
+use crate::event::{CallId, What};
+use crate::fault::Fault;
+use crate::picture::Target;
+use crate::quarantine::{self, Life};
+use crate::queue::Key;
+use crate::request::{Call, Reach, Run, Stage};
+use crate::route::{Candidate, Place};
+
+/// Requests that are looked at for a place at once; those before them wait for an adapter or a
+/// target of their own.
+const SCAN: usize = 64;
+
+/// When requests that are held back by the retry budget are tried again.
+const BUDGET_PAUSE: Time = Time::from_millis(250);
+
+/// A candidate, and what a request may need of it.
+pub(crate) struct Choice {
+    /// Where it is.
+    pub candidate: Candidate,
+    /// Requests that this host may have there.
+    pub limit: u32,
+    /// Adapters that are ready there.
+    pub adapters: Vec<Name>,
+}
+
+impl Choice {
+    /// Whether this host may send one more there.
+    fn free(&self) -> bool {
+        self.candidate.own < self.limit
+    }
+
+    /// The target in its life.
+    fn life(&self) -> Life {
+        (
+            self.candidate.place.target.clone(),
+            self.candidate.incarnation,
+        )
+    }
+}
+
+impl Core {
+    /// Sends what can be sent of one kind of request.
+    pub(crate) fn dispatch(&mut self, key: &Key) {
+        if self.queue.waiting(key) == 0 {
+            return;
+        }
+        let mut options = self.options(key);
+        let waiting: Vec<CallId> = self.queue.lane(key).map(|(_, id)| id).take(SCAN).collect();
+        for id in waiting {
+            if !options.iter().any(Choice::free) {
+                return;
+            }
+            if let Some(index) = self.choose(id, &mut options) {
+                options[index].candidate.own += 1;
+                let candidate = options[index].candidate.clone();
+                self.send(id, &candidate);
+            }
+        }
+        if self.queue.waiting(key) > 0 && options.iter().any(Choice::free) {
+            self.look_further(key, &mut options);
+        }
+    }
+
+    /// Goes through the whole queue, past requests that wait for something of their own.
+    fn look_further(&mut self, key: &Key, options: &mut [Choice]) {
+        let rest: Vec<CallId> = self.queue.lane(key).map(|(_, id)| id).skip(SCAN).collect();
+        for id in rest {
+            if !options.iter().any(Choice::free) {
+                return;
+            }
+            if let Some(index) = self.choose(id, options) {
+                options[index].candidate.own += 1;
+                let candidate = options[index].candidate.clone();
+                self.send(id, &candidate);
+            }
+        }
+    }
+
+    /// The places that could run one kind of request, full ones too.
+    pub(crate) fn options(&self, key: &Key) -> Vec<Choice> {
+        match key {
+            Key::Model(model, version) => {
+                let wanted = self.wanted(model, version.as_ref());
+                let all = self.picture.of_model(model).filter(|replica| {
+                    let state = replica.view.state;
+                    let usable = state == State::Ready || self.planted(Fault::SendsToClosed);
+                    usable && (wanted.is_none() || replica.view.version == wanted)
+                });
+                all.filter_map(|replica| {
+                    let target = self.picture.targets.get(&replica.view.target)?;
+                    let mut option =
+                        self.option(target, Some(model), Some(replica.view.replica))?;
+                    option.adapters.clone_from(&replica.view.adapters);
+                    Some(option)
+                })
+                .collect()
+            }
+            Key::Service(name) => {
+                let all = self.picture.of_service(name);
+                all.filter_map(|target| self.option(target, None, None))
+                    .collect()
+            }
+        }
+    }
+
+    /// The version that a request runs in.
+    fn wanted(&self, model: &ModelId, named: Option<&Name>) -> Option<Name> {
+        let known = self.catalogue.models.get(model);
+        let in_force = known.and_then(|known| known.version.clone());
+        named.cloned().or(in_force)
+    }
+
+    /// A place, if its target takes new work.
+    fn option(
+        &self,
+        target: &Target,
+        model: Option<&ModelId>,
+        replica: Option<u64>,
+    ) -> Option<Choice> {
+        let view = &target.view;
+        let closed = !view.open && !self.planted(Fault::SendsToClosed);
+        if closed || self.ejections.has(&view.target) {
+            return None;
+        }
+        let place = Place {
+            target: view.target.clone(),
+            replica,
+        };
+        let own = self.flights.get(&place).copied().unwrap_or(0);
+        let capacity = self.catalogue.concurrency(model.map(|model| &**model));
+        let (distance_ms, _) = self.catalogue.way(&self.config.region, &view.region, 0);
+        let zone_ms = if view.zone == self.config.zone {
+            0.0
+        } else {
+            0.5
+        };
+        let reported = view.load.running + view.load.queued;
+        let candidate = Candidate {
+            incarnation: view.incarnation,
+            address: view.address,
+            region: view.region.clone(),
+            zone: view.zone.clone(),
+            own,
+            others: reported.saturating_sub(own),
+            age: self.now.saturating_sub(target.measured),
+            capacity,
+            cached: 0.0,
+            distance_ms: distance_ms + zone_ms,
+            price: 0.0,
+            place,
+        };
+        Some(Choice {
+            limit: self.limit(&candidate.place, capacity),
+            candidate,
+            adapters: Vec::new(),
+        })
+    }
+
+    /// Requests that this host may have at a place.
+    fn limit(&self, place: &Place, capacity: u32) -> u32 {
+        if !self.config.sharing {
+            return capacity;
+        }
+        let (hosts, _) = self.picture.sharers(self.config.host);
+        self.shares.limit(place, capacity, hosts)
+    }
+
+    /// What is known of the places for one kind of request.
+    pub(crate) fn supply(&self, key: &Key) -> Supply {
+        let options = self.options(key);
+        let slots = options.iter().map(|option| option.limit).sum();
+        let Key::Model(model, version) = key else {
+            return Supply {
+                slots,
+                ready_at: None,
+                load: Time::ZERO,
+            };
+        };
+        let wanted = self.wanted(model, version.as_ref());
+        let loading = self.picture.of_model(model).filter(|replica| {
+            replica.view.state == State::Loading
+                && (wanted.is_none() || replica.view.version == wanted)
+        });
+        let known = self.catalogue.models.get(model);
+        Supply {
+            slots,
+            ready_at: loading.map(|replica| replica.ready_at).min(),
+            load: known.map_or(Time::ZERO, |known| known.load),
+        }
+    }
+
+    /// Chooses a place for a request, as an index of `options`.
+    fn choose(&mut self, id: CallId, options: &mut [Choice]) -> Option<usize> {
+        let call = self.calls.get(&id)?;
+        if call.pause > self.now {
+            return None;
+        }
+        if call.reach > Reach::Unsent && !self.budget.has(self.now) {
+            self.starved = Some(self.now + BUDGET_PAUSE);
+            return None;
+        }
+        let call = self.calls.get(&id)?;
+        let mut fit: Vec<usize> = (0..options.len())
+            .filter(|index| options[*index].free() && self.fits(call, &options[*index]))
+            .collect();
+        let fresh = |index: &usize| {
+            !call
+                .failed
+                .contains(&options[*index].candidate.place.target)
+        };
+        if fit.iter().any(fresh) {
+            fit.retain(fresh);
+        }
+        if self.quarantine.strikes(call.request.fingerprint) > 0 {
+            fit = self.isolated(id, fit, options);
+        }
+        let call = self.calls.get(&id)?;
+        let whole = self.paces.get(&call.key).whole().unwrap_or_default();
+        let candidates: Vec<Candidate> = fit
+            .iter()
+            .map(|index| self.priced(call, &options[*index].candidate))
+            .collect();
+        let whole_ms = whole.as_secs_f64() * 1_000.0;
+        let chosen = self.config.router.choose(whole_ms, &candidates)?;
+        fit.get(chosen).copied()
+    }
+
+    /// Whether a place has what a request needs, and the request may go there.
+    fn fits(&self, call: &Call, option: &Choice) -> bool {
+        if let What::Model(reference) = &call.request.what
+            && let Some(adapter) = &reference.adapter
+            && !option.adapters.contains(adapter)
+        {
+            return false;
+        }
+        let fingerprint = call.request.fingerprint;
+        let strikes = self.quarantine.strikes(fingerprint);
+        let Some(targets) = self.prints.get(&fingerprint) else {
+            return true;
+        };
+        let left = quarantine::LIMIT.saturating_sub(strikes) as usize;
+        targets.len() < left || targets.contains_key(&option.candidate.place.target)
+    }
+
+    /// Of the places that fit a suspect, those that are reserved for it; asks for one if none is.
+    fn isolated(&mut self, id: CallId, fit: Vec<usize>, options: &[Choice]) -> Vec<usize> {
+        if self.planted(Fault::SharesSuspects) {
+            return fit;
+        }
+        let free = self.quarantine.free(self.config.suspects);
+        let reserved: Vec<usize> = fit
+            .iter()
+            .copied()
+            .filter(|index| free.contains(&options[*index].life()))
+            .collect();
+        if !reserved.is_empty() || !self.calls.contains_key(&id) {
+            return reserved;
+        }
+        let lives: Vec<Life> = fit.iter().map(|index| options[*index].life()).collect();
+        if let Some((target, incarnation)) = self.quarantine.ask(&lives, self.now) {
+            self.actions.push(Action::Reserve {
+                target,
+                incarnation,
+            });
+        }
+        Vec::new()
+    }
+
+    /// A candidate with what depends on the request.
+    fn priced(&self, call: &Call, candidate: &Candidate) -> Candidate {
+        let mut candidate = candidate.clone();
+        let bytes = call.request.bytes;
+        let (_, price) = self
+            .catalogue
+            .way(&self.config.region, &candidate.region, bytes);
+        candidate.price = price;
+        if let What::Model(reference) = &call.request.what
+            && !call.request.prefixes.is_empty()
+        {
+            let target = &candidate.place.target;
+            let prefixes = &call.request.prefixes;
+            candidate.cached = self.caches.blocks(target, &reference.model, prefixes);
+        }
+        candidate
+    }
+
+    /// Starts an attempt.
+    pub(crate) fn send(&mut self, id: CallId, candidate: &Candidate) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        self.queue.remove(&call.key, call.rank, id);
+        let fingerprint = call.request.fingerprint;
+        let life = (candidate.place.target.clone(), candidate.incarnation);
+        let suspect = self.quarantine.strikes(fingerprint) > 0;
+        if suspect {
+            self.quarantine.start(&life);
+        }
+        if call.reach == Reach::Unsent {
+            self.budget.earn();
+        } else {
+            self.budget.spend(self.now);
+        }
+        call.attempts += 1;
+        call.stage = Stage::Running(Run {
+            attempt: call.attempts,
+            place: candidate.place.clone(),
+            incarnation: candidate.incarnation,
+            reach: Reach::Unsent,
+            since: self.now,
+            suspect,
+        });
+        *self.flights.entry(candidate.place.clone()).or_default() += 1;
+        let targets = self.prints.entry(fingerprint).or_default();
+        *targets.entry(life.0).or_default() += 1;
+        self.actions.push(Action::Send {
+            id,
+            attempt: call.attempts,
+            to: Destination {
+                target: candidate.place.target.clone(),
+                incarnation: candidate.incarnation,
+                address: candidate.address,
+                replica: candidate.place.replica,
+            },
+            resume: (call.reach == Reach::Begun).then_some(call.offset),
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entries.rs
@@ -0,0 +1,86 @@
+//! The answer to `GET /v1/entries`: which entry hosts a caller connects to.
+
+use std::cmp::Ordering;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cornelhitch_types::entry::Host;
+use cornelhitch_types::id::{RegionId, ZoneId};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+
+/// The longest time for which a caller keeps an answer.
+pub const MAX_AGE: Duration = Duration::from_secs(10);
+
+/// The part of the age that is drawn at random, so that callers do not come back together.
+const JITTER: f64 = 0.3;
+
+/// Addresses named in one answer.
+const LIMIT: usize = 4;
+
+/// Requests by which a host may be busier and still be preferred for its zone or region.
+const NEAR: u32 = 64;
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Entries {
+    /// Where to connect, the best first; the others are for when it fails.
+    pub addresses: Vec<SocketAddr>,
+    /// How long to keep this answer.
+    pub max_age: Duration,
+}
+
+/// Where the caller is, as far as it says or its host knows.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Whence {
+    /// Its region.
+    pub region: RegionId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+}
+
+/// Makes an answer out of the hosts that take callers.
+///
+/// Hosts of the caller's region come first. Among them the less busy of two
+/// random ones leads, with a bonus for the caller's zone, so that hosts with
+/// the same stale figures do not send every caller to one.
+///
+/// ```
+/// use cornelhitch_entry::entries::{Whence, answer};
+/// use rand::{SeedableRng, rngs::SmallRng};
+///
+/// let none = answer(&[], &Whence::default(), &mut SmallRng::seed_from_u64(1));
+/// assert!(none.addresses.is_empty());
+/// ```
+#[must_use]
+pub fn answer(hosts: &[&Host], whence: &Whence, random: &mut SmallRng) -> Entries {
+    let open = hosts.iter().filter(|host| !host.draining);
+    let mut ranked: Vec<(bool, u32, u64, SocketAddr)> = open
+        .map(|host| {
+            let abroad = host.region != whence.region;
+            let near = host.zone == whence.zone;
+            let load = host.load + if near { 0 } else { NEAR };
+            (abroad, load, random.random(), host.address)
+        })
+        .collect();
+    ranked.sort_by_key(|(abroad, _, draw, _)| (*abroad, *draw));
+    lead(&mut ranked);
+    let addresses = ranked.into_iter().map(|(_, _, _, address)| address);
+    let spread = 1.0 - JITTER * random.random::<f64>();
+    Entries {
+        addresses: addresses.take(LIMIT).collect(),
+        max_age: MAX_AGE.mul_f64(spread),
+    }
+}
+
+/// Puts the less busy of the first two in front, if both are in the same region.
+fn lead(ranked: &mut [(bool, u32, u64, SocketAddr)]) {
+    let [first, second, ..] = ranked else {
+        return;
+    };
+    let same = first.0 == second.0;
+    if same && second.1.cmp(&first.1) == Ordering::Less {
+        std::mem::swap(first, second);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/fingerprint.rs
@@ -0,0 +1,32 @@
+//! What makes two requests the same to an engine.
+
+use crate::event::{Digest, What};
+
+/// A digest of what is asked and of the body, but not of the caller.
+///
+/// ```
+/// use cornelhitch_entry::event::What;
+/// use cornelhitch_entry::fingerprint;
+/// use cornelhitch_types::model::Reference;
+///
+/// let what = What::Model(Reference::base("report"));
+/// assert_eq!(fingerprint::of(&what, b"car"), fingerprint::of(&what, b"car"));
+/// assert_ne!(fingerprint::of(&what, b"car"), fingerprint::of(&what, b"van"));
+/// ```
+#[must_use]
+pub fn of(what: &What, body: &[u8]) -> u64 {
+    let digest = digest(what, body);
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// The whole digest, which claims carry to tell another body under the same key.
+#[must_use]
+pub fn digest(what: &What, body: &[u8]) -> Digest {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(what.to_string().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(body);
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/crates/entry/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The common types, for a glob import.
+
+pub use crate::action::Action;
+pub use crate::config::Config;
+pub use crate::core::Core;
+pub use crate::event::{CallId, Event, Request, What};
--- /dev/null
+++ b/crates/entry/src/quarantine.rs
@@ -0,0 +1,219 @@
+//! Requests that took a target down, kept from taking down more than two.
+//!
+//! When a target dies, every request in progress on it is struck: one of them
+//! may be the cause. A struck request runs again only on a target that is
+//! reserved for this host's suspects, one suspect at a time, so that the next
+//! death names its cause; at the second strike it is refused. With two deaths
+//! at most, nothing but one at a time can both find the cause and serve all
+//! its neighbours: see `docs/design/entry.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cornelhitch_types::id::{Incarnation, TargetId, Time};
+use serde::Serialize;
+
+/// Targets that one fingerprint may take down.
+pub const LIMIT: u32 = 2;
+
+/// Targets that one host reserves for suspects at once.
+const RESERVED: usize = 2;
+
+/// How long a reservation that was asked for is waited for.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// The pause after a reservation was not granted.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// A target in one life.
+pub type Life = (TargetId, Incarnation);
+
+/// What is known of one fingerprint.
+#[derive(Debug, Default, Serialize)]
+struct Record {
+    /// Targets that died with it in progress, seen from here.
+    seen: BTreeSet<Life>,
+    /// Strikes that control published.
+    published: u32,
+    /// When the last strike came.
+    at: Time,
+}
+
+/// The state of a reservation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+enum Slot {
+    /// Control was asked.
+    Asked {
+        /// When to stop waiting.
+        until: Time,
+    },
+    /// This host has it.
+    Held {
+        /// Suspects in progress there.
+        running: u32,
+    },
+    /// Another host has it.
+    Denied {
+        /// When to ask again.
+        until: Time,
+    },
+}
+
+/// Strikes and reservations.
+#[derive(Debug, Default, Serialize)]
+pub struct Quarantine {
+    /// By fingerprint.
+    records: BTreeMap<u64, Record>,
+    /// Reservations.
+    slots: BTreeMap<Life, Slot>,
+}
+
+impl Quarantine {
+    /// Strikes of a fingerprint.
+    #[must_use]
+    pub fn strikes(&self, fingerprint: u64) -> u32 {
+        let record = self.records.get(&fingerprint);
+        record.map_or(0, |record| {
+            let seen = u32::try_from(record.seen.len()).unwrap_or(u32::MAX);
+            seen.max(record.published)
+        })
+    }
+
+    /// Counts a target that died; the same life of a target counts once.
+    pub fn strike(&mut self, fingerprint: u64, life: Life, now: Time) {
+        let record = self.records.entry(fingerprint).or_default();
+        record.seen.insert(life);
+        record.at = now;
+    }
+
+    /// Takes what control published; 0 is an operator's release.
+    pub fn publish(&mut self, fingerprint: u64, strikes: u32, now: Time) {
+        if strikes == 0 {
+            self.records.remove(&fingerprint);
+            return;
+        }
+        let record = self.records.entry(fingerprint).or_default();
+        record.published = strikes;
+        record.at = now;
+    }
+
+    /// Forgets what control published, before the whole of it comes again.
+    pub fn unpublish(&mut self) {
+        for record in self.records.values_mut() {
+            record.published = 0;
+        }
+        self.records.retain(|_, record| !record.seen.is_empty());
+    }
+
+    /// Whether a target is reserved for this host.
+    #[must_use]
+    pub fn holds(&self) -> bool {
+        let mut slots = self.slots.values();
+        slots.any(|slot| matches!(slot, Slot::Held { .. }))
+    }
+
+    /// Every fingerprint with its strikes.
+    #[must_use]
+    pub fn list(&self) -> Vec<crate::dump::Strike> {
+        let fingerprints = self.records.keys().copied();
+        let rows = fingerprints.map(|fingerprint| crate::dump::Strike {
+            fingerprint,
+            strikes: self.strikes(fingerprint),
+        });
+        rows.collect()
+    }
+
+    /// How long a fingerprint is still refused.
+    #[must_use]
+    pub fn left(&self, fingerprint: u64, kept: Duration, now: Time) -> Duration {
+        let record = self.records.get(&fingerprint);
+        record.map_or(Duration::ZERO, |record| {
+            (record.at + kept).saturating_sub(now)
+        })
+    }
+
+    /// Forgets strikes whose time is over.
+    pub fn expire(&mut self, kept: Duration, now: Time) {
+        self.records.retain(|_, record| record.at + kept > now);
+    }
+
+    /// The targets on which a suspect may be started now.
+    #[must_use]
+    pub fn free(&self, width: u32) -> Vec<Life> {
+        let free = self
+            .slots
+            .iter()
+            .filter(|(_, slot)| matches!(slot, Slot::Held { running } if *running < width));
+        free.map(|(life, _)| life.clone()).collect()
+    }
+
+    /// The target to ask control for, out of those that could run a waiting suspect.
+    pub fn ask(&mut self, targets: &[Life], now: Time) -> Option<Life> {
+        self.slots.retain(|_, slot| match slot {
+            Slot::Asked { until } | Slot::Denied { until } => *until > now,
+            Slot::Held { .. } => true,
+        });
+        let denied = |slot: &&Slot| matches!(slot, Slot::Denied { .. });
+        let denied = self.slots.values().filter(denied).count();
+        if self.slots.len() - denied >= RESERVED {
+            return None;
+        }
+        let next = targets.iter().find(|life| !self.slots.contains_key(life))?;
+        let until = now + PATIENCE;
+        self.slots.insert(next.clone(), Slot::Asked { until });
+        Some(next.clone())
+    }
+
+    /// Takes control's answer; returns whether the reservation is of use.
+    pub fn reserved(&mut self, life: &Life, granted: bool, now: Time) -> bool {
+        let asked = match self.slots.get(life) {
+            Some(Slot::Held { .. }) => return true,
+            Some(Slot::Asked { .. }) => true,
+            _ => false,
+        };
+        if asked {
+            let slot = if granted {
+                Slot::Held { running: 0 }
+            } else {
+                Slot::Denied { until: now + PAUSE }
+            };
+            self.slots.insert(life.clone(), slot);
+        }
+        asked
+    }
+
+    /// Counts a suspect that was sent.
+    pub fn start(&mut self, life: &Life) {
+        if let Some(Slot::Held { running }) = self.slots.get_mut(life) {
+            *running += 1;
+        }
+    }
+
+    /// Counts a suspect that ended.
+    pub fn end(&mut self, life: &Life) {
+        if let Some(Slot::Held { running }) = self.slots.get_mut(life) {
+            *running = running.saturating_sub(1);
+        }
+    }
+
+    /// Takes out the reservations on which nothing runs.
+    pub fn release(&mut self) -> Vec<Life> {
+        let idle = |slot: &Slot| matches!(slot, Slot::Held { running: 0 });
+        let slots = self.slots.iter().filter(|(_, slot)| idle(slot));
+        let lives: Vec<Life> = slots.map(|(life, _)| life.clone()).collect();
+        for life in &lives {
+            self.slots.remove(life);
+        }
+        lives
+    }
+
+    /// When a reservation may be asked for again.
+    #[must_use]
+    pub fn next(&self) -> Option<Time> {
+        let times = self.slots.values().filter_map(|slot| match slot {
+            Slot::Asked { until } | Slot::Denied { until } => Some(*until),
+            Slot::Held { .. } => None,
+        });
+        times.min()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/share.rs
@@ -0,0 +1,81 @@
+//! A target's concurrency, shared out among entry hosts that do not ask each other.
+//!
+//! Each host starts with an equal part of what a replica answers at once. A
+//! report that shows free room lets each host that has work grow by its part of
+//! that room, so that together they never add more than there was; a report
+//! that shows requests queued inside the target shrinks every host's part.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::route::Place;
+
+/// A report of a target, and who shares it.
+#[derive(Debug, Clone, Copy)]
+pub struct Report {
+    /// Requests being answered, of all entry hosts.
+    pub running: u32,
+    /// Requests that wait inside the target.
+    pub queued: u32,
+    /// This host's requests there.
+    pub own: u32,
+    /// Requests that the target answers at once.
+    pub capacity: u32,
+    /// Entry hosts that take callers.
+    pub hosts: u32,
+    /// Those of them that have work.
+    pub busy: u32,
+}
+
+/// How many requests this host may have at each place.
+#[derive(Debug, Default, Serialize)]
+pub struct Shares {
+    /// Where a report has changed the equal part.
+    limits: BTreeMap<Place, u32>,
+}
+
+/// The equal part of one host, at least one request.
+fn part(capacity: u32, hosts: u32) -> u32 {
+    capacity.div_ceil(hosts.max(1)).max(1)
+}
+
+impl Shares {
+    /// How many requests this host may have at a place.
+    ///
+    /// ```
+    /// use cornelhitch_entry::route::Place;
+    /// use cornelhitch_entry::share::Shares;
+    ///
+    /// let place = Place { target: "worker-1".into(), replica: Some(4) };
+    /// assert_eq!(Shares::default().limit(&place, 16, 9), 2);
+    /// ```
+    #[must_use]
+    pub fn limit(&self, place: &Place, capacity: u32, hosts: u32) -> u32 {
+        let known = self.limits.get(place).copied();
+        known
+            .unwrap_or_else(|| part(capacity, hosts))
+            .min(capacity.max(1))
+    }
+
+    /// Takes a fresh report.
+    pub fn report(&mut self, place: &Place, report: Report) {
+        let part = part(report.capacity, report.hosts);
+        let total = report.running + report.queued;
+        let limit = if report.queued > 0 && total > 0 {
+            let now = u64::from(self.limit(place, report.capacity, report.hosts));
+            let fit = now * u64::from(report.capacity) / u64::from(total);
+            u32::try_from(fit).unwrap_or(u32::MAX)
+        } else {
+            let free = report.capacity.saturating_sub(total);
+            report.own + free / report.busy.max(1)
+        };
+        let limit = limit.clamp(part, report.capacity.max(part));
+        self.limits.insert(place.clone(), limit);
+    }
+
+    /// Forgets a place that is gone.
+    pub fn forget(&mut self, place: &Place) {
+        self.limits.remove(place);
+    }
+}
