A repeated claim is told from a resent one, and a late abandonment frees nothing

Cause: a host's session proposes a command again when its answer was lost. The repeat of a granted claim was answered 'in progress', so the request was refused and its key stayed claimed; and a late repeat of an abandonment freed a newer claim of the same host, after which a third resend would have run a second time. Found by reading the session against the claims. Ruled out: dropping repeats in the session, since a change of the leader repeats them too. Change: claims, ends and abandonments carry the holder's number for the request; only the same number is a repeat. The leader also tells the newest place of its view, and the state can be dumped. Conclusion: a key runs at most once over repeats of any of its three commands.

--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -69,6 +69,8 @@
     pub digest: [u8; 32],
     /// Who would send it.
     pub holder: Holder,
+    /// The holder's number for the request, which a repeated proposal carries again.
+    pub call: u64,
     /// When the caller first sent it, since the Unix epoch, where the caller says so.
     pub issued: Option<Time>,
 }
@@ -80,6 +82,8 @@
     pub key: Key,
     /// Who sent it.
     pub holder: Holder,
+    /// The number under which the holder claimed it.
+    pub call: u64,
     /// What became of it.
     pub outcome: Outcome,
 }
@@ -145,6 +149,7 @@
 struct Record {
     digest: [u8; 32],
     holder: Holder,
+    call: u64,
     outcome: Option<Outcome>,
 }
 
@@ -263,6 +268,7 @@
         let record = Record {
             digest: claim.digest,
             holder: claim.holder,
+            call: claim.call,
             outcome: None,
         };
         self.records.insert(claim.key.clone(), record);
@@ -275,7 +281,7 @@
         let Some(record) = self.records.get_mut(&finish.key) else {
             return Answer::Refused(Refusal::Absent);
         };
-        if record.holder != finish.holder {
+        if !record.is_held(finish.holder, finish.call) {
             return Answer::Refused(Refusal::Holder);
         }
         let outcome = finish.outcome.bounded();
@@ -297,11 +303,14 @@
     }
 
     /// Frees a claim whose request was not sent.
-    pub(crate) fn abandon(&mut self, key: &Key, holder: Holder) -> Answer {
+    ///
+    /// The call is checked too: a late repeat of an earlier abandonment must
+    /// not free a later claim of the same holder.
+    pub(crate) fn abandon(&mut self, key: &Key, holder: Holder, call: u64) -> Answer {
         let Some(record) = self.records.get(key) else {
             return Answer::Refused(Refusal::Absent);
         };
-        if record.holder != holder {
+        if !record.is_held(holder, call) {
             return Answer::Refused(Refusal::Holder);
         }
         if record.outcome.is_some() {
@@ -417,13 +426,19 @@
 }
 
 impl Record {
-    /// What a resend is told.
+    /// Whether a holder claimed it under this number.
+    fn is_held(&self, holder: Holder, call: u64) -> bool {
+        self.holder == holder && self.call == call
+    }
+
+    /// What a resend is told; the holder's own repeat is granted again.
     fn answer(&self, claim: &Claim) -> Answer {
         if self.digest != claim.digest {
             return Answer::Mismatch;
         }
         match &self.outcome {
             Some(outcome) => Answer::Recorded(outcome.clone()),
+            None if self.is_held(claim.holder, claim.call) => Answer::Granted,
             None => Answer::InProgress,
         }
     }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -96,6 +96,8 @@
         key: Key,
         /// Who holds the claim.
         holder: Holder,
+        /// The number under which the holder claimed it.
+        call: u64,
     },
     /// An entry host's life ended; what it held has unknown outcomes.
     HostEnded {
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -73,6 +73,11 @@
         self.urgent |= urgent;
     }
 
+    /// The newest place of the view.
+    pub(crate) fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
     /// Whether the whole has been published.
     pub(crate) fn is_open(&self) -> bool {
         self.published.is_some()
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -102,6 +102,12 @@
         turn.out
     }
 
+    /// The newest place of the published view; 0 when this host does not lead.
+    #[must_use]
+    pub fn sequence(&self) -> u64 {
+        self.reign.as_ref().map_or(0, |reign| reign.feed.sequence())
+    }
+
     /// Whether no entry host acts on settings older than a version.
     #[must_use]
     pub fn in_force(&self, version: Version, now: Time) -> bool {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -44,7 +44,40 @@
     strikes: Strikes,
 }
 
+/// A state for operators.
+#[derive(Debug, Serialize)]
+pub struct Dump<'a> {
+    /// The newest entry that was applied.
+    pub entry: Entry,
+    /// The version of the settings.
+    pub settings: u64,
+    /// The targets.
+    pub fleet: &'a Fleet,
+    /// The replicas.
+    pub replicas: &'a Replicas,
+    /// Claims with a record.
+    pub claims: usize,
+    /// Claims of which only a digest is left.
+    pub tombstones: usize,
+    /// Requests that were in progress when targets were lost.
+    pub strikes: &'a Strikes,
+}
+
 impl State {
+    /// The state for operators.
+    #[must_use]
+    pub fn dump(&self) -> Dump<'_> {
+        Dump {
+            entry: self.entry,
+            settings: self.catalogue.version(),
+            fleet: &self.fleet,
+            replicas: &self.replicas,
+            claims: self.claims.len(),
+            tombstones: self.claims.tombstones(),
+            strikes: &self.strikes,
+        }
+    }
+
     /// The newest entry that was applied.
     #[must_use]
     pub fn entry(&self) -> Entry {
@@ -152,7 +185,7 @@
         let answer = match command {
             Command::Claim(claim) => self.claims.claim(&claim, &LIMITS),
             Command::Finish(finish) => self.claims.finish(finish, &LIMITS, now),
-            Command::Abandon { key, holder } => self.claims.abandon(&key, holder),
+            Command::Abandon { key, holder, call } => self.claims.abandon(&key, holder, call),
             Command::HostEnded { host, incarnation } => {
                 self.claims.host_ended(host, incarnation, &LIMITS, now)
             }
--- /dev/null
+++ b/crates/control/tests/calls.rs
@@ -0,0 +1,70 @@
+//! Claims whose proposals are repeated or come late.
+
+mod common;
+
+use cornelhitch_control::claims::{Answer, Claim, Finish, Outcome, Refusal};
+use cornelhitch_control::prelude::*;
+
+/// One command about the key of the table's claim, and its answer.
+enum Step {
+    /// A claim under a number, with a digest, by a host.
+    Claim(u64, u8, u64),
+    /// The claim under a number is given back by host 1.
+    Abandon(u64),
+    /// The request under a number ended, with an unknown outcome, by host 1.
+    Finish(u64),
+}
+
+#[test]
+fn a_repeat_is_told_from_a_resend() {
+    use Step::{Abandon, Claim, Finish};
+    let unknown = || Answer::Recorded(Outcome::Unknown);
+    let holder = Answer::Refused(Refusal::Holder);
+    let absent = Answer::Refused(Refusal::Absent);
+    #[rustfmt::skip]
+    let rows = [
+        ("the proposal is repeated", vec![(Claim(1, 7, 1), Answer::Granted), (Claim(1, 7, 1), Answer::Granted)]),
+        ("the caller resends to the same host", vec![(Claim(1, 7, 1), Answer::Granted), (Claim(2, 7, 1), Answer::InProgress)]),
+        ("the caller resends to another host", vec![(Claim(1, 7, 1), Answer::Granted), (Claim(1, 7, 2), Answer::InProgress)]),
+        ("the repeat comes after the end", vec![(Claim(1, 7, 1), Answer::Granted), (Finish(1), Answer::Done), (Claim(1, 7, 1), unknown())]),
+        ("a late abandonment of an earlier claim", vec![
+            (Claim(1, 7, 1), Answer::Granted), (Abandon(1), Answer::Done), (Claim(2, 7, 1), Answer::Granted),
+            (Abandon(1), holder.clone()), (Claim(3, 7, 1), Answer::InProgress),
+        ]),
+        ("a late end of an earlier claim", vec![
+            (Claim(1, 7, 1), Answer::Granted), (Abandon(1), Answer::Done), (Claim(2, 7, 1), Answer::Granted),
+            (Finish(1), holder), (Claim(3, 7, 1), Answer::InProgress),
+        ]),
+        ("nothing to give back", vec![(Abandon(1), absent)]),
+    ];
+    for (name, steps) in rows {
+        let mut state = State::default();
+        for (index, (step, expected)) in steps.into_iter().enumerate() {
+            let entry = Entry {
+                index: index as u64 + 1,
+                ..Entry::default()
+            };
+            let reply = state.apply(&entry, command(&step));
+            assert_eq!(reply, Reply::Claim(expected), "{name}, step {index}");
+        }
+    }
+}
+
+/// The command of a step.
+fn command(step: &Step) -> Command {
+    let key = common::key("bid-1");
+    let holder = common::holder(1, 1);
+    match *step {
+        Step::Claim(call, digest, host) => Command::Claim(Claim {
+            call,
+            ..common::claim("bid-1", digest, host)
+        }),
+        Step::Abandon(call) => Command::Abandon { key, holder, call },
+        Step::Finish(call) => Command::Finish(Finish {
+            key,
+            holder,
+            call,
+            outcome: Outcome::Unknown,
+        }),
+    }
+}
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -116,6 +116,7 @@
         key: key(text),
         digest: [digest; 32],
         holder: holder(host, 1),
+        call: 1,
         issued: None,
     }
 }
