Replay of the planner and its baselines in virtual time

Cause: decisions have to be measured against baselines before they are tuned. It writes CSV and SVG and prints a table. The cold-start time of a request is its wait if no replica was ready when it came, else 0; quantiles are over all requests. Baselines share placing and loading and differ in keeping.

--- /dev/null
+++ b/crates/planner/examples/replay.rs
@@ -0,0 +1,134 @@
+//! Replays arrivals in virtual time against the planner and its baselines.
+//!
+//! `cargo run --release -p cornelhitch-planner --example replay -- FOLDER tuning|held-out [DEPLOYMENT]`
+//! writes a CSV file and plots into the folder and prints one table a deployment.
+
+#[path = "replay/cache.rs"]
+mod cache;
+#[path = "replay/report.rs"]
+mod report;
+#[path = "replay/run.rs"]
+mod run;
+#[path = "replay/stats.rs"]
+mod stats;
+#[path = "replay/trace.rs"]
+mod trace;
+#[path = "replay/world.rs"]
+mod world;
+
+use std::error::Error;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelhitch_planner::baseline::{Forever, Full, Timeout};
+use cornelhitch_planner::policy::Policy;
+use cornelhitch_settings::fleet::Fleet;
+use rayon::prelude::*;
+use strum::IntoEnumIterator;
+
+use crate::report::Row;
+use crate::trace::{Scenario, Trace};
+
+/// Seeds of traces that the planner is tuned on.
+const TUNING: [u64; 3] = [1, 2, 3];
+/// Seeds of traces that it is not tuned on.
+const HELD_OUT: [u64; 4] = [101, 102, 103, 104];
+/// The policy that costs are divided by.
+const REFERENCE: &str = "time-out 10 min";
+/// The least tail that costs are divided by, in seconds.
+const LEAST_TAIL_S: f64 = 1.0;
+/// The policies in the order of the tables.
+const POLICIES: [&str; 7] = [
+    "planner",
+    "keep for ever",
+    "evict when full",
+    "time-out 1 min",
+    "time-out 5 min",
+    REFERENCE,
+    "time-out 30 min",
+];
+/// The example settings.
+const DEPLOYMENTS: [(&str, &str); 2] = [
+    ("co-op", include_str!("../../../examples/co-op.yaml")),
+    ("office", include_str!("../../../examples/office.yaml")),
+];
+
+/// The planner with a policy of keeping.
+fn policy(name: &str) -> Policy {
+    let minutes = |count: u64| Timeout {
+        after: Duration::from_secs(60 * count),
+    };
+    match name {
+        "keep for ever" => Policy::new(Box::new(Forever)),
+        "evict when full" => Policy::new(Box::new(Full)),
+        "time-out 1 min" => Policy::new(Box::new(minutes(1))),
+        "time-out 5 min" => Policy::new(Box::new(minutes(5))),
+        REFERENCE => Policy::new(Box::new(minutes(10))),
+        "time-out 30 min" => Policy::new(Box::new(minutes(30))),
+        _ => Policy::default(),
+    }
+}
+
+/// Every policy on one trace, with costs.
+fn compare(name: &str, fleet: &Arc<Fleet>, scenario: Scenario, seed: u64) -> Vec<Row> {
+    let trace = Trace::new(fleet, scenario, seed);
+    let replay = |policy_name: &&str| {
+        let stats = run::run(fleet, &trace, &mut policy(policy_name));
+        Row::new(name, &scenario.to_string(), seed, policy_name, &stats)
+    };
+    let mut rows: Vec<Row> = POLICIES.par_iter().map(replay).collect();
+    let reference = rows.iter().find(|row| row.policy == REFERENCE);
+    let Some(reference) = reference.cloned() else {
+        return rows;
+    };
+    let keeping = &fleet.keeping;
+    for row in &mut rows {
+        let tail = row.p99_s / reference.p99_s.max(LEAST_TAIL_S);
+        let idle = row.idle_h / reference.idle_h;
+        row.cost = keeping.cold_start_weight * tail + keeping.idle_weight * idle;
+    }
+    rows
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let usage = "usage: replay FOLDER tuning|held-out [DEPLOYMENT]";
+    let mut arguments = std::env::args().skip(1);
+    let folder = arguments.next().ok_or(usage)?;
+    let seeds: &[u64] = match arguments.next().as_deref() {
+        Some("tuning") => &TUNING,
+        Some("held-out") => &HELD_OUT,
+        _ => return Err(usage.into()),
+    };
+    let only = arguments.next();
+    let folder = Path::new(&folder);
+    std::fs::create_dir_all(folder)?;
+    for (name, text) in DEPLOYMENTS {
+        if only.as_deref().is_some_and(|only| only != name) {
+            continue;
+        }
+        let fleet: Arc<Fleet> = Arc::new(text.parse()?);
+        let pairs: Vec<(Scenario, u64)> = Scenario::iter()
+            .flat_map(|scenario| seeds.iter().map(move |seed| (scenario, *seed)))
+            .collect();
+        let rows: Vec<Row> = pairs
+            .par_iter()
+            .flat_map(|(scenario, seed)| compare(name, &fleet, *scenario, *seed))
+            .collect();
+        report::csv(&rows, &folder.join(format!("{name}.csv")))?;
+        report::plot(&rows, &POLICIES, &folder.join(format!("{name}.svg")))?;
+        println!(
+            "{name}, all scenarios\n\n{}",
+            report::table(&rows, &POLICIES)
+        );
+        for scenario in Scenario::iter().map(|scenario| scenario.to_string()) {
+            let of: Vec<Row> = rows
+                .iter()
+                .filter(|row| row.scenario == scenario)
+                .cloned()
+                .collect();
+            println!("{name}, {scenario}\n\n{}", report::table(&of, &POLICIES));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/planner/examples/replay/run.rs
@@ -0,0 +1,59 @@
+//! One replay: a trace, a policy, and what came of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelhitch_planner::Planner;
+use cornelhitch_settings::fleet::Fleet;
+
+use super::stats::Stats;
+use super::trace::{Fault, LENGTH, Trace, WARM_UP};
+use super::world::World;
+
+/// The grain of virtual time.
+const STEP: Duration = Duration::from_millis(250);
+/// How often the planner is called when nothing happens.
+const QUIET: u32 = 4;
+
+/// Replays a trace with a planner.
+pub fn run(fleet: &Arc<Fleet>, trace: &Trace, planner: &mut dyn Planner) -> Stats {
+    let mut world = World::new(fleet);
+    world.stats.from = WARM_UP;
+    for (worker, model) in &trace.copies {
+        if let Some(model) = fleet.model(model) {
+            world.cache(*worker, model);
+        }
+    }
+    let mut calls = trace.calls.iter().peekable();
+    let mut faults = trace.faults.iter().peekable();
+    let mut steps = 0;
+    while world.now < LENGTH {
+        let mut event = world.busy();
+        while let Some(call) = calls.next_if(|call| call.at <= world.now) {
+            world.arrive(call.clone());
+            event = true;
+        }
+        while let Some((_, fault)) = faults.next_if(|(at, _)| *at <= world.now) {
+            strike(&mut world, *fault);
+            event = true;
+        }
+        world.step(STEP);
+        steps += 1;
+        if event || steps % QUIET == 0 {
+            let picture = world.picture();
+            for decision in planner.plan(&picture, world.now) {
+                world.apply(&decision);
+            }
+        }
+    }
+    world.stats
+}
+
+/// A fault of the fleet.
+fn strike(world: &mut World, fault: Fault) {
+    match fault {
+        Fault::Die(worker) => world.kill(worker),
+        Fault::Return(worker) => world.revive(worker),
+        Fault::Slow(slowness) => world.slowness = slowness,
+    }
+}
--- /dev/null
+++ b/crates/planner/examples/replay/world.rs
@@ -0,0 +1,430 @@
+//! A small fleet in virtual time: what the planner's decisions lead to.
+//!
+//! Requests wait for a replica of their model and are refused at their
+//! deadline. Loads share the weight store. There is no network, no entry host
+//! and no control host: the planner sees the fleet as it is.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelhitch_planner::decision::{Action, Decision};
+use cornelhitch_planner::picture::{Copy, Demand, Picture, Replica, Worker};
+use cornelhitch_settings::fleet::{Fleet, Model};
+use cornelhitch_types::id::{ModelId, Name, RegionId, ReplicaId, Time};
+use cornelhitch_types::target::Stage;
+use cornelhitch_types::view::State;
+
+use super::cache::Cache;
+use super::stats::Stats;
+
+/// Accelerator memory of a worker, in bytes.
+pub const MEMORY: u64 = 48 << 30;
+/// Accelerators of a worker.
+pub const ACCELERATORS: u32 = 2;
+/// Disk of a worker for copies, in bytes.
+const DISK: u64 = 96 << 30;
+/// Host memory of a worker for copies, in bytes.
+const HOST: u64 = 32 << 30;
+/// Workers in a region.
+const PER_REGION: usize = 4;
+/// Zones in a region.
+const ZONES: usize = 2;
+
+/// A request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// When it comes.
+    pub at: Time,
+    /// Its model.
+    pub model: ModelId,
+    /// The region of the entry host that it comes to.
+    pub region: RegionId,
+    /// How long a replica works on it.
+    pub service: Duration,
+    /// The adapter that it names.
+    pub adapter: Option<Name>,
+}
+
+/// A request that waits.
+#[derive(Debug, Clone)]
+struct Waiting {
+    call: Call,
+    deadline: Time,
+    weight: u32,
+    cold: bool,
+}
+
+/// A worker's caches below accelerator memory.
+#[derive(Debug, Clone)]
+struct Host {
+    disk: Cache,
+    memory: Cache,
+}
+
+/// The work of a replica.
+#[derive(Debug, Clone, Default)]
+struct Work {
+    /// Seconds of its load that are left at full speed.
+    left: f64,
+    /// When each of its requests ends.
+    ends: Vec<Time>,
+}
+
+/// A small fleet in virtual time.
+#[derive(Debug)]
+pub struct World {
+    /// The settings.
+    pub fleet: Arc<Fleet>,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// The replicas.
+    pub replicas: Vec<Replica>,
+    /// What was measured.
+    pub stats: Stats,
+    /// How many times slower the weight store is than declared.
+    pub slowness: f64,
+    /// The time.
+    pub now: Time,
+    hosts: Vec<Host>,
+    work: BTreeMap<ReplicaId, Work>,
+    queues: BTreeMap<(ModelId, RegionId), VecDeque<Waiting>>,
+    arrivals: BTreeMap<(ModelId, RegionId), u64>,
+    next: ReplicaId,
+}
+
+impl World {
+    /// A fleet of twelve workers in the regions of the settings.
+    pub fn new(fleet: &Arc<Fleet>) -> Self {
+        let mut workers = Vec::new();
+        for region in &fleet.regions {
+            for index in 0..PER_REGION {
+                workers.push(worker(&region.name, index));
+            }
+        }
+        let host = Host {
+            disk: Cache::new(DISK),
+            memory: Cache::new(HOST),
+        };
+        Self {
+            fleet: Arc::clone(fleet),
+            hosts: vec![host; workers.len()],
+            workers,
+            replicas: Vec::new(),
+            stats: Stats::default(),
+            slowness: 1.0,
+            now: Duration::ZERO,
+            work: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
+            next: 1,
+        }
+    }
+
+    /// Puts a copy of a model on a worker's disk.
+    pub fn cache(&mut self, worker: usize, model: &Model) {
+        self.hosts[worker].disk.add(&model.name, model.bytes);
+    }
+
+    /// Takes a request in.
+    pub fn arrive(&mut self, call: Call) {
+        let fleet = Arc::clone(&self.fleet);
+        let Some(model) = fleet.model(&call.model) else {
+            return;
+        };
+        let class = model.class.as_ref().and_then(|name| fleet.class(name));
+        let rules = fleet.rules(&call.model);
+        let limit = class.and_then(|class| class.deadline_ms);
+        let limit = limit.map_or(rules.deadline, Duration::from_millis);
+        let ready =
+            |replica: &Replica| replica.model == call.model && replica.state == State::Ready;
+        let waiting = Waiting {
+            deadline: call.at + limit,
+            weight: class.map_or(1, |class| class.weight),
+            cold: !self.replicas.iter().any(ready),
+            call,
+        };
+        let key = (waiting.call.model.clone(), waiting.call.region.clone());
+        *self.arrivals.entry(key.clone()).or_default() += 1;
+        self.queues.entry(key).or_default().push_back(waiting);
+    }
+
+    /// Lets time pass: loads go on, requests end, start or are refused.
+    pub fn step(&mut self, time: Duration) {
+        self.now += time;
+        self.load(time.as_secs_f64());
+        self.end();
+        self.dispatch();
+        self.refuse();
+        self.stats.idle(&self.replicas, &self.fleet, time, self.now);
+    }
+
+    /// Whether something waits or loads.
+    pub fn busy(&self) -> bool {
+        let loading = |replica: &Replica| replica.state != State::Ready;
+        self.queues.values().any(|queue| !queue.is_empty()) || self.replicas.iter().any(loading)
+    }
+
+    /// Loads go on; loads from the store share it.
+    fn load(&mut self, seconds: f64) {
+        let remote = |r: &&Replica| r.state == State::Loading && r.from == Stage::Remote;
+        let loads = u32::try_from(self.replicas.iter().filter(remote).count()).unwrap_or(1);
+        let capacity = f64::from(self.fleet.loading.concurrency) / self.slowness;
+        let speed = (capacity / f64::from(loads.max(1))).min(1.0);
+        for replica in &mut self.replicas {
+            if replica.state != State::Loading {
+                continue;
+            }
+            let work = self.work.entry(replica.replica).or_default();
+            work.left -= if replica.from == Stage::Remote {
+                seconds * speed
+            } else {
+                seconds
+            };
+            if work.left <= 0.0 {
+                replica.state = State::Ready;
+                replica.ready = Some(self.now);
+                replica.used = self.now;
+            }
+        }
+    }
+
+    /// Ends requests, and unloads replicas on their way out that have none.
+    fn end(&mut self) {
+        let now = self.now;
+        for replica in &mut self.replicas {
+            let work = self.work.entry(replica.replica).or_default();
+            work.ends.retain(|end| *end > now);
+            replica.running = u32::try_from(work.ends.len()).unwrap_or(u32::MAX);
+            if replica.running > 0 {
+                replica.used = now;
+            }
+        }
+        let gone = |replica: &Replica| replica.state == State::Retiring && replica.running == 0;
+        for replica in self.replicas.iter().filter(|replica| gone(replica)) {
+            if let Some(index) = self.workers.iter().position(|w| w.target == replica.target) {
+                self.workers[index].free += replica.bytes;
+            }
+            self.work.remove(&replica.replica);
+        }
+        self.replicas.retain(|replica| !gone(replica));
+    }
+
+    /// Gives waiting requests to ready replicas, the nearest deadline first.
+    fn dispatch(&mut self) {
+        for (key, queue) in &mut self.queues {
+            let slots = self.fleet.rules(&key.0).concurrency;
+            while let Some(waiting) = queue.front() {
+                let open = self.replicas.iter_mut().filter(|replica| {
+                    replica.model == key.0
+                        && replica.state == State::Ready
+                        && replica.running < slots
+                });
+                let Some(replica) = open.min_by_key(|replica| replica.running) else {
+                    break;
+                };
+                let work = self.work.entry(replica.replica).or_default();
+                work.ends.push(self.now + waiting.call.service);
+                replica.running += 1;
+                replica.used = self.now;
+                self.stats.start(waiting.call.at, waiting.cold, self.now);
+                queue.pop_front();
+            }
+        }
+    }
+
+    /// Refuses requests at their deadline.
+    fn refuse(&mut self) {
+        for queue in self.queues.values_mut() {
+            while queue.front().is_some_and(|w| w.deadline <= self.now) {
+                if let Some(waiting) = queue.pop_front() {
+                    self.stats.refuse(waiting.call.at, waiting.cold, self.now);
+                }
+            }
+        }
+        self.queues.retain(|_, queue| !queue.is_empty());
+    }
+
+    /// A worker dies: its accelerator and host memory are lost, its disk is not.
+    pub fn kill(&mut self, worker: usize) {
+        let target = self.workers[worker].target.clone();
+        self.workers[worker].open = false;
+        self.workers[worker].free = self.workers[worker].memory;
+        self.hosts[worker].memory = Cache::new(HOST);
+        self.replicas.retain(|replica| replica.target != target);
+    }
+
+    /// A dead worker comes back.
+    pub fn revive(&mut self, worker: usize) {
+        self.workers[worker].open = true;
+    }
+
+    /// What the planner is shown.
+    pub fn picture(&mut self) -> Picture {
+        let mut workers = self.workers.clone();
+        for (worker, host) in workers.iter_mut().zip(&self.hosts) {
+            worker.copies = copies(host);
+        }
+        let arrivals = std::mem::take(&mut self.arrivals);
+        let mut demand: BTreeMap<(ModelId, RegionId), Demand> = BTreeMap::new();
+        for (key, queue) in &self.queues {
+            let row = demand.entry(key.clone()).or_insert_with(|| row(key));
+            for waiting in queue {
+                row.waiting += 1;
+                row.deadline = row.deadline.min(waiting.deadline);
+                row.weight = row.weight.max(waiting.weight);
+                row.adapters.extend(waiting.call.adapter.clone());
+            }
+        }
+        for (key, count) in arrivals {
+            let row = demand.entry(key.clone()).or_insert_with(|| row(&key));
+            row.arrivals = count;
+        }
+        for replica in self.replicas.iter().filter(|replica| replica.running > 0) {
+            let key = (replica.model.clone(), self.fleet.regions[0].name.clone());
+            let row = demand.entry(key.clone()).or_insert_with(|| row(&key));
+            row.running += replica.running;
+        }
+        Picture {
+            settings: Arc::clone(&self.fleet),
+            workers,
+            replicas: self.replicas.clone(),
+            demand: demand.into_values().collect(),
+            adapters_in_flight: 0,
+        }
+    }
+
+    /// Carries a decision out.
+    pub fn apply(&mut self, decision: &Decision) {
+        match &decision.action {
+            Action::Load {
+                model,
+                version,
+                target,
+                bytes,
+            } => {
+                let Some(worker) = self.workers.iter().position(|w| w.target == *target) else {
+                    return;
+                };
+                self.begin(worker, model, version.clone(), *bytes);
+            }
+            Action::Unload { replica } => {
+                let mut replicas = self.replicas.iter_mut();
+                if let Some(replica) = replicas.find(|known| known.replica == *replica) {
+                    replica.state = State::Retiring;
+                }
+            }
+            Action::Adapter { replica, adapter } => {
+                let mut replicas = self.replicas.iter_mut();
+                if let Some(replica) = replicas.find(|known| known.replica == *replica) {
+                    replica.adapters.push(adapter.clone());
+                }
+            }
+            Action::Warm { model, target } => {
+                let position = self.workers.iter().position(|w| w.target == *target);
+                let bytes = self.fleet.model(model).map(|model| model.bytes);
+                if let (Some(worker), Some(bytes)) = (position, bytes) {
+                    self.hosts[worker].memory.add(model, bytes);
+                }
+            }
+        }
+    }
+
+    /// Begins a load.
+    fn begin(&mut self, worker: usize, model: &ModelId, version: Option<Name>, bytes: u64) {
+        let host = &mut self.hosts[worker];
+        let from = host.stage(model);
+        host.disk.add(model, bytes);
+        host.memory.add(model, bytes);
+        self.stats.load(from, self.now);
+        self.workers[worker].free -= bytes;
+        let work = Work {
+            left: seconds(&self.fleet, bytes, from),
+            ends: Vec::new(),
+        };
+        self.work.insert(self.next, work);
+        self.replicas.push(Replica {
+            replica: self.next,
+            model: model.clone(),
+            version,
+            target: self.workers[worker].target.clone(),
+            bytes,
+            state: State::Loading,
+            decided: self.now,
+            ready: None,
+            from,
+            running: 0,
+            used: self.now,
+            adapters: Vec::new(),
+        });
+        self.next += 1;
+    }
+}
+
+impl Host {
+    /// Where the nearest copy is.
+    fn stage(&self, model: &str) -> Stage {
+        if self.memory.has(model) {
+            Stage::Memory
+        } else if self.disk.has(model) {
+            Stage::Disk
+        } else {
+            Stage::Remote
+        }
+    }
+}
+
+/// A worker of a region.
+fn worker(region: &RegionId, index: usize) -> Worker {
+    Worker {
+        target: format!("{region}-worker-{}", index + 1).into(),
+        region: region.clone(),
+        zone: format!("{region}-zone-{}", index % ZONES + 1).into(),
+        memory: MEMORY,
+        free: MEMORY,
+        accelerators: ACCELERATORS,
+        open: true,
+        copies: Vec::new(),
+        quiet: Vec::new(),
+    }
+}
+
+/// The copies of a worker.
+fn copies(host: &Host) -> Vec<Copy> {
+    let of = |cache: &Cache, stage: Stage| -> Vec<Copy> {
+        let copy = |model: &ModelId| Copy {
+            model: model.clone(),
+            stage,
+        };
+        cache.iter().map(copy).collect()
+    };
+    let mut copies = of(&host.disk, Stage::Disk);
+    copies.extend(of(&host.memory, Stage::Memory));
+    copies
+}
+
+/// A row of demand with nothing in it.
+fn row(key: &(ModelId, RegionId)) -> Demand {
+    Demand {
+        model: key.0.clone(),
+        version: None,
+        region: key.1.clone(),
+        waiting: 0,
+        running: 0,
+        deadline: Time::MAX,
+        weight: 1,
+        arrivals: 0,
+        adapters: Vec::new(),
+    }
+}
+
+/// Seconds that a load takes at full speed.
+fn seconds(fleet: &Fleet, bytes: u64, from: Stage) -> f64 {
+    let ms = match from {
+        Stage::Remote => fleet.loading.remote_ms_per_gib,
+        Stage::Disk => fleet.loading.disk_ms_per_gib,
+        Stage::Memory | Stage::Loading | Stage::Ready => fleet.loading.memory_ms_per_gib,
+    };
+    let mebibytes = f64::from(u32::try_from(bytes >> 20).unwrap_or(u32::MAX));
+    Duration::from_millis(ms).as_secs_f64() * mebibytes / 1024.0
+}
