--- /dev/null
+++ b/crates/standin/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The common types, for a glob import.
+
+pub use crate::counters::Counters;
+pub use crate::engine::Engine;
+pub use crate::fault::Fault;
+pub use crate::service::Service;
+pub use crate::store::Store;
