The whole path: from a target's announcement to a streamed answer

Cause: the cores stood apart; nothing ran from end to end. Replicas ever decided are counted by model.

--- a/crates/control/src/replicas.rs
+++ b/crates/control/src/replicas.rs
@@ -150,6 +150,8 @@
     last: ReplicaId,
     standing: BTreeMap<ReplicaId, Replica>,
     quiet: VecDeque<Quiet>,
+    /// Replicas that were ever decided, by model.
+    decided: BTreeMap<ModelId, u64>,
     /// Follows from `standing`.
     targets: BTreeMap<TargetId, Room>,
     /// Follows from `standing`.
@@ -169,6 +171,7 @@
     last: ReplicaId,
     standing: Vec<Replica>,
     quiet: VecDeque<Quiet>,
+    decided: BTreeMap<ModelId, u64>,
 }
 
 impl From<Replicas> for Image {
@@ -177,6 +180,7 @@
             last: replicas.last,
             standing: replicas.standing.into_values().collect(),
             quiet: replicas.quiet,
+            decided: replicas.decided,
         }
     }
 }
@@ -186,6 +190,7 @@
         let mut replicas = Self {
             last: image.last,
             quiet: image.quiet,
+            decided: image.decided,
             ..Self::default()
         };
         for replica in image.standing {
@@ -202,6 +207,12 @@
         self.standing.get(&replica)
     }
 
+    /// Replicas of a model that were ever decided.
+    #[must_use]
+    pub fn decided(&self, model: &str) -> u64 {
+        self.decided.get(model).copied().unwrap_or_default()
+    }
+
     /// All replicas in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = &Replica> {
         self.standing.values()
@@ -263,6 +274,7 @@
             adopted: decide.adopted,
             after: decide.after,
         };
+        *self.decided.entry(replica.model.clone()).or_default() += 1;
         self.insert(replica.clone());
         Answer::Decided(replica)
     }
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,535 @@
+//! The task that owns the replicated log, the replicated state, and what leads from it.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cornelhitch_control::command::{Command, Entry, Reply};
+use cornelhitch_control::input::Input;
+use cornelhitch_control::leader::Leader;
+use cornelhitch_control::output::{Audience, Output};
+use cornelhitch_control::state::State;
+use cornelhitch_quorum::action::{self, Action, Reason};
+use cornelhitch_quorum::core::Core;
+use cornelhitch_quorum::disk::{Done, Writer};
+use cornelhitch_quorum::event::{Change, Event};
+use cornelhitch_quorum::id::RequestId;
+use cornelhitch_quorum::log::Snapshot;
+use cornelhitch_quorum::status::Role;
+use cornelhitch_target::client::Client;
+use cornelhitch_types::id::{HostId, Incarnation, TargetId, Term, Time, Version};
+use cornelhitch_types::order::{Order, Outcome};
+use cornelhitch_wire::hello::Peer;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::beacon::Beacon;
+use crate::message::{Datagram, Downward, Incoming, Message, Said};
+use crate::metrics::{Count, Metrics};
+use crate::orders;
+use crate::reservation::Reservations;
+use crate::stamp::Stamped;
+use crate::switch::Switch;
+
+/// Time between two ticks of the leader.
+const TICK: Duration = Duration::from_millis(50);
+
+/// What the control task is told besides messages.
+#[derive(Debug)]
+pub enum Told {
+    /// The disk has written, or not.
+    Written(Done),
+    /// An order has an outcome.
+    Ordered(Order, Outcome),
+    /// An operator asks for the state.
+    Dump(oneshot::Sender<serde_json::Value>),
+}
+
+/// What the control task is started with.
+pub struct Setup {
+    /// This host's number.
+    pub me: HostId,
+    /// The voters of the settings.
+    pub voters: HashSet<HostId>,
+    /// The core of the replicated log.
+    pub core: Core,
+    /// The disk.
+    pub writer: Writer,
+    /// What leads.
+    pub leader: Leader,
+    /// What peers say.
+    pub incoming: mpsc::UnboundedReceiver<Incoming>,
+    /// What other tasks say.
+    pub told: mpsc::UnboundedReceiver<Told>,
+    /// The other end of `told`.
+    pub tell: mpsc::UnboundedSender<Told>,
+    /// Links.
+    pub switch: Switch,
+    /// Datagrams.
+    pub beacon: Beacon,
+    /// The way to targets.
+    pub client: Arc<dyn Client>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Settings that a new cluster starts from.
+    pub first: Option<Bytes>,
+    /// Ends the task.
+    pub stop: CancellationToken,
+    /// The time that the log's core counts from.
+    pub epoch: Instant,
+    /// The time of `epoch` since the Unix epoch, from which the leader counts.
+    pub started: Time,
+}
+
+/// The lease of the leader as the gate of an order sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Lease {
+    /// The term.
+    pub term: Term,
+    /// Until when no other host leads.
+    pub until: Instant,
+}
+
+/// Who waits for a proposal.
+#[derive(Debug)]
+enum Waiting {
+    /// A host's call.
+    Host {
+        /// The host.
+        host: HostId,
+        /// Its number for the call.
+        call: u64,
+    },
+    /// The leader here; nothing need be said.
+    Leader,
+    /// The first read of a new leader.
+    Election(Term),
+    /// A member that is to vote once it has caught up.
+    Learner(HostId),
+    /// A host's question that changes the members.
+    Members {
+        /// The host.
+        host: HostId,
+        /// Its number for the call.
+        call: u64,
+    },
+}
+
+/// The control host, owned by its task.
+pub(crate) struct Control {
+    pub(crate) setup: Setup,
+    pub(crate) state: State,
+    pub(crate) role: Role,
+    pub(crate) term: Term,
+    pub(crate) following: Option<HostId>,
+    /// Whether the leader here has read all entries of earlier terms.
+    pub(crate) leading: bool,
+    /// Hosts that follow the view.
+    pub(crate) subscribers: HashSet<HostId>,
+    /// Where the renewals of hosts come from.
+    pub(crate) renewals: HashMap<HostId, Renewal>,
+    pub(crate) reservations: Reservations,
+    pub(crate) in_force: Version,
+    waiting: HashMap<RequestId, Waiting>,
+    next: RequestId,
+    lease: watch::Sender<Option<Lease>>,
+    /// The newest entry that the state holds.
+    applied: u64,
+}
+
+/// The newest renewal of a host.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Renewal {
+    pub peer: Peer,
+    pub address: SocketAddr,
+    pub sequence: u64,
+}
+
+/// Runs a control host until the process stops.
+pub async fn run(setup: Setup) {
+    let (lease, _) = watch::channel(None);
+    let control = Control {
+        state: State::default(),
+        role: Role::Follower,
+        term: 0,
+        following: None,
+        leading: false,
+        subscribers: HashSet::new(),
+        renewals: HashMap::new(),
+        reservations: Reservations::default(),
+        in_force: 0,
+        waiting: HashMap::new(),
+        next: 1,
+        lease,
+        applied: 0,
+        setup,
+    };
+    control.serve().await;
+}
+
+impl Control {
+    /// Serves until the process stops.
+    async fn serve(mut self) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        self.event(Event::Tick);
+        loop {
+            let wake = self.setup.epoch + self.setup.core.next_wake();
+            tokio::select! {
+                () = self.setup.stop.cancelled() => return,
+                incoming = self.setup.incoming.recv() => match incoming {
+                    Some(incoming) => self.incoming(incoming),
+                    None => return,
+                },
+                told = self.setup.told.recv() => match told {
+                    Some(told) => self.told(told),
+                    None => return,
+                },
+                () = tokio::time::sleep_until(wake) => self.event(Event::Tick),
+                _ = ticks.tick() => self.tick(),
+            }
+            self.renew_lease();
+        }
+    }
+
+    /// The time that the log's core counts.
+    pub(crate) fn now(&self) -> Time {
+        self.setup.epoch.elapsed()
+    }
+
+    /// The time that the leader counts: since the Unix epoch, never going back.
+    pub(crate) fn unix(&self) -> Time {
+        self.setup.started + self.now()
+    }
+
+    /// Does what is due in the leader.
+    fn tick(&mut self) {
+        if self.leading {
+            self.lead(Input::Tick);
+        }
+    }
+
+    /// Shows the lease to the gates of orders.
+    fn renew_lease(&mut self) {
+        let lease = self.setup.core.lease(self.now());
+        self.lease.send_replace(lease.map(|lease| Lease {
+            term: lease.term,
+            until: self.setup.epoch + lease.until,
+        }));
+    }
+
+    /// Takes what a peer says.
+    fn incoming(&mut self, incoming: Incoming) {
+        let from = incoming.from;
+        match incoming.said {
+            Said::Message(Message::Quorum(message)) => self.event(Event::Receive {
+                from: from.host,
+                message,
+            }),
+            Said::Message(Message::Upward(upward)) => self.upward(from, upward),
+            Said::Datagram(Datagram::Renew { sequence, host, .. }, address) => {
+                let renewal = Renewal {
+                    peer: from,
+                    address,
+                    sequence,
+                };
+                self.renewal(renewal, host);
+            }
+            Said::Message(Message::Downward(_)) | Said::Datagram(..) | Said::Linked => {}
+        }
+    }
+
+    /// Takes what another task says.
+    fn told(&mut self, told: Told) {
+        match told {
+            Told::Written(done) => self.event(done.into()),
+            Told::Ordered(order, outcome) => self.lead(Input::OrderDone { order, outcome }),
+            Told::Dump(answer) => {
+                let _ = answer.send(self.dump());
+            }
+        }
+    }
+
+    /// Gives the log's core an event and does what it says.
+    pub(crate) fn event(&mut self, event: Event) {
+        let now = self.now();
+        for action in self.setup.core.handle(event, now) {
+            self.act(action);
+        }
+    }
+
+    /// Does one thing that the log's core said.
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Persist(batch) => self.setup.writer.submit(batch),
+            Action::Send { to, message } => self.setup.switch.send(to, Message::Quorum(message)),
+            Action::Apply(entry) => self.apply(&entry),
+            Action::Restore(snapshot) => self.restore(&snapshot),
+            Action::NeedSnapshot => {
+                let data = self.state.snapshot();
+                let index = self.applied;
+                self.event(Event::Snapshot { index, data });
+            }
+            Action::Rejected { id, reason, leader } => self.rejected(id, reason, leader),
+            Action::BarrierDone { id } => self.barrier_done(id),
+            Action::Changed { id } => self.changed(id),
+            Action::Joining(peer) => self.joining(peer),
+            Action::Role { role, term, leader } => self.role(role, term, leader),
+        }
+    }
+
+    /// Applies a committed entry.
+    fn apply(&mut self, entry: &action::Entry) {
+        self.setup.metrics.one(Count::Applied);
+        self.applied = entry.index;
+        let waiting = entry.id.and_then(|id| self.waiting.remove(&id));
+        let stamped = Stamped::decode(&entry.payload);
+        let command = stamped
+            .as_ref()
+            .ok()
+            .and_then(|stamped| Command::decode(&stamped.command).ok());
+        let (Ok(stamped), Some(command)) = (stamped, command) else {
+            tracing::error!(index = entry.index, "an entry holds no command");
+            return;
+        };
+        let place = Entry {
+            index: entry.index,
+            term: entry.term,
+            time: stamped.time,
+        };
+        let reply = self.state.apply(&place, command.clone());
+        if let Some(Waiting::Host { host, call }) = waiting {
+            self.committed(host, call, &reply);
+        }
+        if self.leading {
+            self.lead(Input::Applied { command, reply });
+        }
+    }
+
+    /// Answers a host's call.
+    fn committed(&self, host: HostId, call: u64, reply: &Reply) {
+        let reply = postcard::to_stdvec(reply).unwrap_or_default().into();
+        let downward = Downward::Committed { call, reply };
+        self.setup.switch.send(host, Message::Downward(downward));
+    }
+
+    /// Takes a snapshot for the state.
+    fn restore(&mut self, snapshot: &Snapshot) {
+        match State::restore(&snapshot.data) {
+            Ok(state) => {
+                self.state = state;
+                self.applied = snapshot.index;
+            }
+            Err(error) => tracing::error!(%error, "a snapshot cannot be read"),
+        }
+    }
+
+    /// Proposes a command.
+    pub(crate) fn propose(&mut self, command: Bytes, host: Option<(HostId, u64)>) {
+        let waiting = match host {
+            Some((host, call)) => Waiting::Host { host, call },
+            None => Waiting::Leader,
+        };
+        let id = self.wait(waiting);
+        let time = self.unix();
+        let payload = Stamped { time, command }.encode();
+        self.event(Event::Propose { id, payload });
+    }
+
+    /// Starts a change of the members.
+    pub(crate) fn change(&mut self, change: Change, host: HostId, call: u64) {
+        let id = self.wait(Waiting::Members { host, call });
+        self.event(Event::Change { id, change });
+    }
+
+    /// The number under which the answer to a request is known.
+    fn wait(&mut self, waiting: Waiting) -> RequestId {
+        let id = self.next;
+        self.next += 1;
+        self.waiting.insert(id, waiting);
+        id
+    }
+
+    /// Takes the end of a request without success.
+    fn rejected(&mut self, id: RequestId, reason: Reason, leader: Option<HostId>) {
+        let Some(waiting) = self.waiting.remove(&id) else {
+            return;
+        };
+        tracing::debug!(%reason, ?waiting, "not done");
+        match waiting {
+            // The host asks again, here or at the leader; a retry is idempotent.
+            Waiting::Host { host, call } => {
+                if matches!(reason, Reason::NotLeader | Reason::Superseded) {
+                    self.not_leader(host, Some(call), leader);
+                }
+            }
+            Waiting::Members { host, call } => {
+                let json = format!("{{\"done\":false,\"reason\":\"{reason}\"}}");
+                self.answer(host, call, json.into());
+            }
+            Waiting::Leader | Waiting::Election(_) | Waiting::Learner(_) => {}
+        }
+    }
+
+    /// Takes the end of a read.
+    fn barrier_done(&mut self, id: RequestId) {
+        if let Some(Waiting::Election(term)) = self.waiting.remove(&id)
+            && term == self.term
+            && self.role == Role::Leader
+        {
+            tracing::info!(term, "this host leads");
+            self.leading = true;
+            self.lead(Input::Elected { term });
+            self.begin();
+        }
+    }
+
+    /// Brings the first settings into a cluster that has none.
+    fn begin(&mut self) {
+        if self.state.catalogue().version() == 0
+            && let Some(command) = self.setup.first.clone()
+        {
+            self.propose(command, None);
+        }
+    }
+
+    /// Takes the end of a change of the members.
+    fn changed(&mut self, id: RequestId) {
+        match self.waiting.remove(&id) {
+            Some(Waiting::Members { host, call }) => {
+                self.answer(host, call, Bytes::from_static(b"{\"done\":true}"));
+            }
+            Some(Waiting::Learner(member)) => {
+                let id = self.wait(Waiting::Leader);
+                let change = Change::Promote(member);
+                self.event(Event::Change { id, change });
+            }
+            _ => {}
+        }
+    }
+
+    /// Admits a voter of the settings that has no group yet.
+    ///
+    /// One that is known under another life of its disk is not admitted: an
+    /// operator has to replace it, since its votes are lost.
+    fn joining(&mut self, peer: cornelhitch_quorum::id::Peer) {
+        if !self.setup.voters.contains(&peer.id) {
+            tracing::warn!(host = peer.id, "a host that is no voter asks to join");
+            return;
+        }
+        let id = self.wait(Waiting::Learner(peer.id));
+        let change = Change::Add(peer);
+        self.event(Event::Change { id, change });
+    }
+
+    /// Takes a change of the role.
+    fn role(&mut self, role: Role, term: Term, leader: Option<HostId>) {
+        tracing::info!(%role, term, ?leader, "role");
+        let led = self.leading;
+        self.role = role;
+        self.term = term;
+        self.following = leader;
+        self.leading = false;
+        if led {
+            self.lead(Input::Deposed);
+            self.reservations = Reservations::default();
+            self.subscribers.clear();
+        }
+        if role == Role::Leader {
+            let id = self.wait(Waiting::Election(term));
+            self.event(Event::Barrier { id });
+        }
+    }
+
+    /// Gives the leader an input and does what it says.
+    pub(crate) fn lead(&mut self, input: Input) {
+        let now = self.unix();
+        for output in self.setup.leader.handle(input, &self.state, now) {
+            self.output(output);
+        }
+    }
+
+    /// Does one thing that the leader said.
+    fn output(&mut self, output: Output) {
+        match output {
+            Output::Propose(command) => self.propose(command.encode(), None),
+            Output::Order(order) => self.order(order),
+            Output::Publish { to, view } => {
+                let hosts: Vec<HostId> = match to {
+                    Audience::All => self.subscribers.iter().copied().collect(),
+                    Audience::Host(host) => vec![host],
+                };
+                for host in hosts {
+                    let downward = Downward::View(view.clone());
+                    self.setup.switch.send(host, Message::Downward(downward));
+                }
+            }
+            Output::Lease {
+                host,
+                incarnation,
+                length,
+                version,
+            } => self.grant(host, incarnation, length, version),
+            Output::InForce { version } => self.in_force = version,
+            Output::Ask { target } => tracing::debug!(target = &*target, "not announced"),
+        }
+    }
+
+    /// Sends an order in a task of its own.
+    fn order(&self, order: Order) {
+        let Some(address) = self.address(&order.target, order.incarnation) else {
+            let _ = self.setup.tell.send(Told::Ordered(order, Outcome::Unsent));
+            return;
+        };
+        self.setup.metrics.one(Count::Orders);
+        let sending = orders::Sending {
+            order,
+            address,
+            lease: self.lease.subscribe(),
+            client: self.setup.client.clone(),
+            tell: self.setup.tell.clone(),
+            metrics: self.setup.metrics.clone(),
+        };
+        tokio::spawn(sending.run());
+    }
+
+    /// Where a life of a target takes orders.
+    fn address(&self, target: &TargetId, incarnation: Incarnation) -> Option<SocketAddr> {
+        let target = self.state.fleet().alive(target, incarnation)?;
+        Some(target.announcement.address)
+    }
+
+    /// Answers a renewal, while this host is sure to lead.
+    fn grant(&self, host: HostId, incarnation: Incarnation, length: Duration, version: Version) {
+        let Some(renewal) = self.renewals.get(&host) else {
+            return;
+        };
+        let sure = self.setup.core.lease(self.now()).is_some();
+        if !sure || renewal.peer.incarnation != incarnation {
+            return;
+        }
+        let lease = Datagram::Lease {
+            sequence: renewal.sequence,
+            length,
+            version,
+            term: self.term,
+            view: self.setup.leader.sequence(),
+        };
+        self.setup.beacon.send(renewal.peer, renewal.address, lease);
+    }
+
+    /// Answers a question.
+    pub(crate) fn answer(&self, host: HostId, call: u64, json: Bytes) {
+        let downward = Downward::Answer { call, json };
+        self.setup.switch.send(host, Message::Downward(downward));
+    }
+
+    /// Sends a host to the leader.
+    pub(crate) fn not_leader(&self, host: HostId, call: Option<u64>, leader: Option<HostId>) {
+        let downward = Downward::NotLeader { leader, call };
+        self.setup.switch.send(host, Message::Downward(downward));
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,637 @@
+//! The task that owns the core of an entry host.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cornelhitch_control::claims::{self, Claim, Finish, Holder, Key};
+use cornelhitch_control::command::{Command, Reply};
+use cornelhitch_control::strikes::Strike;
+use cornelhitch_entry::action::{Action, Destination};
+use cornelhitch_entry::claim;
+use cornelhitch_entry::core::Core;
+use cornelhitch_entry::entries::Whence;
+use cornelhitch_entry::event::{Attempt as Number, CallId, Digest, Event};
+use cornelhitch_settings::fleet::Fleet;
+use cornelhitch_target::client::Client;
+use cornelhitch_target::inbound::{Message as Told, Receipt};
+use cornelhitch_types::entry::Host;
+use cornelhitch_types::id::{CallerId, Incarnation, Name, TargetId};
+use cornelhitch_types::refusal::Refusal;
+use cornelhitch_types::view::{Change, View};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use serde::Serialize;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::attempt::{self, Attempt, Signals};
+use crate::exchange::{Exchange, Head, Intake, Part, Recorded};
+use crate::message::Upward;
+use crate::metrics::Metrics;
+use crate::problem::Problem;
+use crate::session;
+
+/// Time between two reports of demand while nothing presses.
+const REPORT: Duration = Duration::from_millis(500);
+
+/// Time between two reports of demand when models are waited for.
+const URGENT_REPORT: Duration = Duration::from_millis(5);
+
+/// Time that a claim may take before the request is refused.
+const CLAIM: Duration = Duration::from_secs(5);
+
+/// Time that the record of an outcome may take.
+const RECORD: Duration = Duration::from_mins(1);
+
+/// Time that a probe may take.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// What the entry task is told.
+#[derive(Debug)]
+pub enum Input {
+    /// An event for the core.
+    Event(Event),
+    /// A request of a caller.
+    Intake(Box<Intake>),
+    /// The whole answer to a request with a key.
+    Answer(CallId, Recorded),
+    /// A target told something.
+    Told(Told, oneshot::Sender<Receipt>),
+    /// A caller asks where to connect.
+    Entries(oneshot::Sender<Entries>),
+    /// An operator asks for the state.
+    Dump(oneshot::Sender<serde_json::Value>),
+    /// The process was asked to end.
+    Drain,
+}
+
+/// The answer to a caller that asks where to connect.
+#[derive(Debug)]
+pub struct Entries {
+    /// How long it may be kept.
+    pub max_age: Duration,
+    /// The answer.
+    pub body: Page,
+}
+
+/// The body of the answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Page {
+    /// Addresses, the best first.
+    pub addresses: Vec<std::net::SocketAddr>,
+    /// How long to keep them, in milliseconds.
+    pub max_age_ms: u128,
+}
+
+/// What the entry task is started with.
+pub struct Setup {
+    /// The core.
+    pub core: Core,
+    /// This host as the leader knows it.
+    pub host: Host,
+    /// What the task is told.
+    pub inputs: mpsc::UnboundedReceiver<Input>,
+    /// The other end of `inputs`.
+    pub input: mpsc::UnboundedSender<Input>,
+    /// What the leader tells.
+    pub events: mpsc::UnboundedReceiver<session::Event>,
+    /// The way to the leader.
+    pub session: session::Handle,
+    /// The way to targets.
+    pub client: Arc<dyn Client>,
+    /// Where this host as it is now is shown.
+    pub shown: watch::Sender<Host>,
+    /// Where the settings in force are shown.
+    pub fleet: watch::Sender<Arc<Fleet>>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Cancelled when the listener has to close.
+    pub close: CancellationToken,
+    /// Cancelled when everything has ended.
+    pub drained: CancellationToken,
+    /// The time that the core counts from.
+    pub epoch: Instant,
+}
+
+/// One attempt in progress.
+struct Running {
+    signals: Signals,
+    task: AbortHandle,
+    request: Name,
+    to: Destination,
+}
+
+/// The entry host, owned by its task.
+struct Entry {
+    setup: Setup,
+    exchanges: HashMap<CallId, Exchange>,
+    attempts: HashMap<(CallId, Number), Running>,
+    answers: HashMap<CallId, Recorded>,
+    reported: Instant,
+    urgent: bool,
+}
+
+/// Runs an entry host until everything has drained.
+pub async fn run(setup: Setup) {
+    let entry = Entry {
+        setup,
+        exchanges: HashMap::new(),
+        attempts: HashMap::new(),
+        answers: HashMap::new(),
+        reported: Instant::now(),
+        urgent: true,
+    };
+    entry.serve().await;
+}
+
+impl Entry {
+    /// Serves until everything has drained.
+    async fn serve(mut self) {
+        while !self.setup.drained.is_cancelled() {
+            let wake = self.wake();
+            tokio::select! {
+                biased;
+                event = self.setup.events.recv() => match event {
+                    Some(event) => self.leader(event),
+                    None => return,
+                },
+                input = self.setup.inputs.recv() => match input {
+                    Some(input) => self.input(input),
+                    None => return,
+                },
+                () = tokio::time::sleep_until(wake) => self.handle(Event::Tick),
+            }
+            self.report();
+        }
+    }
+
+    /// When there is something to do although nothing comes in.
+    fn wake(&self) -> Instant {
+        let pause = if self.urgent { URGENT_REPORT } else { REPORT };
+        let report = self.reported + pause;
+        let core = self.setup.core.next_wake();
+        let core = core.map(|time| self.setup.epoch + time);
+        core.map_or(report, |core| core.min(report))
+    }
+
+    /// Sends a report of demand when one is due.
+    fn report(&mut self) {
+        let pause = if self.urgent { URGENT_REPORT } else { REPORT };
+        if self.reported.elapsed() < pause {
+            return;
+        }
+        self.reported = Instant::now();
+        self.urgent = false;
+        let report = self.setup.core.report();
+        self.setup.session.tell(Upward::Report(report));
+        let core = &self.setup.core;
+        let (load, draining, settings) = (core.load(), core.draining(), core.settings());
+        self.setup.shown.send_modify(|host| {
+            host.load = load;
+            host.draining = draining;
+            host.settings = settings;
+        });
+    }
+
+    /// Takes what the leader tells.
+    fn leader(&mut self, event: session::Event) {
+        match event {
+            session::Event::View(view) => {
+                self.settings(&view);
+                self.handle(Event::View(view));
+                let settings = self.setup.core.settings();
+                self.setup
+                    .shown
+                    .send_modify(|host| host.settings = settings);
+            }
+            session::Event::Lease { until, version } => {
+                let until = until.saturating_duration_since(self.setup.epoch);
+                self.handle(Event::Lease { until, version });
+            }
+        }
+    }
+
+    /// Shows new settings to the HTTP side.
+    fn settings(&self, view: &View) {
+        for change in &view.changes {
+            if let Change::Settings(version, text) = change
+                && let Ok(fleet) = text.parse::<Fleet>()
+            {
+                tracing::info!(version, "settings in force here");
+                self.setup.fleet.send_replace(Arc::new(fleet));
+            }
+        }
+    }
+
+    /// Takes one input.
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.handle(event),
+            Input::Intake(intake) => self.intake(*intake),
+            Input::Answer(id, answer) => {
+                self.answers.insert(id, answer);
+            }
+            Input::Told(told, receipt) => self.told(told, receipt),
+            Input::Entries(answer) => {
+                let whence = Whence {
+                    region: self.setup.host.region.clone(),
+                    zone: self.setup.host.zone.clone(),
+                };
+                let entries = self.setup.core.entries(&whence);
+                let page = Page {
+                    addresses: entries.addresses,
+                    max_age_ms: entries.max_age.as_millis(),
+                };
+                let _ = answer.send(Entries {
+                    max_age: entries.max_age,
+                    body: page,
+                });
+            }
+            Input::Dump(answer) => {
+                let dump = serde_json::to_value(self.setup.core.dump());
+                let _ = answer.send(dump.unwrap_or_default());
+            }
+            Input::Drain => self.handle(Event::Drain),
+        }
+    }
+
+    /// Takes a request in.
+    fn intake(&mut self, intake: Intake) {
+        let Intake {
+            request,
+            payload,
+            reply,
+        } = intake;
+        let fleet = self.setup.fleet.borrow().clone();
+        let arrived = std::time::Instant::now();
+        let class = request.class.as_ref().and_then(|name| fleet.class(name));
+        let exchange = Exchange {
+            payload: Arc::new(payload),
+            reply,
+            delivered: Arc::new(AtomicU64::new(0)),
+            keyed: request.key.is_some(),
+            repeatable: request.key.is_none(),
+            arrived,
+            deadline: request.deadline.map(|deadline| arrived + deadline),
+            priority: class.map_or(1, |class| class.weight),
+        };
+        self.exchanges.insert(request.id, exchange);
+        self.handle(Event::Arrived(request));
+    }
+
+    /// Hands on what a target told.
+    fn told(&mut self, told: Told, receipt: oneshot::Sender<Receipt>) {
+        let upward = match told {
+            Told::Announcement(announcement) => Upward::Announce(announcement),
+            Told::Heartbeat(heartbeat) => Upward::Heartbeat(heartbeat),
+            Told::Leaving(leaving) => Upward::Lost {
+                target: leaving.target,
+                incarnation: leaving.incarnation,
+            },
+        };
+        self.setup.session.tell(upward);
+        let _ = receipt.send(Receipt::Taken);
+    }
+
+    /// Gives the core an event and does what it says.
+    fn handle(&mut self, event: Event) {
+        let now = self.setup.epoch.elapsed();
+        for action in self.setup.core.handle(event, now) {
+            self.act(action);
+        }
+    }
+
+    /// Does one thing that the core said.
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Claim {
+                id,
+                caller,
+                key,
+                digest,
+            } => self.claim(id, caller, key, digest),
+            Action::Record {
+                id,
+                caller,
+                key,
+                outcome,
+            } => self.record(id, caller, key, outcome),
+            Action::Send {
+                id,
+                attempt,
+                to,
+                resume,
+            } => self.send(id, attempt, to, resume),
+            Action::Proceed { id, attempt } => self.signal(id, attempt, |s| s.proceed.take()),
+            Action::Deliver { id, attempt } => self.signal(id, attempt, |s| s.deliver.take()),
+            Action::Finish { id, attempt } => {
+                self.signal(id, attempt, |s| s.finish.take());
+                self.attempts.remove(&(id, attempt));
+                self.exchanges.remove(&id);
+            }
+            Action::Cancel { id, attempt, .. } => self.cancel(id, attempt),
+            Action::Refuse { id, refusal } => self.refuse(id, refusal),
+            Action::StreamError { id, refusal } => self.cut(id, &refusal),
+            Action::Replay { id, recorded } => self.replay(id, &recorded),
+            Action::Strike {
+                fingerprint,
+                target,
+                incarnation,
+            } => self.strike(fingerprint, target, incarnation),
+            Action::Probe { target, address } => self.probe(target, address),
+            Action::Reserve {
+                target,
+                incarnation,
+            } => self.reserve(target, incarnation),
+            action @ (Action::Suspect { .. } | Action::Unreserve { .. }) => self.tell(action),
+            Action::Report => self.urgent = true,
+            Action::RequestView { .. } => self.setup.session.resync(),
+            Action::BadSettings { version, error } => {
+                tracing::error!(version, error, "the settings cannot be read");
+            }
+            Action::CloseListener => self.setup.close.cancel(),
+            Action::Drained => self.setup.drained.cancel(),
+        }
+    }
+
+    /// Tells the leader what the core said of a target.
+    fn tell(&self, action: Action) {
+        match action {
+            Action::Suspect {
+                target,
+                incarnation,
+            } => self.setup.session.tell(Upward::Lost {
+                target,
+                incarnation,
+            }),
+            Action::Unreserve {
+                target,
+                incarnation,
+            } => self.setup.session.tell(Upward::Unreserve {
+                target,
+                incarnation,
+            }),
+            other => tracing::error!(?other, "not for the leader"),
+        }
+    }
+
+    /// Gives an attempt the core's word.
+    fn signal(
+        &mut self,
+        id: CallId,
+        attempt: Number,
+        take: impl FnOnce(&mut Signals) -> Option<oneshot::Sender<()>>,
+    ) {
+        let running = self.attempts.get_mut(&(id, attempt));
+        if let Some(signal) = running.and_then(|running| take(&mut running.signals)) {
+            let _ = signal.send(());
+        }
+    }
+
+    /// Starts an attempt.
+    fn send(&mut self, id: CallId, number: Number, to: Destination, resume: Option<u64>) {
+        let Some(exchange) = self.exchanges.get(&id).cloned() else {
+            return;
+        };
+        let host = &self.setup.host;
+        let request: Name = format!("{}-{}-{id}-{number}", host.host, host.incarnation).into();
+        // What the caller has is known here to the token.
+        let resume = resume.map(|_| {
+            exchange
+                .delivered
+                .load(std::sync::atomic::Ordering::Relaxed)
+        });
+        let attempt = Attempt {
+            id,
+            number,
+            request: request.clone(),
+            to: to.clone(),
+            resume,
+            exchange,
+            client: self.setup.client.clone(),
+            inputs: self.setup.input.clone(),
+            metrics: self.setup.metrics.clone(),
+        };
+        let (signals, waits) = attempt::signals();
+        let task = tokio::spawn(attempt.run(waits)).abort_handle();
+        let running = Running {
+            signals,
+            task,
+            request,
+            to,
+        };
+        self.attempts.insert((id, number), running);
+    }
+
+    /// Stops an attempt here and at its target.
+    fn cancel(&mut self, id: CallId, attempt: Number) {
+        let Some(running) = self.attempts.remove(&(id, attempt)) else {
+            return;
+        };
+        running.task.abort();
+        if running.to.replica.is_some() {
+            let client = self.setup.client.clone();
+            tokio::spawn(async move {
+                let cancelled = client.cancel(running.to.address, &running.request).await;
+                if let Err(error) = cancelled {
+                    tracing::debug!(request = &*running.request, %error, "not cancelled");
+                }
+            });
+        }
+    }
+
+    /// Ends a request with a refusal.
+    fn refuse(&mut self, id: CallId, refusal: Refusal) {
+        if let Some(exchange) = self.exchanges.remove(&id) {
+            let _ = exchange.reply.try_send(Part::Refusal(refusal));
+        }
+    }
+
+    /// Ends an answer that had begun: an error event, then the connection is cut.
+    fn cut(&mut self, id: CallId, refusal: &Refusal) {
+        let Some(exchange) = self.exchanges.remove(&id) else {
+            return;
+        };
+        let problem = Problem::from(refusal).json();
+        let event = [b"event: error\ndata: ", &problem[..], b"\n\n"].concat();
+        tokio::spawn(async move {
+            let _ = exchange.reply.send(Part::Data(event.into())).await;
+        });
+    }
+
+    /// Answers with a recorded answer.
+    fn replay(&mut self, id: CallId, recorded: &Bytes) {
+        let Some(exchange) = self.exchanges.remove(&id) else {
+            return;
+        };
+        let Ok(recorded) = postcard::from_bytes::<Recorded>(recorded) else {
+            tracing::error!(id, "a recorded answer cannot be read");
+            return;
+        };
+        let mut headers = HeaderMap::new();
+        let media_type = recorded.media_type.as_deref().unwrap_or_default();
+        if let Ok(value) = HeaderValue::from_str(media_type) {
+            headers.insert(CONTENT_TYPE, value);
+        }
+        let status = StatusCode::from_u16(recorded.status).unwrap_or_default();
+        for part in [
+            Part::Head(Head { status, headers }),
+            Part::Data(recorded.body),
+            Part::End,
+        ] {
+            let _ = exchange.reply.try_send(part);
+        }
+    }
+
+    /// Asks control for the right to run a request with a key.
+    fn claim(&self, id: CallId, caller: CallerId, key: Name, digest: Digest) {
+        let claim = Command::Claim(Claim {
+            key: Key { caller, key },
+            digest,
+            holder: self.holder(),
+            call: id,
+            issued: None,
+        });
+        let session = self.setup.session.clone();
+        let inputs = self.setup.input.clone();
+        tokio::spawn(async move {
+            let reply = session.propose(claim.encode(), CLAIM).await;
+            let reply = reply.map_or(claim::Reply::Unavailable, |bytes| claimed(&bytes));
+            let _ = inputs.send(Input::Event(Event::Claimed { id, reply }));
+        });
+    }
+
+    /// Asks control to commit the outcome of a request with a key.
+    fn record(&mut self, id: CallId, caller: CallerId, key: Name, outcome: claim::Outcome) {
+        let answer = self.answers.remove(&id);
+        let key = Key { caller, key };
+        let holder = self.holder();
+        let command = match outcome {
+            claim::Outcome::NotRun => Command::Abandon {
+                key,
+                holder,
+                call: id,
+            },
+            claim::Outcome::Answered | claim::Outcome::Unknown => {
+                let answer = answer.filter(|_| outcome == claim::Outcome::Answered);
+                let outcome = answer.map_or(claims::Outcome::Unknown, claims::Outcome::from);
+                Command::Finish(Finish {
+                    key,
+                    holder,
+                    call: id,
+                    outcome,
+                })
+            }
+        };
+        let session = self.setup.session.clone();
+        let inputs = self.setup.input.clone();
+        tokio::spawn(async move {
+            if session.propose(command.encode(), RECORD).await.is_ok() {
+                let _ = inputs.send(Input::Event(Event::Recorded { id }));
+            }
+        });
+    }
+
+    /// Tells control of a target that failed with a request in progress.
+    fn strike(&self, fingerprint: u64, target: TargetId, incarnation: Incarnation) {
+        let strike = Command::Strike(Strike {
+            fingerprints: vec![fingerprint],
+            target,
+            incarnation,
+        });
+        let session = self.setup.session.clone();
+        tokio::spawn(async move { session.propose(strike.encode(), RECORD).await });
+    }
+
+    /// Asks the leader to let suspect requests to a target come from here only.
+    fn reserve(&self, target: TargetId, incarnation: Incarnation) {
+        let session = self.setup.session.clone();
+        let inputs = self.setup.input.clone();
+        tokio::spawn(async move {
+            let question = crate::message::Question::Reserve {
+                target: target.clone(),
+                incarnation,
+            };
+            let answer = session.ask(question, CLAIM).await;
+            let granted = answer.is_ok_and(|json| &json[..] == b"true");
+            let _ = inputs.send(Input::Event(Event::Reserved {
+                target,
+                incarnation,
+                granted,
+            }));
+        });
+    }
+
+    /// Tries to connect to a target.
+    fn probe(&self, target: TargetId, address: std::net::SocketAddr) {
+        let inputs = self.setup.input.clone();
+        tokio::spawn(async move {
+            let connecting = tokio::time::timeout(PROBE, TcpStream::connect(address));
+            let connected = matches!(connecting.await, Ok(Ok(_)));
+            let _ = inputs.send(Input::Event(Event::Probed { target, connected }));
+        });
+    }
+
+    /// This life of this host, which holds claims.
+    fn holder(&self) -> Holder {
+        Holder {
+            host: self.setup.host.host,
+            incarnation: self.setup.host.incarnation,
+        }
+    }
+}
+
+/// What the state machine's reply to a claim means to the core.
+fn claimed(bytes: &[u8]) -> claim::Reply {
+    let Ok(Reply::Claim(answer)) = postcard::from_bytes(bytes) else {
+        return claim::Reply::Unavailable;
+    };
+    match answer {
+        claims::Answer::Granted => claim::Reply::Granted,
+        claims::Answer::InProgress => claim::Reply::InProgress,
+        claims::Answer::Recorded(outcome) => recorded(outcome),
+        claims::Answer::Mismatch => claim::Reply::Mismatch,
+        claims::Answer::Forgotten => claim::Reply::Forgotten,
+        claims::Answer::Done | claims::Answer::Refused(_) => claim::Reply::Unavailable,
+    }
+}
+
+/// What a recorded outcome means to the core.
+fn recorded(outcome: claims::Outcome) -> claim::Reply {
+    let recorded = match outcome {
+        claims::Outcome::Unknown => return claim::Reply::Unknown,
+        claims::Outcome::Completed { .. } => return claim::Reply::Forgotten,
+        claims::Outcome::Answered {
+            status,
+            content,
+            body,
+        } => Recorded {
+            status,
+            media_type: Some(content.to_string()),
+            body,
+        },
+    };
+    let bytes = postcard::to_stdvec(&recorded).unwrap_or_default();
+    claim::Reply::Recorded(bytes.into())
+}
+
+impl From<Recorded> for claims::Outcome {
+    fn from(recorded: Recorded) -> Self {
+        if recorded.body.len() > claims::BODY {
+            return Self::Completed {
+                status: recorded.status,
+            };
+        }
+        Self::Answered {
+            status: recorded.status,
+            content: recorded.media_type.unwrap_or_default().into(),
+            body: recorded.body,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/request.rs
@@ -0,0 +1,228 @@
+//! Reads a caller's HTTP request into what the core and the target need.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cornelhitch_entry::event::{CallId, Request, What};
+use cornelhitch_entry::fingerprint;
+use cornelhitch_settings::fleet::Fleet;
+use cornelhitch_target::client::Form;
+use cornelhitch_types::id::Name;
+use cornelhitch_types::model::Reference;
+use cornelhitch_types::refusal::{Reason, Refusal};
+use http::request::Parts;
+use http::{HeaderMap, Method};
+use serde::Deserialize;
+
+use crate::exchange::Payload;
+use crate::header;
+use crate::problem::not_run;
+
+/// What stands before the path of a plain service.
+pub const SERVICES: &str = "/services/";
+
+/// The longest deadline that a caller may name.
+const LONGEST: Duration = Duration::from_hours(24);
+
+/// The longest caller, class or key in bytes.
+const LONGEST_NAME: usize = 256;
+
+/// Bytes of a prompt that share one prefix digest.
+const PREFIX_BLOCK: usize = 256;
+
+/// Prefix digests of one prompt at most.
+const PREFIXES: usize = 32;
+
+/// What a request is for, by its path.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Way {
+    /// A model.
+    Model(Form),
+    /// A plain service, and the path that it knows.
+    Service {
+        /// Its name.
+        name: Name,
+        /// Path and query below it.
+        path: String,
+    },
+}
+
+/// The fields that this system reads of a model request's JSON.
+#[derive(Debug, Deserialize)]
+struct Envelope {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    user: Option<String>,
+}
+
+impl Way {
+    /// The way of a path, if it is one.
+    ///
+    /// # Errors
+    /// The path belongs to this system, but the method is wrong.
+    pub fn of(parts: &Parts) -> Option<Result<Self, Refusal>> {
+        let path = parts.uri.path();
+        if let Ok(form) = Form::from_str(path) {
+            return Some(if parts.method == Method::POST {
+                Ok(Self::Model(form))
+            } else {
+                let detail = format!("{path} takes POST, not {}", parts.method);
+                Err(not_run(Reason::Malformed, detail))
+            });
+        }
+        let rest = path.strip_prefix(SERVICES)?;
+        let (name, below) = rest.split_once('/').unwrap_or((rest, ""));
+        let query = parts.uri.query().map(|query| format!("?{query}"));
+        Some(Ok(Self::Service {
+            name: name.into(),
+            path: format!("/{below}{}", query.unwrap_or_default()),
+        }))
+    }
+}
+
+/// Reads a request whose body is there whole.
+///
+/// # Errors
+/// The refusal names the header or the field that is wrong.
+pub fn read(
+    id: CallId,
+    way: Way,
+    parts: &Parts,
+    body: Bytes,
+    from: SocketAddr,
+    fleet: &Fleet,
+) -> Result<(Request, Payload), Refusal> {
+    let (mut request, payload) = match way {
+        Way::Model(form) => model(id, form, body)?,
+        Way::Service { name, path } => service(id, name, path, parts, body, fleet)?,
+    };
+    let headers = &parts.headers;
+    if let Some(caller) = name(headers, header::CALLER)? {
+        request.caller = caller;
+    } else if request.caller.is_empty() {
+        request.caller = from.ip().to_string().into();
+    }
+    request.class = name(headers, header::CLASS)?;
+    if let Some(class) = &request.class
+        && fleet.class(class).is_none()
+    {
+        let detail = format!("{}: there is no class {class:?}", header::CLASS);
+        return Err(not_run(Reason::Malformed, detail));
+    }
+    request.key = name(headers, header::KEY)?;
+    request.deadline = deadline(headers)?;
+    Ok((request, payload))
+}
+
+/// Reads a request to a model.
+fn model(id: CallId, form: Form, body: Bytes) -> Result<(Request, Payload), Refusal> {
+    let envelope: Envelope = serde_json::from_slice(&body)
+        .map_err(|error| not_run(Reason::Malformed, format!("the body: {error}")))?;
+    let reference: Reference = envelope
+        .model
+        .parse()
+        .map_err(|error| not_run(Reason::Malformed, format!("model: {error}")))?;
+    let what = What::Model(reference.clone());
+    let caller = envelope.user.unwrap_or_default();
+    let mut request = Request::new(id, caller, what);
+    request.fingerprint = fingerprint::of(&request.what, &body);
+    request.digest = fingerprint::digest(&request.what, &body);
+    request.prefixes = prefixes(&body);
+    request.streaming = envelope.stream;
+    request.bytes = body.len() as u64;
+    let payload = Payload::Model {
+        model: reference,
+        form,
+        body,
+        stream: envelope.stream,
+    };
+    Ok((request, payload))
+}
+
+/// Reads a request to a plain service.
+fn service(
+    id: CallId,
+    name: Name,
+    path: String,
+    parts: &Parts,
+    body: Bytes,
+    fleet: &Fleet,
+) -> Result<(Request, Payload), Refusal> {
+    if fleet.service(&name).is_none() {
+        let detail = format!("there is no service {name:?}");
+        return Err(not_run(Reason::Unknown, detail));
+    }
+    let method = parts.method.as_str().into();
+    let mut request = Request::new(id, "", What::Service { name, method });
+    // The path is part of what is asked, so it is part of the digest.
+    let asked = [path.as_bytes(), &[0], &body].concat();
+    request.fingerprint = fingerprint::of(&request.what, &asked);
+    request.digest = fingerprint::digest(&request.what, &asked);
+    request.bytes = body.len() as u64;
+    let mut headers = parts.headers.clone();
+    for hop in header::HOP_BY_HOP {
+        headers.remove(*hop);
+    }
+    headers.remove(http::header::HOST);
+    let payload = Payload::Service {
+        method: parts.method.clone(),
+        path,
+        headers,
+        body,
+    };
+    Ok((request, payload))
+}
+
+/// A header that holds a name.
+fn name(headers: &HeaderMap, header: &'static str) -> Result<Option<Name>, Refusal> {
+    let Some(value) = headers.get(header) else {
+        return Ok(None);
+    };
+    let malformed = |what: &str| not_run(Reason::Malformed, format!("{header}: {what}"));
+    let text = value.to_str().map_err(|_| malformed("it is not text"))?;
+    if text.is_empty() {
+        return Err(malformed("it is empty"));
+    }
+    if text.len() > LONGEST_NAME {
+        return Err(malformed("it is longer than 256 bytes"));
+    }
+    Ok(Some(text.into()))
+}
+
+/// The deadline header.
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = headers.get(header::DEADLINE) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    let milliseconds = text.parse::<u64>().ok().map(Duration::from_millis);
+    match milliseconds {
+        Some(deadline) if !deadline.is_zero() && deadline <= LONGEST => Ok(Some(deadline)),
+        _ => {
+            let detail = format!(
+                "{}: {text:?} is not a number of milliseconds from 1 to {}",
+                header::DEADLINE,
+                LONGEST.as_millis()
+            );
+            Err(not_run(Reason::Malformed, detail))
+        }
+    }
+}
+
+/// Digests of the prefixes of a body, block by block, shortest first.
+fn prefixes(body: &[u8]) -> Vec<u64> {
+    let mut hasher = std::hash::DefaultHasher::new();
+    let digest = |block: &[u8]| {
+        use std::hash::Hasher;
+        hasher.write(block);
+        hasher.finish()
+    };
+    body.chunks_exact(PREFIX_BLOCK)
+        .take(PREFIXES)
+        .map(digest)
+        .collect()
+}
--- /dev/null
+++ b/crates/node/src/server.rs
@@ -0,0 +1,90 @@
+//! An HTTP/1.1 and HTTP/2 cleartext listener over hyper.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::body::Body;
+
+/// Time that a caller may take to send the head of a request.
+const HEAD: Duration = Duration::from_secs(10);
+
+/// Pause after a connection could not be accepted, when descriptors have run out.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What a listener serves.
+pub trait Service: Send + Sync + 'static {
+    /// Answers one request.
+    fn serve(
+        &self,
+        request: Request<Incoming>,
+        from: SocketAddr,
+    ) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Accepts connections until `close`, then lets those that are open finish their requests.
+pub async fn run<S: Service>(listener: TcpListener, service: Arc<S>, close: CancellationToken) {
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = close.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, from)) => {
+                let task = connection(stream, from, service.clone(), close.clone());
+                connections.spawn(task);
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a connection cannot be accepted");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+/// Serves one connection.
+async fn connection<S: Service>(
+    stream: TcpStream,
+    from: SocketAddr,
+    service: Arc<S>,
+    close: CancellationToken,
+) {
+    let _ = stream.set_nodelay(true);
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD);
+    builder.http2().timer(TokioTimer::new());
+    let answer = service_fn(move |request| {
+        let service = service.clone();
+        async move { Ok::<_, Infallible>(service.serve(request, from).await) }
+    });
+    let serving = builder.serve_connection(TokioIo::new(stream), answer);
+    tokio::pin!(serving);
+    let served = tokio::select! {
+        served = &mut serving => served,
+        () = close.cancelled() => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = served {
+        tracing::debug!(%from, %error, "a connection ended");
+    }
+}
--- /dev/null
+++ b/crates/node/src/upward.rs
@@ -0,0 +1,147 @@
+//! What hosts ask of a control host and tell it.
+
+use std::fmt::Write;
+
+use bytes::Bytes;
+use cornelhitch_control::input::Input;
+use cornelhitch_quorum::event::Change;
+use cornelhitch_quorum::id::Peer as Member;
+use cornelhitch_types::entry::Host;
+use cornelhitch_types::id::HostId;
+use cornelhitch_wire::hello::Peer;
+use serde::Serialize;
+
+use crate::control::{Control, Renewal};
+use crate::message::{Membership, Question, Upward};
+
+/// The settings in force, for operators.
+#[derive(Debug, Serialize)]
+struct Settings<'a> {
+    version: u64,
+    in_force: u64,
+    text: &'a str,
+}
+
+impl Control {
+    /// Takes what a host says to the leader.
+    pub(crate) fn upward(&mut self, from: Peer, upward: Upward) {
+        if !self.leading {
+            let call = match upward {
+                Upward::Propose { call, .. } | Upward::Ask { call, .. } => Some(call),
+                _ => None,
+            };
+            let leader = self.following.filter(|leader| *leader != self.setup.me);
+            self.not_leader(from.host, call, leader);
+            return;
+        }
+        match upward {
+            Upward::Subscribe { term, sequence } => {
+                self.subscribers.insert(from.host);
+                self.lead(Input::Subscribe {
+                    host: from.host,
+                    term,
+                    sequence,
+                });
+            }
+            Upward::Report(report) => self.lead(Input::Report(report)),
+            Upward::Announce(announcement) => self.lead(Input::Announcement(announcement)),
+            Upward::Heartbeat(heartbeat) => self.lead(Input::Heartbeat(heartbeat)),
+            Upward::Lost {
+                target,
+                incarnation,
+            } => self.lead(Input::Lost {
+                target,
+                incarnation,
+            }),
+            Upward::Unreserve {
+                target,
+                incarnation,
+            } => self.reservations.release(from.host, target, incarnation),
+            Upward::Propose { call, command } => self.propose(command, Some((from.host, call))),
+            Upward::Ask { call, question } => self.ask(from.host, call, question),
+        }
+    }
+
+    /// Takes an entry host's renewal.
+    pub(crate) fn renewal(&mut self, renewal: Renewal, host: Host) {
+        if !self.leading {
+            let leader = self.following.filter(|leader| *leader != self.setup.me);
+            self.not_leader(renewal.peer.host, None, leader);
+            return;
+        }
+        self.renewals.insert(renewal.peer.host, renewal);
+        self.lead(Input::Renewal(host));
+    }
+
+    /// Answers an operator.
+    fn ask(&mut self, host: HostId, call: u64, question: Question) {
+        let json = match question {
+            Question::InForce(version) => json(&(self.in_force >= version)),
+            Question::Settings => json(&Settings {
+                version: self.state.catalogue().version(),
+                in_force: self.in_force,
+                text: self.state.catalogue().text(),
+            }),
+            Question::Status => json(&self.dump()),
+            Question::Explain(model) => json(&self.setup.leader.explain(&model, self.unix())),
+            Question::Members(membership) => return self.members(host, call, &membership),
+            Question::Reserve {
+                target,
+                incarnation,
+            } => {
+                let now = self.now();
+                json(&self.reservations.reserve(host, target, incarnation, now))
+            }
+        };
+        self.answer(host, call, json);
+    }
+
+    /// Changes the voters.
+    fn members(&mut self, host: HostId, call: u64, membership: &Membership) {
+        let change = match *membership {
+            Membership::Add(peer) => Change::Add(member(peer)),
+            Membership::Promote(id) => Change::Promote(id),
+            Membership::Remove(id) => Change::Remove(id),
+            Membership::Replace { old, new } => Change::Replace {
+                old,
+                new: member(new),
+            },
+        };
+        self.change(change, host, call);
+    }
+
+    /// The state of this control host, for operators.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "quorum": self.setup.core.status(),
+            "leading": self.leading,
+            "settings_version": self.state.catalogue().version(),
+            "in_force": self.in_force,
+            "digest": hex(&self.state.digest()),
+            "state": self.state.dump(),
+            "leader": self.leading.then(|| self.setup.leader.view(&self.state, self.unix())),
+        })
+    }
+}
+
+/// A member of the log's group.
+fn member(peer: Peer) -> Member {
+    Member {
+        id: peer.host,
+        incarnation: peer.incarnation,
+    }
+}
+
+/// A value as JSON.
+fn json(value: &impl Serialize) -> Bytes {
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
+
+/// Bytes in hexadecimal digits.
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
