Quorum: random schedules of faults, the faults they found, and nine mutations

Change: schedules in virtual time (loss, doubling, delay, reordering, crashes that lose unsynced records, pauses, clock rates at the drift bound, wiped disks, full and slow disks, one-way cuts, changes of members), checked after each event.

--- /dev/null
+++ b/crates/quorum/examples/schedules.rs
@@ -0,0 +1,40 @@
+//! Runs as many random schedules as asked: `schedules [COUNT] [FIRST]`.
+
+#[path = "../tests/schedule/mod.rs"]
+mod schedule;
+
+use std::time::Instant;
+
+use rayon::prelude::*;
+
+/// Failures that are printed.
+const SHOWN: usize = 10;
+
+fn argument(at: usize, default: u64) -> u64 {
+    std::env::args()
+        .nth(at)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+fn main() {
+    let (count, first) = (argument(1, 1000), argument(2, 0));
+    let start = Instant::now();
+    let failed: Vec<(u64, String)> = (first..first + count)
+        .into_par_iter()
+        .filter_map(|number| {
+            let violation = schedule::world::run(schedule::schedule(number)).err()?;
+            Some((number, format!("{}: {}", violation.rule, violation.detail)))
+        })
+        .collect();
+    let seconds = start.elapsed().as_secs_f64();
+    for (number, what) in failed.iter().take(SHOWN) {
+        println!("schedule {number}: {what}");
+    }
+    let rate = f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / seconds;
+    println!(
+        "{count} schedules from {first}: {} failed, {rate:.0} a second",
+        failed.len()
+    );
+    std::process::exit(i32::from(!failed.is_empty()));
+}
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -107,7 +107,7 @@
     LongLease,
     /// Forgets at a restart that it may have heard a leader just before.
     ForgetPromise,
-    /// Answers barriers without asking a quorum.
+    /// Answers barriers from what this member has, leader or not.
     StaleBarrier,
     /// Applies entries again that the snapshot holds already.
     ApplyTwice,
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -73,7 +73,10 @@
     proposals: BTreeMap<Index, (Term, RequestId)>,
     uncommitted: usize,
     incoming: Option<Incoming>,
-    snapshot_asked: bool,
+    /// The last entry with a payload for the owner, or the snapshot that it was given.
+    owner_index: Index,
+    /// The last entry applied when the owner was asked for a snapshot.
+    asked_at: Option<Index>,
     announced: Option<(Role, Term, Option<MemberId>)>,
     dropped: u64,
     actions: Vec<Action>,
@@ -130,7 +133,8 @@
             proposals: BTreeMap::new(),
             uncommitted: 0,
             incoming: None,
-            snapshot_asked: false,
+            owner_index: log.snapshot_index(),
+            asked_at: None,
             announced: None,
             dropped: 0,
             actions,
@@ -141,12 +145,15 @@
         core
     }
 
+    /// A member that had a group keeps the promise that it may have made just before the restart,
+    /// also if it is the only voter now: the leader that removed itself may hold a lease.
     fn after_start(&mut self) {
         if self.faulty(Fault::ForgetPromise) {
             self.promised_until = self.now;
         }
-        let alone = self.is_sole_voter() || self.membership().is_empty();
-        if !alone {
+        if self.is_sole_voter() {
+            self.election_at = self.promised_until;
+        } else if !self.membership().is_empty() {
             self.postpone_election();
         }
     }
@@ -401,6 +408,7 @@
         } = entry;
         let id = self.settle(index, term);
         if let Payload::Data(payload) = payload {
+            self.owner_index = index;
             self.actions.push(Action::Apply(Entry {
                 index,
                 term,
--- a/crates/quorum/src/core/barrier.rs
+++ b/crates/quorum/src/core/barrier.rs
@@ -18,6 +18,9 @@
 
 impl Core {
     pub(super) fn on_barrier(&mut self, id: RequestId) {
+        if self.faulty(Fault::StaleBarrier) {
+            return self.actions.push(Action::BarrierDone { id });
+        }
         if self.role != Role::Leader {
             return self.reject(id, Reason::NotLeader);
         }
@@ -31,7 +34,7 @@
 
     /// Answers the barriers that may be read behind now.
     pub(super) fn answer_barriers(&mut self) {
-        let leased = self.lease(self.now).is_some() || self.faulty(Fault::StaleBarrier);
+        let leased = self.lease(self.now).is_some();
         let heard = self.quorum_stamp(Time::MAX).unwrap_or_default();
         while let Some(barrier) = self.barriers.front() {
             let confirmed = leased || heard > barrier.stamp;
--- a/crates/quorum/src/core/change.rs
+++ b/crates/quorum/src/core/change.rs
@@ -127,7 +127,7 @@
                 self.change = None;
                 self.reject(id, Reason::Invalid);
             }
-            Step::Write(members) => self.write_members(members),
+            Step::Write(members) => self.write_when_live(id, since, members),
             Step::Promote(peer) => self.promote_when_ready(id, since, peer),
         }
     }
@@ -140,6 +140,7 @@
     pub(super) fn retire_if_removed(&mut self) {
         if self.members_settled() && !self.membership().admits(self.me()) {
             self.become_follower(self.ballot.term);
+            self.forget_proposals(self.log.last());
         }
     }
 
@@ -148,16 +149,35 @@
         self.track_members();
     }
 
+    /// A change that leaves no quorum of members that answer waits for one.
+    fn write_when_live(&mut self, id: RequestId, since: Time, members: Membership) {
+        let live = members.voters().filter(|id| self.is_live(*id)).count();
+        if live >= members.quorum() {
+            return self.write_members(members);
+        }
+        if self.now >= since + self.config.catch_up {
+            self.change = None;
+            self.reject(id, Reason::Stalled);
+        }
+    }
+
+    fn is_live(&self, id: MemberId) -> bool {
+        let stamp = self.progress.get(&id).and_then(|progress| progress.stamp);
+        let heard = stamp.is_some_and(|at| at + self.config.election > self.now);
+        heard || id == self.me().id
+    }
+
     /// A learner becomes a voter when it has synced all that is committed.
     fn promote_when_ready(&mut self, id: RequestId, since: Time, peer: Peer) {
         let Some(progress) = self.progress.get(&peer.id) else {
             return;
         };
+        let advanced_at = progress.advanced_at.max(since);
         if progress.durable >= self.commit {
             let members = self.membership().with(peer, Standing::Voter);
-            return self.write_members(members);
+            return self.write_when_live(id, advanced_at, members);
         }
-        if self.now >= progress.advanced_at.max(since) + self.config.catch_up {
+        if self.now >= advanced_at + self.config.catch_up {
             self.change = None;
             self.reject(id, Reason::Stalled);
         }
--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -65,7 +65,7 @@
         if self.membership().is_empty() {
             return self.look_for_group();
         }
-        if !self.is_voter() || self.disk.sick() {
+        if !self.may_lead() || self.disk.sick() {
             return;
         }
         self.role = Role::PreCandidate;
@@ -78,6 +78,15 @@
         self.count_votes();
     }
 
+    /// A voter may lead, and so may one whose removal is in its log and not known to be committed:
+    /// the others may need it until then. Its own vote does not count (Ongaro's thesis §4.2.2).
+    fn may_lead(&self) -> bool {
+        let latest = self.members.latest_index();
+        let before = self.members.at(latest.saturating_sub(1));
+        let leaving = latest > self.commit && before.is_voter(self.me().id);
+        self.is_voter() || (leaving && before.admits(self.me()))
+    }
+
     fn other_voters(&self) -> Vec<Peer> {
         let members = self.membership();
         let me = self.me().id;
@@ -247,12 +256,12 @@
 
     fn found_if_new(&mut self) {
         let me = self.me();
+        let (term, lineage) = (FIRST_TERM, me.incarnation.max(1));
         let asked = |id: &MemberId| *id == me.id || self.outside.contains(id);
-        let new = self.membership().is_empty() && self.ballot.lineage == 0;
+        let new = self.membership().is_empty() && [0, lineage].contains(&self.ballot.lineage);
         if !new || !self.config.founder || !self.config.peers.iter().all(asked) {
             return;
         }
-        let (term, lineage) = (FIRST_TERM, me.incarnation.max(1));
         self.set_ballot(Ballot {
             term,
             vote: Some(me),
--- a/crates/quorum/src/core/replicate.rs
+++ b/crates/quorum/src/core/replicate.rs
@@ -189,11 +189,13 @@
         if !self.is_answer(from, term, answer.stamp) {
             return;
         }
-        let (now, offset) = (self.now, self.log.offset());
+        let now = self.now;
         let Some(progress) = self.progress.get_mut(&from.id) else {
             return;
         };
-        if matches!(progress.mode, Mode::Transfer(_)) && answer.held < offset {
+        if let Mode::Transfer(transfer) = &progress.mode
+            && answer.held < transfer.index()
+        {
             return;
         }
         progress.advance(answer.durable, answer.held, now);
--- a/crates/quorum/src/core/transfer.rs
+++ b/crates/quorum/src/core/transfer.rs
@@ -23,6 +23,13 @@
     sent_at: Option<Time>,
 }
 
+impl Transfer {
+    /// The last entry in the snapshot.
+    pub(super) fn index(&self) -> Index {
+        self.id.index
+    }
+}
+
 /// A snapshot on its way from a leader.
 #[derive(Debug)]
 pub(super) struct Incoming {
@@ -42,21 +49,24 @@
 impl Core {
     /// Asks the owner for a snapshot when the log has grown.
     pub(super) fn ask_snapshot(&mut self) {
-        let grown = self.applied - self.log.snapshot_index() >= self.config.compact_entries;
-        if grown && !self.snapshot_asked {
-            self.snapshot_asked = true;
+        let since = self.asked_at.unwrap_or_else(|| self.log.snapshot_index());
+        if self.applied >= since + self.config.compact_entries {
+            self.asked_at = Some(self.applied);
             self.actions.push(Action::NeedSnapshot);
         }
     }
 
-    /// Takes the owner's snapshot, unless a later one came from a leader meanwhile.
+    /// Takes the owner's snapshot, unless a later one came from a leader meanwhile. Entries
+    /// without a payload for the owner do not change its state, so they are covered as well.
     pub(super) fn on_snapshot(&mut self, index: Index, data: Bytes) {
-        self.snapshot_asked = false;
-        let index = if self.faulty(Fault::ApplyTwice) {
-            index.saturating_sub(1)
+        let mut index = if index == self.owner_index {
+            self.applied
         } else {
             index
         };
+        if self.faulty(Fault::ApplyTwice) {
+            index = index.saturating_sub(1);
+        }
         let wanted = index > self.log.snapshot_index() && index <= self.applied;
         let Some(term) = self.log.term(index).filter(|_| wanted) else {
             return;
@@ -68,6 +78,7 @@
             membership,
             data,
         };
+        self.asked_at = None;
         self.disk.stage(Record::Snapshot(snapshot.clone()));
         self.log.compact(snapshot, self.config.trailing_entries);
         self.members.compact(index);
@@ -209,13 +220,15 @@
         self.commit = index;
         self.applied = index;
         self.held = self.held.max(index);
-        self.snapshot_asked = false;
+        self.owner_index = index;
+        self.asked_at = None;
         self.forget_proposals(index);
         self.actions.push(Action::Restore(snapshot));
     }
 
-    /// Proposals that a snapshot covers may be in it or not.
-    fn forget_proposals(&mut self, index: Index) {
+    /// Ends proposals up to `index` whose outcome this member will not learn: a snapshot covers
+    /// them, or the member is removed.
+    pub(super) fn forget_proposals(&mut self, index: Index) {
         let later = self.proposals.split_off(&(index + 1));
         for (_, (_, id)) in std::mem::replace(&mut self.proposals, later) {
             self.reject(id, Reason::Unknown);
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -42,9 +42,10 @@
         /// What to change.
         change: Change,
     },
-    /// The owner's state after the entry at `index`, which must be applied already.
+    /// The owner's state, after all that it was given to apply or restore, or less.
     Snapshot {
-        /// The last entry that the state holds.
+        /// The last entry that was applied to the state, or the snapshot that it was restored
+        /// from, whichever is later.
         index: Index,
         /// The state.
         data: Bytes,
--- a/crates/quorum/src/memory.rs
+++ b/crates/quorum/src/memory.rs
@@ -61,6 +61,12 @@
         self.sync()
     }
 
+    /// What is synced.
+    #[must_use]
+    pub fn synced(&self) -> &Recovered {
+        &self.synced
+    }
+
     /// How many records are written and not synced.
     #[must_use]
     pub fn unsynced(&self) -> usize {
--- /dev/null
+++ b/crates/quorum/tests/schedule/node.rs
@@ -0,0 +1,210 @@
+//! A member in a schedule: its process, its clock, its disk and its state.
+
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cornelhitch_quorum::action::Entry;
+use cornelhitch_quorum::config::{Config, DRIFT_PPM, Fault};
+use cornelhitch_quorum::memory::Memory;
+use cornelhitch_quorum::prelude::*;
+
+const MILLION: u64 = 1_000_000;
+
+/// Bytes of a snapshot besides the state, so that it takes several chunks.
+const PADDING: usize = 200;
+
+/// The owner's state: what was applied last, and a hash over all that was applied.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    pub index: Index,
+    pub hash: u64,
+}
+
+impl State {
+    pub fn apply(&mut self, entry: &Entry) {
+        let mut hasher = DefaultHasher::new();
+        (self.hash, entry.index, entry.term, &entry.payload).hash(&mut hasher);
+        *self = Self {
+            index: entry.index,
+            hash: hasher.finish(),
+        };
+    }
+
+    pub fn encode(self) -> Bytes {
+        let mut data = vec![0; PADDING];
+        data[..8].copy_from_slice(&self.hash.to_le_bytes());
+        data.into()
+    }
+
+    pub fn decode(data: &[u8], index: Index) -> Self {
+        let hash = u64::from_le_bytes(data[..8].try_into().unwrap());
+        Self { index, hash }
+    }
+}
+
+/// A disk with the queue of its writer.
+#[derive(Debug)]
+pub struct Queue {
+    pub memory: Memory,
+    pub batches: VecDeque<Batch>,
+    pub attempt: u64,
+    pub sync: Duration,
+    /// How many batches the sync under way takes.
+    pub syncing: usize,
+}
+
+impl Queue {
+    /// The sync under way ends, as in the writer's thread.
+    pub fn finish(&mut self) -> Option<Event> {
+        let attempt = self.attempt;
+        let batches = self.batches.drain(..self.syncing);
+        let current: Vec<Batch> = batches.filter(|batch| batch.attempt >= attempt).collect();
+        self.syncing = 0;
+        let (first, last) = (current.first()?.token, current.last()?.token);
+        let records: Vec<_> = current
+            .into_iter()
+            .flat_map(|batch| batch.records)
+            .collect();
+        if self.memory.append(&records).is_ok() {
+            return Some(Event::Persisted { token: last });
+        }
+        self.attempt += 1;
+        Some(Event::PersistFailed { token: first })
+    }
+
+    /// A crash: only so many of the records under way last.
+    pub fn crash(&mut self, kept: usize) {
+        let attempt = self.attempt;
+        let batches = std::mem::take(&mut self.batches);
+        let current = batches.into_iter().filter(|batch| batch.attempt >= attempt);
+        let records: Vec<_> = current.flat_map(|batch| batch.records).take(kept).collect();
+        let _ = self.memory.append(&records);
+        self.attempt = 0;
+        self.syncing = 0;
+    }
+}
+
+/// A member.
+#[derive(Debug)]
+pub struct Node {
+    pub peer: Peer,
+    pub core: Option<Core>,
+    pub disk: Queue,
+    pub state: State,
+    /// Counts starts, so that what belongs to an earlier process is told apart.
+    pub life: u64,
+    pub paused_until: Duration,
+    pub wake: Duration,
+    /// The commit index up to which entries were compared.
+    pub checked: Index,
+    started: Duration,
+    /// Difference of the clock's rate from real time, in millionths.
+    drift: i64,
+}
+
+/// Small limits, so that few entries reach them.
+pub fn config(founder: bool, fault: Option<Fault>) -> Config {
+    Config {
+        peers: (0..8).collect(),
+        founder,
+        message_bytes: 64,
+        inflight: 3,
+        compact_entries: 12,
+        trailing_entries: 3,
+        catch_up: Duration::from_secs(3),
+        fault,
+        ..Config::default()
+    }
+}
+
+impl Node {
+    pub fn new(recovered: Recovered) -> Self {
+        let peer = recovered.identity.peer;
+        let sync = Duration::from_millis(2);
+        let memory = Memory::new(recovered);
+        let disk = Queue {
+            memory,
+            batches: VecDeque::new(),
+            attempt: 0,
+            sync,
+            syncing: 0,
+        };
+        Self {
+            peer,
+            core: None,
+            disk,
+            state: State::default(),
+            life: 0,
+            paused_until: Duration::ZERO,
+            wake: Duration::ZERO,
+            checked: 0,
+            started: Duration::ZERO,
+            drift: 0,
+        }
+    }
+
+    /// Starts the process at a real time with some clock rate.
+    pub fn start(&mut self, config: Config, seed: u64, now: Duration) {
+        let bound = i64::from(DRIFT_PPM);
+        self.drift =
+            [-bound, bound, 0, i64::try_from(seed % 100).unwrap()][(seed >> 8) as usize % 4];
+        self.started = now;
+        self.life += 1;
+        self.checked = 0;
+        self.state = State::default();
+        self.wake = Duration::MAX;
+        self.core = Some(Core::new(
+            config,
+            self.disk.memory.recovered(),
+            seed,
+            Time::ZERO,
+        ));
+    }
+
+    pub fn crash(&mut self, kept: usize) {
+        self.disk.crash(kept);
+        self.core = None;
+        self.paused_until = Duration::ZERO;
+    }
+
+    pub fn wipe(&mut self, incarnation: u64) {
+        self.crash(0);
+        self.peer.incarnation = incarnation;
+        let identity = Identity {
+            peer: self.peer,
+            ..self.disk.memory.recovered().identity
+        };
+        self.disk.memory = Memory::new(Recovered::empty(identity));
+    }
+
+    fn rate(&self) -> u64 {
+        MILLION.checked_add_signed(self.drift).unwrap()
+    }
+
+    /// The process's clock at a real time.
+    pub fn local(&self, real: Duration) -> Time {
+        scale(real.saturating_sub(self.started), self.rate(), MILLION)
+    }
+
+    /// The first real time at which the process's clock shows `local`.
+    pub fn real(&self, local: Time) -> Duration {
+        self.started + scale(local, MILLION, self.rate()) + Duration::from_nanos(1)
+    }
+
+    /// The latest members that this one knows, in memory or on disk.
+    pub fn memberships(&self) -> Vec<Membership> {
+        let recovered = self.disk.memory.recovered();
+        let disk = Core::new(Config::default(), recovered, 0, Time::ZERO)
+            .status()
+            .members;
+        let memory = self.core.as_ref().map(|core| core.status().members);
+        memory.into_iter().chain([disk]).collect()
+    }
+}
+
+fn scale(time: Duration, by: u64, of: u64) -> Duration {
+    let nanos = time.as_nanos() * u128::from(by) / u128::from(of);
+    Duration::from_nanos(u64::try_from(nanos).unwrap())
+}
