--- a/crates/planner/src/keep.rs
+++ b/crates/planner/src/keep.rs
@@ -7,8 +7,15 @@
 use crate::history::History;
 use crate::number::time;
 
-/// Accelerator seconds that one second of waiting of one request is worth at equal weights.
+/// Accelerator seconds that a cold start of [`TYPICAL`] is worth, a second and request.
 const EXCHANGE: f64 = 10.0;
+/// A cold start in the middle of the range, in seconds.
+const TYPICAL: f64 = 5.0;
+/// How much a cold start of twice the length costs more, as a power of two.
+///
+/// Above 1, since the tail is what counts: a long cold start is worse than two
+/// of half its length.
+const TAIL: i32 = 3;
 
 /// What decides on one idle replica.
 #[derive(Debug, Clone, Copy)]
@@ -83,14 +90,19 @@
     }
 }
 
+/// What the next cold start costs, in seconds of waiting of typical ones.
+fn pain(facts: &Facts) -> f64 {
+    let ratio = facts.cold.as_secs_f64() / TYPICAL;
+    TYPICAL * ratio.powi(TAIL) * facts.history.hurt()
+}
+
 /// The time to keep a replica for which its expected cost is least.
 ///
 /// Keeping it for `d` costs the accelerators until the next call or `d`, and a
 /// cold start if the call comes after `d`.
 fn cheapest(facts: &Facts) -> Verdict {
     let idle_price = facts.keeping.idle_weight * f64::from(facts.accelerators);
-    let cold = facts.cold.as_secs_f64() * facts.history.hurt();
-    let cold_price = facts.keeping.cold_start_weight * EXCHANGE * cold;
+    let cold_price = facts.keeping.cold_start_weight * EXCHANGE * pain(facts);
     let idle = facts.idle.as_secs_f64();
     let last = facts.rules.maximum.as_secs_f64();
     let all: f64 = facts.history.gaps.after(facts.idle).map(|b| b.share).sum();
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -5,12 +5,14 @@
 //! [`decision::Decision`]s. It sends nothing; the caller commits each decision
 //! before any order leaves.
 
+mod adapt;
 pub mod baseline;
 pub mod catalog;
 pub mod decision;
 pub mod gap;
 pub mod history;
 pub mod keep;
+mod load;
 pub mod need;
 pub mod notes;
 mod number;
@@ -18,6 +20,7 @@
 pub mod picture;
 pub mod place;
 pub mod policy;
+mod retire;
 mod round;
 pub mod scale;
 pub mod scene;
