Property tests of entry hosts, and the faults they found

Cause: the invariants of a request were only shown by flow tests. Change: src/tests runs one to three cores with a fake of control and fake targets in virtual time: deaths, doubled, late, crossed and truncated answers, lost and late claim replies, lost leases and views, drains, a poison request. Found and mended: a late grant after a refusal was not given back; a lapsed reservation woke the core for ever; a doubled Progress put the stall timer off; a break reported just after a cancel was no strike, so a third target was lost (module stopped).

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -11,7 +11,7 @@
 use crate::event::{Attempt, CallId, Failure, What};
 use crate::fault::Fault;
 use crate::finish::End;
-use crate::quarantine;
+use crate::quarantine::{self, Life};
 use crate::queue::Key;
 use crate::request::{Call, Reach, Run as Flight, Stage};
 use crate::route::Candidate;
@@ -102,10 +102,10 @@
         let current = call
             .run(attempt)
             .is_some_and(|run| run.reach == Reach::Begun);
-        if !current || call.answered {
+        if !current || call.answered || offset <= call.offset {
             return;
         }
-        call.offset = call.offset.max(offset);
+        call.offset = offset;
         self.touch(id);
     }
 
@@ -162,6 +162,12 @@
     /// The attempt failed.
     pub(crate) fn failed(&mut self, id: CallId, attempt: Attempt, failure: Failure) {
         let attempt = self.taken(id, attempt);
+        if let Some((fingerprint, life)) = self.stopped.take((id, attempt)) {
+            if rule::effect(failure).strike {
+                self.strike(fingerprint, life);
+            }
+            return;
+        }
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -210,19 +216,24 @@
             });
         }
         if effect.strike && run.reach > Reach::Unsent {
-            let life = (target.clone(), incarnation);
-            if !self.planted(Fault::ForgetsStrikes) {
-                self.quarantine.strike(fingerprint, life, self.now);
-            }
-            self.actions.push(Action::Strike {
-                fingerprint,
-                target,
-                incarnation,
-            });
-            self.expel(fingerprint);
+            self.strike(fingerprint, (target, incarnation));
         }
     }
 
+    /// Counts a target that died with a request in progress.
+    fn strike(&mut self, fingerprint: u64, life: Life) {
+        if !self.planted(Fault::ForgetsStrikes) {
+            self.quarantine.strike(fingerprint, life.clone(), self.now);
+        }
+        let (target, incarnation) = life;
+        self.actions.push(Action::Strike {
+            fingerprint,
+            target,
+            incarnation,
+        });
+        self.expel(fingerprint);
+    }
+
     /// Refuses what waits with a fingerprint that took down as many targets as it may.
     pub(crate) fn expel(&mut self, fingerprint: u64) {
         if self.quarantine.strikes(fingerprint) < quarantine::LIMIT {
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -27,6 +27,7 @@
 use crate::request::{Call, Stage};
 use crate::route::Place;
 use crate::share::Shares;
+use crate::stopped::Stopped;
 
 /// How often requests that can no longer be met are looked for.
 const SWEEP: Time = Time::from_millis(100);
@@ -69,6 +70,7 @@
     pub(crate) ejections: Ejections,
     pub(crate) caches: Caches,
     pub(crate) quarantine: Quarantine,
+    pub(crate) stopped: Stopped,
     pub(crate) budget: Budget,
     pub(crate) orphans: Orphans,
     /// Requests in progress by place.
@@ -110,6 +112,7 @@
             ejections: Ejections::default(),
             caches: Caches::default(),
             quarantine: Quarantine::default(),
+            stopped: Stopped::default(),
             budget: Budget::new(now),
             orphans: Orphans::default(),
             flights: BTreeMap::new(),
@@ -268,6 +271,7 @@
             || self.quarantine.next().is_some_and(|at| at <= self.now);
         if retry {
             self.starved = None;
+            self.quarantine.lapse(self.now);
             self.dirty.extend(self.queue.keys());
         }
         if self.sweep <= self.now {
@@ -305,6 +309,7 @@
         let kept = Time::from_secs(self.catalogue.fleet.refusing.quarantine_s);
         self.quarantine.expire(kept, self.now);
         self.orphans.expire(self.now);
+        self.stopped.expire(self.now);
         if self.config.early {
             for key in self.queue.keys() {
                 self.shed_late(&key);
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -300,10 +300,7 @@
         self.queue.remove(&call.key, call.rank, id);
         let fingerprint = call.request.fingerprint;
         let life = (candidate.place.target.clone(), candidate.incarnation);
-        let suspect = self.quarantine.strikes(fingerprint) > 0;
-        if suspect {
-            self.quarantine.start(&life);
-        }
+        let reserved = self.quarantine.strikes(fingerprint) > 0 && self.quarantine.start(&life);
         if call.reach == Reach::Unsent {
             self.budget.earn();
         } else {
@@ -316,7 +313,7 @@
             incarnation: candidate.incarnation,
             reach: Reach::Unsent,
             since: self.now,
-            suspect,
+            reserved,
         });
         *self.flights.entry(candidate.place.clone()).or_default() += 1;
         let targets = self.prints.entry(fingerprint).or_default();
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -189,7 +189,7 @@
         /// The attempt.
         attempt: Attempt,
     },
-    /// The attempt failed.
+    /// The attempt failed; told also of an attempt that was cancelled just before.
     Failed {
         /// The request.
         id: CallId,
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -129,6 +129,14 @@
         let Some(run) = self.calls.get(&id).and_then(Call::running).cloned() else {
             return;
         };
+        if run.reach > Reach::Unsent
+            && let Some(call) = self.calls.get(&id)
+        {
+            let life = (run.place.target.clone(), run.incarnation);
+            let fingerprint = call.request.fingerprint;
+            self.stopped
+                .insert((id, run.attempt), fingerprint, life, self.now);
+        }
         self.actions.push(Action::Cancel {
             id,
             attempt: run.attempt,
@@ -154,7 +162,7 @@
             }
         }
         self.unprint(fingerprint, &run.place.target);
-        if run.suspect {
+        if run.reserved {
             let life: Life = (run.place.target, run.incarnation);
             self.quarantine.end(&life);
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -45,10 +45,13 @@
 pub mod route;
 pub mod rule;
 pub mod share;
+pub mod stopped;
 
 mod admit;
 mod attempt;
 mod dispatch;
 mod fault;
 mod finish;
+#[cfg(test)]
+mod tests;
 mod watch;
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -149,10 +149,7 @@
 
     /// The target to ask control for, out of those that could run a waiting suspect.
     pub fn ask(&mut self, targets: &[Life], now: Time) -> Option<Life> {
-        self.slots.retain(|_, slot| match slot {
-            Slot::Asked { until } | Slot::Denied { until } => *until > now,
-            Slot::Held { .. } => true,
-        });
+        self.lapse(now);
         let denied = |slot: &&Slot| matches!(slot, Slot::Denied { .. });
         let denied = self.slots.values().filter(denied).count();
         if self.slots.len() - denied >= RESERVED {
@@ -164,6 +161,14 @@
         Some(next.clone())
     }
 
+    /// Forgets reservations that were asked for or denied too long ago.
+    pub fn lapse(&mut self, now: Time) {
+        self.slots.retain(|_, slot| match slot {
+            Slot::Asked { until } | Slot::Denied { until } => *until > now,
+            Slot::Held { .. } => true,
+        });
+    }
+
     /// Takes control's answer; returns whether the reservation is of use.
     pub fn reserved(&mut self, life: &Life, granted: bool, now: Time) -> bool {
         let asked = match self.slots.get(life) {
@@ -182,11 +187,13 @@
         asked
     }
 
-    /// Counts a suspect that was sent.
-    pub fn start(&mut self, life: &Life) {
-        if let Some(Slot::Held { running }) = self.slots.get_mut(life) {
-            *running += 1;
-        }
+    /// Counts a suspect that was sent; returns whether the target is reserved for it.
+    pub fn start(&mut self, life: &Life) -> bool {
+        let Some(Slot::Held { running }) = self.slots.get_mut(life) else {
+            return false;
+        };
+        *running += 1;
+        true
     }
 
     /// Counts a suspect that ended.
@@ -196,10 +203,11 @@
         }
     }
 
-    /// Takes out the reservations on which nothing runs.
-    pub fn release(&mut self) -> Vec<Life> {
+    /// Takes out the reservations on which nothing runs and that are not `kept`.
+    pub fn release(&mut self, kept: impl Fn(&Life) -> bool) -> Vec<Life> {
         let idle = |slot: &Slot| matches!(slot, Slot::Held { running: 0 });
-        let slots = self.slots.iter().filter(|(_, slot)| idle(slot));
+        let slots = self.slots.iter();
+        let slots = slots.filter(|(life, slot)| idle(slot) && !kept(life));
         let lives: Vec<Life> = slots.map(|(life, _)| life.clone()).collect();
         for life in &lives {
             self.slots.remove(life);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -31,8 +31,8 @@
     pub reach: Reach,
     /// When it was sent.
     pub since: Time,
-    /// Whether it runs in quarantine.
-    pub suspect: bool,
+    /// Whether it runs on a target that is reserved for suspects.
+    pub reserved: bool,
 }
 
 /// What a request is waiting for.
--- /dev/null
+++ b/crates/entry/src/tests/control.rs
@@ -0,0 +1,189 @@
+//! A fake of control: claims, strikes, reservations and the view.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cornelhitch_types::entry::Host;
+use cornelhitch_types::id::{CallerId, Name};
+use cornelhitch_types::target::{Kind, Load};
+use cornelhitch_types::view::{Change, Replica, State, Target, View};
+
+use crate::claim::{Outcome, Reply};
+use crate::event::{CallId, Digest};
+use crate::quarantine::Life;
+
+/// The settings of a run: small bounds, so that they are met.
+pub const SETTINGS: &str = "
+refusing: { queue: 12, caller: 9, quarantine-s: 3600 }
+placing: { concurrency: 3 }
+regions: [{ name: perth-a, distance-ms: 30, price: 0.1 }]
+classes: [{ name: urgent, weight: 100 }, { name: patient, weight: 1 }]
+models: [{ name: report, bytes: 1000 }]
+services: [{ name: bids }]
+";
+
+/// Requests that wait on one core at most.
+pub const QUEUE: usize = 12;
+
+/// Requests of one caller on one core at most.
+pub const CALLER: u32 = 9;
+
+/// A fake target with one replica and one service.
+#[derive(Debug, Clone)]
+pub struct Fake {
+    /// Its name.
+    pub name: Name,
+    /// Its life.
+    pub incarnation: u64,
+    /// Whether its process runs.
+    pub alive: bool,
+    /// Whether it takes new work.
+    pub open: bool,
+    /// Its replica.
+    pub replica: u64,
+    /// The state of the replica.
+    pub state: State,
+}
+
+/// Who holds a claim, and what became of it.
+#[derive(Debug, Clone)]
+struct Held {
+    owner: CallId,
+    digest: Digest,
+    outcome: Option<Outcome>,
+}
+
+/// Control.
+#[derive(Debug, Default)]
+pub struct Control {
+    claims: BTreeMap<(CallerId, Name), Held>,
+    strikes: BTreeMap<u64, BTreeSet<Life>>,
+    reserved: BTreeMap<Life, usize>,
+    sequence: u64,
+}
+
+impl Control {
+    /// Commits a claim, or says why not.
+    pub fn claim(&mut self, owner: CallId, at: (CallerId, Name), digest: Digest) -> Reply {
+        let held = self.claims.entry(at).or_insert(Held {
+            owner,
+            digest,
+            outcome: None,
+        });
+        if held.digest != digest {
+            return Reply::Mismatch;
+        }
+        match held.outcome {
+            Some(Outcome::Answered) => Reply::Recorded(bytes::Bytes::from_static(b"ok")),
+            Some(_) => Reply::Unknown,
+            None if held.owner == owner => Reply::Granted,
+            None => Reply::InProgress,
+        }
+    }
+
+    /// Commits an outcome; only the claim's owner can.
+    pub fn record(&mut self, owner: CallId, at: &(CallerId, Name), outcome: Outcome) {
+        let Some(held) = self.claims.get_mut(at) else {
+            return;
+        };
+        if held.owner != owner {
+            return;
+        }
+        if outcome == Outcome::NotRun {
+            self.claims.remove(at);
+        } else if held.outcome.is_none() {
+            held.outcome = Some(outcome);
+        }
+    }
+
+    /// Counts a strike.
+    pub fn strike(&mut self, fingerprint: u64, life: Life) -> Change {
+        let lives = self.strikes.entry(fingerprint).or_default();
+        lives.insert(life);
+        strikes(fingerprint, lives)
+    }
+
+    /// Reserves a target for one core's suspects.
+    pub fn reserve(&mut self, life: Life, core: usize) -> bool {
+        *self.reserved.entry(life).or_insert(core) == core
+    }
+
+    /// Ends a reservation.
+    pub fn unreserve(&mut self, life: &Life, core: usize) {
+        if self.reserved.get(life) == Some(&core) {
+            self.reserved.remove(life);
+        }
+    }
+
+    /// The next view, with these changes.
+    pub fn changes(&mut self, changes: Vec<Change>) -> View {
+        let from = self.sequence;
+        self.sequence += 1;
+        View {
+            term: 1,
+            from,
+            to: self.sequence,
+            changes,
+        }
+    }
+
+    /// The whole view.
+    pub fn whole(&self, targets: &[Fake], cores: usize) -> View {
+        let mut changes = vec![Change::Settings(1, SETTINGS.into())];
+        changes.extend((0..cores).map(host));
+        changes.extend(targets.iter().flat_map(Fake::changes));
+        let struck = self.strikes.iter();
+        changes.extend(struck.map(|(fingerprint, lives)| strikes(*fingerprint, lives)));
+        View {
+            term: 1,
+            from: 0,
+            to: self.sequence,
+            changes,
+        }
+    }
+}
+
+impl Fake {
+    /// What control publishes of it.
+    pub fn changes(&self) -> [Change; 2] {
+        let target = Target {
+            target: self.name.clone(),
+            incarnation: self.incarnation,
+            kind: Kind::Worker,
+            address: ([10, 0, 0, 1], 9_000).into(),
+            region: "perth-a".into(),
+            zone: "perth-a1".into(),
+            services: vec!["bids".into()],
+            open: self.open,
+            load: Load::default(),
+        };
+        let replica = Replica {
+            replica: self.replica,
+            model: "report".into(),
+            version: None,
+            target: self.name.clone(),
+            state: self.state,
+            ready_in_ms: 0,
+            adapters: Vec::new(),
+        };
+        [Change::Target(target), Change::Replica(replica)]
+    }
+}
+
+/// The number of strikes, as control publishes it.
+fn strikes(fingerprint: u64, lives: &BTreeSet<Life>) -> Change {
+    Change::Strike(fingerprint, u32::try_from(lives.len()).unwrap_or(u32::MAX))
+}
+
+/// An entry host, as control publishes it.
+fn host(core: usize) -> Change {
+    Change::Entry(Host {
+        host: core as u64,
+        incarnation: 1,
+        address: ([10, 0, 1, 1], 8_000).into(),
+        region: "perth-a".into(),
+        zone: "perth-a1".into(),
+        load: 0,
+        draining: false,
+        settings: 1,
+    })
+}
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -10,6 +10,7 @@
 use crate::event::CallId;
 use crate::finish::End;
 use crate::picture::Merge;
+use crate::quarantine::Life;
 use crate::route::Place;
 use crate::share;
 
@@ -165,7 +166,7 @@
         self.dirty.extend(self.queue.keys());
     }
 
-    /// Gives back the reservations that no suspect uses any more.
+    /// Gives back the reservations that no suspect can use any more.
     pub(crate) fn release(&mut self) {
         if !self.quarantine.holds() {
             return;
@@ -173,10 +174,9 @@
         let suspect = |call: &crate::request::Call| {
             self.quarantine.strikes(call.request.fingerprint) > 0 && call.waits()
         };
-        if self.calls.values().any(suspect) {
-            return;
-        }
-        for (target, incarnation) in self.quarantine.release() {
+        let wanted = self.calls.values().any(suspect);
+        let kept = |life: &Life| wanted && self.picture.open(&life.0, life.1);
+        for (target, incarnation) in self.quarantine.release(kept) {
             self.actions.push(Action::Unreserve {
                 target,
                 incarnation,
