Strikes that control published count beside the host's own

Change: an attempt remembers the strikes known when it was sent; a target that dies under it is one more, since it lived after the others had died.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -11,11 +11,12 @@
 use crate::event::{Attempt, CallId, Failure, What};
 use crate::fault::Fault;
 use crate::finish::End;
-use crate::quarantine::{self, Life};
+use crate::quarantine;
 use crate::queue::Key;
 use crate::request::{Call, Reach, Run as Flight, Stage};
 use crate::route::Candidate;
 use crate::rule::{self, Next};
+use crate::stopped::Suspect;
 
 /// The longest time without a part of an answer that has begun; also how far past its deadline a
 /// whole answer may go on that had begun before.
@@ -162,9 +163,9 @@
     /// The attempt failed.
     pub(crate) fn failed(&mut self, id: CallId, attempt: Attempt, failure: Failure) {
         let attempt = self.taken(id, attempt);
-        if let Some((fingerprint, life)) = self.stopped.take((id, attempt)) {
+        if let Some(suspect) = self.stopped.take((id, attempt)) {
             if rule::effect(failure).strike {
-                self.strike(fingerprint, life);
+                self.strike(suspect);
             }
             return;
         }
@@ -216,14 +217,24 @@
             });
         }
         if effect.strike && run.reach > Reach::Unsent {
-            self.strike(fingerprint, (target, incarnation));
+            self.strike(Suspect {
+                fingerprint,
+                strikes: run.strikes,
+                life: (target, incarnation),
+            });
         }
     }
 
     /// Counts a target that died with a request in progress.
-    fn strike(&mut self, fingerprint: u64, life: Life) {
+    fn strike(&mut self, suspect: Suspect) {
+        let Suspect {
+            fingerprint,
+            strikes,
+            life,
+        } = suspect;
         if !self.planted(Fault::ForgetsStrikes) {
-            self.quarantine.strike(fingerprint, life.clone(), self.now);
+            self.quarantine
+                .strike(fingerprint, life.clone(), strikes, self.now);
         }
         let (target, incarnation) = life;
         self.actions.push(Action::Strike {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -300,7 +300,8 @@
         self.queue.remove(&call.key, call.rank, id);
         let fingerprint = call.request.fingerprint;
         let life = (candidate.place.target.clone(), candidate.incarnation);
-        let reserved = self.quarantine.strikes(fingerprint) > 0 && self.quarantine.start(&life);
+        let strikes = self.quarantine.strikes(fingerprint);
+        let reserved = strikes > 0 && self.quarantine.start(&life);
         if call.reach == Reach::Unsent {
             self.budget.earn();
         } else {
@@ -313,6 +314,7 @@
             incarnation: candidate.incarnation,
             reach: Reach::Unsent,
             since: self.now,
+            strikes,
             reserved,
         });
         *self.flights.entry(candidate.place.clone()).or_default() += 1;
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::Life;
 use crate::queue::Key;
 use crate::request::{Call, Claim, Reach, Stage};
+use crate::stopped::Suspect;
 
 /// How long a call that may not be repeated goes on after its caller has been answered, so that
 /// its outcome can be recorded.
@@ -132,10 +133,12 @@
         if run.reach > Reach::Unsent
             && let Some(call) = self.calls.get(&id)
         {
-            let life = (run.place.target.clone(), run.incarnation);
-            let fingerprint = call.request.fingerprint;
-            self.stopped
-                .insert((id, run.attempt), fingerprint, life, self.now);
+            let suspect = Suspect {
+                fingerprint: call.request.fingerprint,
+                strikes: run.strikes,
+                life: (run.place.target.clone(), run.incarnation),
+            };
+            self.stopped.insert((id, run.attempt), suspect, self.now);
         }
         self.actions.push(Action::Cancel {
             id,
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -35,6 +35,8 @@
     seen: BTreeSet<Life>,
     /// Strikes that control published.
     published: u32,
+    /// One more than were known when an attempt was sent that took its target down.
+    least: u32,
     /// When the last strike came.
     at: Time,
 }
@@ -75,14 +77,18 @@
         let record = self.records.get(&fingerprint);
         record.map_or(0, |record| {
             let seen = u32::try_from(record.seen.len()).unwrap_or(u32::MAX);
-            seen.max(record.published)
+            seen.max(record.published).max(record.least)
         })
     }
 
     /// Counts a target that died; the same life of a target counts once.
-    pub fn strike(&mut self, fingerprint: u64, life: Life, now: Time) {
+    ///
+    /// `known` strikes had been counted when the attempt was sent: they were other targets, since
+    /// this one lived then, whether or not control names them.
+    pub fn strike(&mut self, fingerprint: u64, life: Life, known: u32, now: Time) {
         let record = self.records.entry(fingerprint).or_default();
         record.seen.insert(life);
+        record.least = record.least.max(known + 1);
         record.at = now;
     }
 
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -31,6 +31,8 @@
     pub reach: Reach,
     /// When it was sent.
     pub since: Time,
+    /// Strikes that were known of the request when it was sent.
+    pub strikes: u32,
     /// Whether it runs on a target that is reserved for suspects.
     pub reserved: bool,
 }
--- a/crates/entry/src/stopped.rs
+++ b/crates/entry/src/stopped.rs
@@ -16,19 +16,30 @@
 /// Attempts remembered at most; the oldest go first.
 const LIMIT: usize = 4_096;
 
+/// What a stopped attempt ran, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// The request's fingerprint.
+    pub fingerprint: u64,
+    /// Strikes that were known of it when it was sent.
+    pub strikes: u32,
+    /// The target in its life.
+    pub life: Life,
+}
+
 /// Attempts that were stopped after their first byte was allowed.
 #[derive(Debug, Default)]
 pub struct Stopped {
     /// What each ran, and where.
-    runs: BTreeMap<(CallId, Attempt), (u64, Life)>,
+    runs: BTreeMap<(CallId, Attempt), Suspect>,
     /// In the order of their ends.
     order: VecDeque<(Time, (CallId, Attempt))>,
 }
 
 impl Stopped {
     /// Remembers an attempt.
-    pub fn insert(&mut self, at: (CallId, Attempt), fingerprint: u64, life: Life, now: Time) {
-        self.runs.insert(at, (fingerprint, life));
+    pub fn insert(&mut self, at: (CallId, Attempt), suspect: Suspect, now: Time) {
+        self.runs.insert(at, suspect);
         self.order.push_back((now + KEPT, at));
         while self.order.len() > LIMIT {
             self.drop_first();
@@ -38,15 +49,16 @@
     /// Takes the attempt that a break is reported for.
     ///
     /// ```
-    /// use cornelhitch_entry::stopped::Stopped;
+    /// use cornelhitch_entry::stopped::{Stopped, Suspect};
     /// use std::time::Duration;
     ///
     /// let mut stopped = Stopped::default();
-    /// stopped.insert((7, 1), 99, ("worker-1".into(), 1), Duration::ZERO);
+    /// let life = ("worker-1".into(), 1);
+    /// stopped.insert((7, 1), Suspect { fingerprint: 99, strikes: 0, life }, Duration::ZERO);
     /// assert!(stopped.take((7, 1)).is_some());
     /// assert!(stopped.take((7, 1)).is_none());
     /// ```
-    pub fn take(&mut self, at: (CallId, Attempt)) -> Option<(u64, Life)> {
+    pub fn take(&mut self, at: (CallId, Attempt)) -> Option<Suspect> {
         self.runs.remove(&at)
     }
 
