--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::request::{Call, Reach, Run as Flight, Stage};
 use crate::route::Candidate;
 use crate::rule::{self, Next};
+use crate::stopped::Suspect;
 
 /// The longest time without a part of an answer that has begun; also how far past its deadline a
 /// whole answer may go on that had begun before.
@@ -102,10 +103,10 @@
         let current = call
             .run(attempt)
             .is_some_and(|run| run.reach == Reach::Begun);
-        if !current || call.answered {
+        if !current || call.answered || offset <= call.offset {
             return;
         }
-        call.offset = call.offset.max(offset);
+        call.offset = offset;
         self.touch(id);
     }
 
@@ -162,6 +163,12 @@
     /// The attempt failed.
     pub(crate) fn failed(&mut self, id: CallId, attempt: Attempt, failure: Failure) {
         let attempt = self.taken(id, attempt);
+        if let Some(suspect) = self.stopped.take((id, attempt)) {
+            if rule::effect(failure).strike {
+                self.strike(suspect);
+            }
+            return;
+        }
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -210,19 +217,34 @@
             });
         }
         if effect.strike && run.reach > Reach::Unsent {
-            let life = (target.clone(), incarnation);
-            if !self.planted(Fault::ForgetsStrikes) {
-                self.quarantine.strike(fingerprint, life, self.now);
-            }
-            self.actions.push(Action::Strike {
+            self.strike(Suspect {
                 fingerprint,
-                target,
-                incarnation,
+                strikes: run.strikes,
+                life: (target, incarnation),
             });
-            self.expel(fingerprint);
         }
     }
 
+    /// Counts a target that died with a request in progress.
+    fn strike(&mut self, suspect: Suspect) {
+        let Suspect {
+            fingerprint,
+            strikes,
+            life,
+        } = suspect;
+        if !self.planted(Fault::ForgetsStrikes) {
+            self.quarantine
+                .strike(fingerprint, life.clone(), strikes, self.now);
+        }
+        let (target, incarnation) = life;
+        self.actions.push(Action::Strike {
+            fingerprint,
+            target,
+            incarnation,
+        });
+        self.expel(fingerprint);
+    }
+
     /// Refuses what waits with a fingerprint that took down as many targets as it may.
     pub(crate) fn expel(&mut self, fingerprint: u64) {
         if self.quarantine.strikes(fingerprint) < quarantine::LIMIT {
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::Life;
 use crate::queue::Key;
 use crate::request::{Call, Claim, Reach, Stage};
+use crate::stopped::Suspect;
 
 /// How long a call that may not be repeated goes on after its caller has been answered, so that
 /// its outcome can be recorded.
@@ -129,6 +130,16 @@
         let Some(run) = self.calls.get(&id).and_then(Call::running).cloned() else {
             return;
         };
+        if run.reach > Reach::Unsent
+            && let Some(call) = self.calls.get(&id)
+        {
+            let suspect = Suspect {
+                fingerprint: call.request.fingerprint,
+                strikes: run.strikes,
+                life: (run.place.target.clone(), run.incarnation),
+            };
+            self.stopped.insert((id, run.attempt), suspect, self.now);
+        }
         self.actions.push(Action::Cancel {
             id,
             attempt: run.attempt,
@@ -154,7 +165,7 @@
             }
         }
         self.unprint(fingerprint, &run.place.target);
-        if run.suspect {
+        if run.reserved {
             let life: Life = (run.place.target, run.incarnation);
             self.quarantine.end(&life);
         }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -31,8 +31,10 @@
     pub reach: Reach,
     /// When it was sent.
     pub since: Time,
-    /// Whether it runs in quarantine.
-    pub suspect: bool,
+    /// Strikes that were known of the request when it was sent.
+    pub strikes: u32,
+    /// Whether it runs on a target that is reserved for suspects.
+    pub reserved: bool,
 }
 
 /// What a request is waiting for.
