--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -87,10 +87,12 @@
     /// The JSON of one token.
     fn token(&self, at: u64) -> String {
         let token = text::token(&self.model, text::digest(&self.body), at);
+        let finish = (at + 1 == self.tokens).then_some("stop");
         let choice = if self.chat {
-            serde_json::json!({ "index": 0, "delta": { "content": token } })
+            let delta = serde_json::json!({ "content": token });
+            serde_json::json!({ "index": 0, "finish_reason": finish, "delta": delta })
         } else {
-            serde_json::json!({ "index": 0, "text": token })
+            serde_json::json!({ "index": 0, "finish_reason": finish, "text": token })
         };
         let object = if self.chat {
             "chat.completion.chunk"
--- a/crates/target/src/sse.rs
+++ b/crates/target/src/sse.rs
@@ -67,7 +67,8 @@
 
 /// Whether the line that a feed would end after these bytes is empty.
 fn empty_line(before: &[u8]) -> bool {
-    before.ends_with(b"\n") || before.ends_with(b"\n\r")
+    let line = before.strip_suffix(b"\r").unwrap_or(before);
+    line.is_empty() || line.ends_with(b"\n")
 }
 
 /// The fields of one event.
--- /dev/null
+++ b/crates/target/tests/sse.rs
@@ -0,0 +1,72 @@
+//! Events are cut the same wherever the bytes are split, and none is lost or changed.
+
+use cornelhitch_target::sse::{Event, Splitter};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// The events of some pieces, and how many bytes are left.
+fn cut(pieces: &[&[u8]]) -> (Vec<Vec<u8>>, usize) {
+    let mut splitter = Splitter::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece);
+        while let Some(event) = splitter.event() {
+            events.push(event.to_vec());
+        }
+    }
+    (events, splitter.rest())
+}
+
+/// The same cases in each run.
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn where_bytes_are_split_makes_no_difference(
+        stream in "([a-c:]{0,3}(\r\n|\n)){0,24}[a-c]{0,3}",
+        step in 1_usize..9,
+    ) {
+        let bytes = stream.as_bytes();
+        let pieces: Vec<_> = bytes.chunks(step).collect();
+        let (events, rest) = cut(&pieces);
+        prop_assert_eq!(&cut(&[bytes]), &(events.clone(), rest));
+
+        let mut whole = events.concat();
+        whole.extend_from_slice(&bytes[bytes.len() - rest..]);
+        prop_assert_eq!(whole, bytes);
+        for event in events {
+            let text = String::from_utf8(event).expect("UTF-8");
+            let lines: Vec<_> = text.lines().collect();
+            let empty = lines.iter().position(|line| line.is_empty());
+            prop_assert_eq!(empty, Some(lines.len() - 1));
+        }
+    }
+}
+
+#[test]
+fn ids_of_events_are_read_from_the_right() {
+    // The id, and the request, from and to that it tells.
+    let rows = [
+        ("r-1/0/2", Some(("r-1", 0, 2))),
+        ("a/b/c/3/3", Some(("a/b/c", 3, 3))),
+        ("r-1/3/2", None),
+        ("r-1/2", None),
+        ("r-1/-1/2", None),
+        ("r-1/0/18446744073709551616", None),
+        ("", None),
+    ];
+    for (id, expected) in rows {
+        let text = format!("id: {id}\ndata: x\n\n");
+        let event = Event::parse(text.as_bytes()).expect("UTF-8");
+        let position = event.position().map(|p| (p.request, p.from, p.to));
+        assert_eq!(position, expected, "{id}");
+    }
+}
