--- a/crates/standin/src/batch.rs
+++ b/crates/standin/src/batch.rs
@@ -125,3 +125,6 @@
         self.batch.release();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/standin/tests/service.rs
@@ -0,0 +1,76 @@
+//! A plain service counts runs, and its failures are told for what they are.
+
+mod common;
+
+use cornelhitch_standin::service::{Failure, Service};
+use cornelhitch_target::client::{Call, Client};
+use cornelhitch_target::http::Http;
+use cornelhitch_types::refusal::Run;
+use http::{HeaderMap, HeaderValue, Method};
+use tokio_util::sync::CancellationToken;
+
+/// A bid with a key.
+fn bid(key: &'static str) -> Call {
+    let mut headers = HeaderMap::new();
+    headers.insert("idempotency-key", HeaderValue::from_static(key));
+    Call {
+        request: "r-1".into(),
+        method: Method::POST,
+        path: "/lots/17/bids?lane=2".into(),
+        headers,
+        body: "{}".into(),
+        repeatable: false,
+        deadline: Some(common::LONG),
+    }
+}
+
+#[tokio::test]
+async fn each_failure_leaves_the_runs_and_the_word_that_fit() {
+    // The failure, the runs that are counted, and whether it ran by the client's word.
+    let rows = [
+        (None, 1, None),
+        (Some(Failure::Fail), 1, None),
+        (Some(Failure::Refuse), 0, None),
+        (Some(Failure::BreakBefore), 0, Some(Run::Unknown)),
+        (Some(Failure::BreakAfter), 1, Some(Run::Unknown)),
+        (Some(Failure::Crossed), 1, Some(Run::Unknown)),
+    ];
+    for (failure, runs, run) in rows {
+        let service = Service::builder().name("auction-1").runs("bids");
+        let service = service
+            .start(CancellationToken::new())
+            .await
+            .expect("a port");
+        if let Some(failure) = failure {
+            service.fail(failure);
+        }
+        let gate = Box::new(|| true);
+        let reply = Http::default()
+            .call(service.address(), bid("k1"), gate)
+            .await;
+        assert_eq!(reply.err().map(|error| error.run()), run, "{failure:?}");
+        let counted = service.runs().get("k1").copied().unwrap_or(0);
+        assert_eq!(counted, runs, "{failure:?}");
+        service.stop();
+    }
+}
+
+#[tokio::test]
+async fn a_key_that_comes_twice_is_counted_twice() {
+    let service = Service::builder().runs("bids");
+    let service = service
+        .start(CancellationToken::new())
+        .await
+        .expect("a port");
+    let http = Http::default();
+    for run in 1..=2 {
+        let reply = http
+            .call(service.address(), bid("k1"), Box::new(|| true))
+            .await;
+        let body = reply.expect("a reply").body;
+        let body: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+        assert_eq!(body["run"], run);
+        assert_eq!(body["path"], "/lots/17/bids?lane=2");
+    }
+    service.stop();
+}
