A watchdog ends the stand-ins' tests where what they wait for never comes

Cause: a fault put in on purpose made a test wait for ever in place of failing. Conclusion: the same fault now fails the test.

--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -82,11 +82,14 @@
     .await;
 }
 
-/// Waits until something holds.
+/// Waits until something holds, which it does long before the watchdog ends the test.
 pub async fn until(holds: impl Fn() -> bool) {
-    while !holds() {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
+    let wait = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(LONG, wait).await.expect("it comes");
 }
 
 /// A request for the model.
