--- a/crates/control/examples/scale.rs
+++ b/crates/control/examples/scale.rs
@@ -227,11 +227,13 @@
             key: key(claim),
             digest: [1; 32],
             holder: holder(),
+            call: claim as u64,
             issued: None,
         }));
         bench.commit(Command::Finish(Finish {
             key: key(claim),
             holder: holder(),
+            call: claim as u64,
             outcome: Outcome::Answered {
                 status: 200,
                 content: "application/json".into(),
--- a/crates/control/src/replicas.rs
+++ b/crates/control/src/replicas.rs
@@ -151,6 +151,8 @@
     last: ReplicaId,
     standing: BTreeMap<ReplicaId, Replica>,
     quiet: VecDeque<Quiet>,
+    /// Replicas that were ever decided, by model.
+    decided: BTreeMap<ModelId, u64>,
     /// Follows from `standing`.
     targets: BTreeMap<TargetId, Room>,
     /// Follows from `standing`.
@@ -170,6 +172,7 @@
     last: ReplicaId,
     standing: Vec<Replica>,
     quiet: VecDeque<Quiet>,
+    decided: BTreeMap<ModelId, u64>,
 }
 
 /// What a snapshot is written from, in the shape of [`Image`].
@@ -178,6 +181,7 @@
     last: ReplicaId,
     standing: Vec<&'a Replica>,
     quiet: &'a VecDeque<Quiet>,
+    decided: &'a BTreeMap<ModelId, u64>,
 }
 
 impl Serialize for Replicas {
@@ -186,6 +190,7 @@
             last: self.last,
             standing: self.standing.values().collect(),
             quiet: &self.quiet,
+            decided: &self.decided,
         };
         borrowed.serialize(serializer)
     }
@@ -200,6 +205,7 @@
                 image.last
             },
             quiet: image.quiet,
+            decided: image.decided,
             ..Self::default()
         };
         for replica in image.standing {
@@ -216,6 +222,12 @@
         self.standing.get(&replica)
     }
 
+    /// Replicas of a model that were ever decided.
+    #[must_use]
+    pub fn decided(&self, model: &str) -> u64 {
+        self.decided.get(model).copied().unwrap_or_default()
+    }
+
     /// All replicas in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = &Replica> {
         self.standing.values()
@@ -277,6 +289,7 @@
             adopted: decide.adopted,
             after: decide.after,
         };
+        *self.decided.entry(replica.model.clone()).or_default() += 1;
         self.insert(replica.clone());
         Answer::Decided(replica)
     }
