Control: no clock in the quiet time, drains that wait for hosts out of touch

The quiet time was counted by the log's time, which may jump by the clocks' difference at a leader change. A host out of touch was counted as running nothing after 5 s, so its requests could have been cut off by an unload. A host that cannot reach a target which others reach could close it for everyone again and again. Replicas on a worker lost for good kept counting as ready for the planner.

Change: the quiet time counts the worker's own heartbeats, in the replicated rules. What a host out of touch had in progress counts for the drain time unless the worker is idle; a replica is unused when every host with a lease has said so after its retirement, and a new leader does not conclude that for its first 30 s. Hints that were wrong are doubted for 30 s. Leaving said besides heartbeats (Input::Leaving) lasts for the life. Copies being warmed are ordered once. The schedules' quiet end lets the first hosts report that nothing runs, since their older reports now count for longer.

Conclusion: no safety rule of replicas depends on a control host's clock.

--- a/crates/control/src/beats.rs
+++ b/crates/control/src/beats.rs
@@ -10,7 +10,7 @@
 use crate::reign::Reign;
 use crate::replicas::{Decide, Evidence, QUIET_BEATS, Replica};
 use crate::turn::Turn;
-use crate::workers::{Stranger, explains};
+use crate::workers::{Leave, Stranger, explains};
 
 /// Heartbeats in a row that show a copy before it counts as one that no replica explains.
 const PERSISTENT: u64 = 2;
@@ -46,7 +46,7 @@
         }
         let open = worker.is_open();
         let old = worker.beat.take();
-        worker.take(heartbeat, turn.now);
+        worker.take(heartbeat, turn.now, turn.timing.distrust);
         let reopened = worker.is_open() != open;
         let beat = worker.beat.as_ref();
         let load = beat.map(|it| it.load) != old.as_ref().map(|it| it.load);
@@ -244,7 +244,7 @@
         let Some(worker) = self.workers.get_mut(target) else {
             return;
         };
-        let until = turn.now + crate::replicas::QUIET;
+        let until = turn.now + turn.timing.quiet;
         worker.back_off(&stranger.model.model, until, turn.now);
         let same =
             |it: &&mut Stranger| it.model == stranger.model && it.replica == stranger.replica;
@@ -259,18 +259,38 @@
         let Some(worker) = worker.filter(|worker| worker.incarnation == incarnation) else {
             return;
         };
-        if !worker.suspected {
+        worker.hinted = true;
+        // A host that cannot reach a target which others reach must not close it again and again.
+        if !worker.suspected && turn.now >= worker.distrusted {
             worker.suspected = true;
             self.suspect(target, turn);
         }
     }
 
+    /// A target says that it leaves.
+    pub(crate) fn leaving(&mut self, target: &TargetId, incarnation: Incarnation, turn: &mut Turn) {
+        let worker = self.workers.get_mut(target);
+        let Some(worker) = worker.filter(|worker| worker.incarnation == incarnation) else {
+            return;
+        };
+        let open = worker.is_open();
+        worker.leave = Leave::Told;
+        if open {
+            self.suspect(target, turn);
+        }
+    }
+
     /// Suspects targets that are silent, and lets go of those that have been for long.
     pub(crate) fn watch(&mut self, turn: &mut Turn) {
         let mut suspects = Vec::new();
         for (target, worker) in self.workers.iter_mut() {
             let silence = turn.now.saturating_sub(worker.heard);
-            if silence < turn.timing.suspicion {
+            let patience = if worker.hinted {
+                turn.timing.doubt
+            } else {
+                turn.timing.suspicion
+            };
+            if silence < patience {
                 continue;
             }
             let first = !worker.suspected;
--- a/crates/control/src/levels.rs
+++ b/crates/control/src/levels.rs
@@ -26,6 +26,7 @@
     incarnation: Incarnation,
     sequence: u64,
     received: Time,
+    stale: bool,
     region: RegionId,
     rows: Vec<Demand>,
     /// Arrivals that were counted, by what they are for.
@@ -37,7 +38,9 @@
 pub(crate) struct Levels {
     hosts: BTreeMap<HostId, Level>,
     arrivals: BTreeMap<Place, u64>,
-    running: BTreeMap<ModelId, u32>,
+    running: Running,
+    /// The part of `running` that hosts out of touch reported.
+    stale: Running,
 }
 
 impl Levels {
@@ -52,7 +55,10 @@
                 self.hosts.insert(report.host, old);
                 return false;
             }
-            self.count_running(&old.rows, false);
+            self.running.take(&old.rows);
+            if old.stale {
+                self.stale.take(&old.rows);
+            }
             before = old.rows;
             if report.incarnation == old.incarnation {
                 counted = old.counted;
@@ -60,11 +66,12 @@
         }
         let grown = report.rows.iter().any(|row| grows(row, &before));
         self.count_arrivals(&report, &mut counted);
-        self.count_running(&report.rows, true);
+        self.running.add(&report.rows);
         let level = Level {
             incarnation: report.incarnation,
             sequence: report.sequence,
             received: now,
+            stale: false,
             region: report.region,
             rows: report.rows,
             counted,
@@ -73,20 +80,42 @@
         grown
     }
 
-    /// Drops what hosts reported before a time; their sequence numbers stay.
-    pub(crate) fn expire(&mut self, before: Time) {
-        let mut dropped = Vec::new();
+    /// Drops requests that wait on hosts which have not reported since `waiting`, and what runs
+    /// on those that have not since `running`; their sequence numbers stay.
+    ///
+    /// A host that is out of touch goes on with what it has in progress, while what waits there
+    /// cannot be sent anywhere new.
+    pub(crate) fn expire(&mut self, waiting: Time, running: Time) {
         for level in self.hosts.values_mut() {
-            if level.received < before {
-                dropped.append(&mut level.rows);
+            if level.received < waiting && !level.stale {
+                level.stale = true;
+                self.stale.add(&level.rows);
+                level.rows.iter_mut().for_each(|row| row.waiting = 0);
+            }
+            if level.received < running {
+                self.running.take(&level.rows);
+                self.stale.take(&level.rows);
+                level.rows.clear();
             }
         }
-        self.count_running(&dropped, false);
+    }
+
+    /// Whether a host has reported since a time.
+    pub(crate) fn is_heard(&self, host: HostId, since: Time) -> bool {
+        let level = self.hosts.get(&host);
+        level.is_some_and(|level| level.received >= since)
     }
 
     /// Requests in progress on replicas of a model.
     pub(crate) fn running(&self, model: &str) -> u32 {
-        self.running.get(model).copied().unwrap_or(0)
+        self.running.get(model)
+    }
+
+    /// Those of them that hosts in touch reported.
+    pub(crate) fn fresh(&self, model: &str) -> u32 {
+        self.running
+            .get(model)
+            .saturating_sub(self.stale.get(model))
     }
 
     /// Rows for the planner's picture; arrivals count from the last call.
@@ -124,16 +153,31 @@
             *self.arrivals.entry(place).or_default() += row.arrivals.saturating_sub(base);
         }
     }
+}
+
+/// Requests in progress by model.
+#[derive(Debug, Default)]
+struct Running(BTreeMap<ModelId, u32>);
+
+impl Running {
+    /// Those of a model.
+    fn get(&self, model: &str) -> u32 {
+        self.0.get(model).copied().unwrap_or(0)
+    }
+
+    /// Adds rows.
+    fn add(&mut self, rows: &[Demand]) {
+        for row in rows {
+            let sum = self.0.entry(row.model.clone()).or_default();
+            *sum = sum.saturating_add(row.running);
+        }
+    }
 
-    /// Adds rows to the requests in progress, or takes them away.
-    fn count_running(&mut self, rows: &[Demand], add: bool) {
+    /// Takes rows away that were added.
+    fn take(&mut self, rows: &[Demand]) {
         for row in rows {
-            let sum = self.running.entry(row.model.clone()).or_default();
-            *sum = if add {
-                sum.saturating_add(row.running)
-            } else {
-                sum.saturating_sub(row.running)
-            };
+            let sum = self.0.entry(row.model.clone()).or_default();
+            *sum = sum.saturating_sub(row.running);
         }
     }
 }
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -146,7 +146,17 @@
         }
         let settled = since + turn.timing.settle;
         let idle = worker.is_idle() && worker.heard >= settled;
-        turn.now >= settled && (idle || self.levels.running(model) == 0)
+        turn.now >= settled && (idle || self.is_unused(model, settled, turn))
+    }
+
+    /// Whether every entry host has said, since a time, that it runs nothing on a model.
+    ///
+    /// A new leader has not heard of hosts that are out of touch, so for a while it does not say so.
+    fn is_unused(&self, model: &ModelId, since: Time, turn: &Turn) -> bool {
+        let acquainted = turn.now >= self.since + turn.timing.host;
+        let mut hosts = self.leases.iter().filter(|it| it.is_valid(turn.now));
+        let heard = hosts.all(|lease| self.levels.is_heard(lease.host.host, since));
+        acquainted && heard && self.levels.running(model) == 0
     }
 
     /// Learns the outcome of an order.
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -12,7 +12,7 @@
 use crate::command::Command;
 use crate::mutation::{self, Mutation};
 use crate::orders::reference;
-use crate::reign::{Adapter, Reign};
+use crate::reign::{Adapter, Reign, Warming};
 use crate::replicas::Decide;
 use crate::turn::Turn;
 use crate::workers::Worker;
@@ -140,7 +140,12 @@
     /// Orders a model nearer to a worker's accelerators.
     fn warm(&mut self, model: ModelId, target: &TargetId, turn: &mut Turn) {
         let open = self.workers.get(target);
-        if open.is_some_and(Worker::is_loadable) {
+        let warming = Warming {
+            target: target.clone(),
+            model: model.clone(),
+        };
+        if open.is_some_and(Worker::is_loadable) && !self.warming.contains_key(&warming) {
+            self.warming.insert(warming, turn.now);
             let model = Reference::base(model);
             self.order(target, 0, order::Action::Warm { model }, turn);
         }
--- a/crates/control/src/reign.rs
+++ b/crates/control/src/reign.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cornelhitch_planner::Planner;
-use cornelhitch_types::id::{Name, ReplicaId, TargetId, Term, Time};
+use cornelhitch_types::id::{ModelId, Name, ReplicaId, TargetId, Term, Time};
 
 use crate::catalogue;
 use crate::command::{Command, Reply};
@@ -31,6 +31,15 @@
     pub(crate) name: Name,
 }
 
+/// A copy that was ordered nearer to an accelerator.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Warming {
+    /// The worker.
+    pub(crate) target: TargetId,
+    /// The model.
+    pub(crate) model: ModelId,
+}
+
 /// The soft state of one term.
 #[derive(Debug)]
 pub(crate) struct Reign {
@@ -45,6 +54,8 @@
     pub(crate) pending: Pending,
     /// Adapter loads in flight, and since when.
     pub(crate) adapters: BTreeMap<Adapter, Time>,
+    /// Copies that were ordered nearer to an accelerator, and since when.
+    pub(crate) warming: BTreeMap<Warming, Time>,
     /// Fingerprints that are refused for a time, and until when.
     pub(crate) quarantine: BTreeMap<u64, Time>,
     /// When the planner was last asked.
@@ -67,6 +78,7 @@
             sketch: Sketch::default(),
             pending: Pending::default(),
             adapters: BTreeMap::new(),
+            warming: BTreeMap::new(),
             quarantine: BTreeMap::new(),
             planned: None,
             eager: true,
@@ -114,6 +126,10 @@
                 target,
                 incarnation,
             } => self.lost(&target, incarnation, turn),
+            Input::Leaving {
+                target,
+                incarnation,
+            } => self.leaving(&target, incarnation, turn),
             Input::Subscribe {
                 host,
                 term,
@@ -186,6 +202,9 @@
                 self.forget_replicas(&target, turn);
             }
             (Command::Silence { target, .. }, Reply::Target(_)) => {
+                for replica in turn.state.replicas().on(&target) {
+                    self.sketch.replica(replica.id, &target);
+                }
                 self.sketch.worker(&target);
                 self.feed.target(&target, true);
                 self.eager = true;
@@ -312,12 +331,16 @@
     fn tick(&mut self, planner: &mut dyn Planner, turn: &mut Turn) {
         self.pending.expire(turn);
         self.watch(turn);
-        self.levels
-            .expire(turn.now.saturating_sub(turn.timing.report));
+        let (report, drain) = (turn.timing.report, turn.timing.drain);
+        self.levels.expire(
+            turn.now.saturating_sub(report),
+            turn.now.saturating_sub(drain),
+        );
         self.end_hosts(turn);
         self.end_quarantine(turn);
         let adapter = turn.timing.adapter;
         self.adapters.retain(|_, since| turn.now < *since + adapter);
+        self.warming.retain(|_, since| turn.now < *since + adapter);
         self.leases.announce(turn);
         self.plan(planner, turn);
     }
--- a/crates/control/src/replicas.rs
+++ b/crates/control/src/replicas.rs
@@ -4,7 +4,6 @@
 //! that whole time, and only [`Evidence`] ends it; a timeout never does.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::time::Duration;
 
 use cornelhitch_settings::fleet::Fleet as Settings;
 use cornelhitch_types::id::{Incarnation, ModelId, Name, ReplicaId, TargetId, Term, Time};
@@ -21,9 +20,6 @@
 /// whose connection was closed, can no longer be taken up.
 pub const QUIET_BEATS: u64 = 10;
 
-/// How long a model is not loaded again on a worker after an order with unknown outcome.
-pub const QUIET: Duration = Duration::from_secs(10);
-
 /// A request to decide a replica.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Decide {
@@ -140,8 +136,9 @@
     pub incarnation: Incarnation,
     /// The model.
     pub model: ModelId,
-    /// Until when, in the log's time.
-    pub until: Time,
+    /// The first heartbeat after which it may; heartbeats count the worker's running time, so
+    /// no clock of a control host is trusted.
+    pub until: u64,
 }
 
 /// All replicas that hold a reservation.
@@ -271,7 +268,7 @@
         fleet: &Fleet,
         entry: &Entry,
     ) -> Answer {
-        if let Err(refusal) = self.check(&decide, settings, fleet, entry.time) {
+        if let Err(refusal) = self.check(&decide, settings, fleet) {
             return Answer::Refused(refusal);
         }
         self.last += 1;
@@ -325,7 +322,6 @@
         evidence: Evidence,
         unknown: bool,
         fleet: &Fleet,
-        now: Time,
     ) -> Answer {
         let Some(replica) = self.standing.get(&id) else {
             return Answer::Refused(Refusal::Replica);
@@ -342,16 +338,26 @@
         let Some(replica) = self.remove(id) else {
             return Answer::Refused(Refusal::Replica);
         };
-        self.quiet.retain(|quiet| now < quiet.until);
+        let sequence = match evidence {
+            Evidence::Inventory { sequence } => sequence,
+            Evidence::Ended | Evidence::Refused => replica.after,
+        };
+        self.rest(&replica, sequence, unknown);
+        Answer::Released(replica)
+    }
+
+    /// Keeps a model off a worker for a while, and forgets what has been quiet for long enough.
+    fn rest(&mut self, replica: &Replica, sequence: u64, unknown: bool) {
+        self.quiet
+            .retain(|quiet| quiet.target != replica.target || sequence < quiet.until);
         if unknown {
             self.quiet.push_back(Quiet {
                 target: replica.target.clone(),
                 incarnation: replica.incarnation,
                 model: replica.model.clone(),
-                until: now.saturating_add(QUIET),
+                until: sequence.saturating_add(QUIET_BEATS),
             });
         }
-        Answer::Released(replica)
     }
 
     /// Ends all reservations on a worker whose incarnation ended.
--- a/crates/control/src/rules.rs
+++ b/crates/control/src/rules.rs
@@ -1,7 +1,7 @@
 //! The rules of a decision; nothing reserves memory past them.
 
 use cornelhitch_settings::fleet::Fleet as Settings;
-use cornelhitch_types::id::{Incarnation, Time};
+use cornelhitch_types::id::Incarnation;
 use cornelhitch_types::target::Kind;
 
 use crate::fleet::{Fleet, Target};
@@ -15,7 +15,6 @@
         decide: &Decide,
         settings: &Settings,
         fleet: &Fleet,
-        now: Time,
     ) -> Result<(), Refusal> {
         let target = fleet.get(&decide.target).ok_or(Refusal::Target)?;
         usable(target, decide.incarnation)?;
@@ -32,17 +31,17 @@
         let limit = settings.rules(&decide.model).replicas as usize;
         let allowed = counted.count() < limit || mutation::is(Mutation::NoLimitCheck);
         require(allowed, Refusal::Limit)?;
-        require(!self.is_quiet(decide, now), Refusal::Quiet)
+        require(!self.is_quiet(decide), Refusal::Quiet)
     }
 
     /// Whether an order for the model may still arrive at the worker.
-    fn is_quiet(&self, decide: &Decide, now: Time) -> bool {
+    fn is_quiet(&self, decide: &Decide) -> bool {
         let mut quiet = self.quiet();
         quiet.any(|quiet| {
             quiet.target == decide.target
                 && quiet.incarnation == decide.incarnation
                 && quiet.model == decide.model
-                && now < quiet.until
+                && decide.after < quiet.until
                 && !decide.adopted
                 && !mutation::is(Mutation::NoQuiet)
         })
--- a/crates/control/src/sketch.rs
+++ b/crates/control/src/sketch.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cornelhitch_planner::picture::{Copy, Picture, Quiet, Replica, Worker};
-use cornelhitch_types::id::{ModelId, ReplicaId, TargetId};
+use cornelhitch_types::id::{ModelId, ReplicaId, TargetId, Time};
 use cornelhitch_types::target::{Kind, Stage};
 use cornelhitch_types::view::State;
 
 use crate::levels::Levels;
 use crate::tracks::Tracks;
 use crate::turn::Turn;
-use crate::workers::Workers;
+use crate::workers::{Worker as Heard, Workers};
 
 /// The picture, and what in it is out of date.
 #[derive(Debug, Default)]
@@ -48,7 +48,7 @@
         for replica in std::mem::take(&mut self.replicas) {
             self.put_replica(replica, tracks, turn);
         }
-        self.count_running(tracks, levels, turn);
+        self.count_running(workers, tracks, levels, turn);
         self.picture.demand = levels.rows();
         self.picture.adapters_in_flight = adapters;
         &self.picture
@@ -87,13 +87,25 @@
     }
 
     /// Shares the requests in progress out among each model's replicas.
-    fn count_running(&mut self, tracks: &mut Tracks, levels: &Levels, turn: &Turn) {
+    fn count_running(
+        &mut self,
+        workers: &Workers,
+        tracks: &mut Tracks,
+        levels: &Levels,
+        turn: &Turn,
+    ) {
         let mut peers: BTreeMap<ModelId, u32> = BTreeMap::new();
         for replica in self.picture.replicas.iter().filter(|it| is_used(it)) {
             *peers.entry(replica.model.clone()).or_default() += 1;
         }
         for replica in &mut self.picture.replicas {
-            let running = levels.running(&replica.model);
+            // What hosts out of touch had in progress has ended where the worker is idle.
+            let worker = workers.get(&replica.target);
+            let running = if worker.is_some_and(Heard::is_idle) {
+                levels.fresh(&replica.model)
+            } else {
+                levels.running(&replica.model)
+            };
             if running == 0 {
                 replica.running = 0;
                 continue;
@@ -145,13 +157,21 @@
     })
 }
 
+/// Time between two heartbeats.
+const BEAT: Time = Time::from_secs(1);
+
+/// Heartbeats that are left until one comes.
+fn left(until: u64, sequence: u64) -> u32 {
+    u32::try_from(until.saturating_sub(sequence)).unwrap_or(u32::MAX)
+}
+
 /// Models that may not be loaded on a worker for a while.
-fn quiet(target: &TargetId, worker: &crate::workers::Worker, turn: &Turn) -> Vec<Quiet> {
+fn quiet(target: &TargetId, worker: &Heard, turn: &Turn) -> Vec<Quiet> {
     let committed = turn.state.replicas().quiet();
     let committed = committed.filter(|it| it.target == *target);
     let committed = committed.map(|it| Quiet {
         model: it.model.clone(),
-        until: it.until,
+        until: turn.now + BEAT * left(it.until, worker.sequence()),
     });
     let backoff = worker.backoff.iter().map(|it| Quiet {
         model: it.model.clone(),
@@ -168,6 +188,11 @@
 /// A replica as the planner sees it.
 fn draw_replica(id: ReplicaId, tracks: &Tracks, turn: &Turn) -> Option<Replica> {
     let replica = turn.state.replicas().get(id)?;
+    // What a silent worker holds serves nobody; its memory stays reserved all the same.
+    turn.state
+        .fleet()
+        .get(&replica.target)
+        .filter(|it| !it.silent)?;
     let track = tracks.get(&id);
     Some(Replica {
         replica: id,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -175,9 +175,7 @@
                 unknown,
             } => {
                 let fleet = &self.fleet;
-                let answer = self
-                    .replicas
-                    .release(replica, evidence, unknown, fleet, now);
+                let answer = self.replicas.release(replica, evidence, unknown, fleet);
                 Reply::Replica(answer)
             }
             Command::Strike(strike) => {
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -13,6 +13,11 @@
     pub gather: Duration,
     /// A target that is silent for this long is suspected.
     pub suspicion: Duration,
+    /// A target that entry hosts report as lost, but wrongly a short while ago, is suspected
+    /// when it is silent for this long.
+    pub doubt: Duration,
+    /// How long entry hosts that reported a target as lost wrongly are doubted.
+    pub distrust: Duration,
     /// A target that is silent for this long no longer counts against models' limits.
     pub silence: Duration,
     /// A target without reservations that is silent for this long is let go.
@@ -27,6 +32,8 @@
     pub resend: Duration,
     /// How long a model is not loaded on a worker that refused it or was not reached.
     pub backoff: Duration,
+    /// How long a model is not loaded on a worker after an unload of an unexplained copy.
+    pub quiet: Duration,
     /// From the retirement of a replica until every entry host has heard of it.
     pub settle: Duration,
     /// From the retirement of a replica to its unload at the latest.
@@ -55,13 +62,16 @@
             replan: s(1),
             gather: ms(1_500),
             suspicion: s(2),
-            silence: s(15),
+            doubt: ms(1_200),
+            distrust: s(30),
+            silence: s(6),
             dismissal: s(3_600),
             publication: ms(250),
             proposal: s(2),
             order: s(10),
             resend: ms(500),
             backoff: s(3),
+            quiet: s(10),
             settle: s(3),
             drain: s(300),
             report: s(5),
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -52,6 +52,23 @@
     pub(crate) until: Time,
 }
 
+/// Whether a target leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Leave {
+    /// It does not.
+    Stays,
+    /// Its newest heartbeat says so.
+    Beats,
+    /// It said so besides its heartbeats; that lasts for its life.
+    Told,
+}
+
+impl From<bool> for Leave {
+    fn from(leaving: bool) -> Self {
+        if leaving { Self::Beats } else { Self::Stays }
+    }
+}
+
 /// One life of a target.
 #[derive(Debug, Clone)]
 pub(crate) struct Worker {
@@ -64,7 +81,11 @@
     /// Whether it is suspected to have failed.
     pub(crate) suspected: bool,
     /// Whether it leaves.
-    pub(crate) leaving: bool,
+    pub(crate) leave: Leave,
+    /// Whether an entry host lost it since its last heartbeat.
+    pub(crate) hinted: bool,
+    /// Until when such hints alone don't count.
+    pub(crate) distrusted: Time,
     /// Copies that no replica explains.
     pub(crate) strangers: Vec<Stranger>,
     /// Replicas of unmanaged models, as entry hosts see them.
@@ -81,7 +102,9 @@
             heard: now,
             beat: None,
             suspected: false,
-            leaving: false,
+            leave: Leave::Stays,
+            hinted: false,
+            distrusted: Time::ZERO,
             strangers: Vec::new(),
             observed: Vec::new(),
             backoff: Vec::new(),
@@ -95,7 +118,7 @@
 
     /// Whether it may get new work.
     pub(crate) fn is_open(&self) -> bool {
-        !self.leaving && !self.suspected
+        self.leave == Leave::Stays && !self.suspected
     }
 
     /// Whether it may be loaded.
@@ -141,10 +164,15 @@
     }
 
     /// Takes a heartbeat.
-    pub(crate) fn take(&mut self, heartbeat: Heartbeat, now: Time) {
+    pub(crate) fn take(&mut self, heartbeat: Heartbeat, now: Time, distrust: Time) {
         self.heard = now;
         self.suspected = false;
-        self.leaving = heartbeat.leaving;
+        if self.leave != Leave::Told {
+            self.leave = Leave::from(heartbeat.leaving);
+        }
+        if std::mem::take(&mut self.hinted) {
+            self.distrusted = now + distrust;
+        }
         self.beat = Some(Beat {
             sequence: heartbeat.sequence,
             inventory: heartbeat.inventory,
--- a/crates/control/tests/common/world.rs
+++ b/crates/control/tests/common/world.rs
@@ -244,6 +244,16 @@
             paused: 0,
         };
         self.run(&Step::Stall(false))?;
+        for host in 1..4 {
+            let (model, waiting, running, old) = (0, 0, 0, false);
+            self.run(&Step::Demand {
+                host,
+                model,
+                waiting,
+                running,
+                old,
+            })?;
+        }
         for seconds in 0..90_u32 {
             let waiting = u32::from(seconds < 45);
             for model in 0..NAMES.len() {
