--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -42,20 +42,8 @@
     Doubled,
 }
 
-/// A fault and what has to be seen at the end of its row.
-struct Row {
-    fault: &'static str,
-    only: Only,
-    acts: &'static [Act],
-    /// Load orders that left.
-    loads: usize,
-    /// Replicas that were decided.
-    decided: usize,
-    /// Replicas that were released.
-    released: usize,
-    /// Replicas that are ready.
-    ready: usize,
-}
+/// A fault, its worker, its acts, and then: loads that left, replicas decided, released and ready.
+type Row = (&'static str, Only, &'static [Act], [usize; 4]);
 
 use Act::{
     Burst, Demand, Doubled, Elect, Elsewhere, Fail, Late, Order, Pause, Restart, Second, Seconds,
@@ -64,329 +52,109 @@
 use Fate::{AnswerLost, Answered, Hangs, Lost, Unsent};
 use Only::{Checking, Ids, Names};
 
-const fn row(
-    fault: &'static str,
-    only: Only,
-    acts: &'static [Act],
-    [loads, decided, released, ready]: [usize; 4],
-) -> Row {
-    Row {
-        fault,
-        only,
-        acts,
-        loads,
-        decided,
-        released,
-        ready,
-    }
-}
-
-/// Acts, and then: loads, decided, released, ready.
+/// Each fault of the table in the docs.
+#[rustfmt::skip]
 const ROWS: &[Row] = &[
-    row(
-        "none",
-        Names,
-        &[Seconds(1), Order(Answered), Seconds(4)],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "burst at every entry host",
-        Ids,
-        &[Burst, Seconds(1), Order(Answered), Burst, Seconds(4)],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "order never left",
-        Names,
-        &[Order(Unsent), Seconds(5), Order(Answered), Seconds(4)],
-        [2, 2, 1, 1],
-    ),
-    row(
-        "answer lost, ids",
-        Ids,
-        &[Order(AnswerLost), Seconds(15)],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "answer lost, names",
-        Names,
-        &[Order(AnswerLost), Seconds(15)],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "answer lost, checking",
-        Checking,
-        &[Order(AnswerLost), Seconds(5)],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "order lost, names",
-        Names,
-        &[Order(Lost), Seconds(9)],
-        [1, 1, 0, 0],
-    ),
-    row(
-        "order lost, names, later",
-        Names,
-        &[Order(Lost), Seconds(24), Order(Answered), Seconds(4)],
-        [2, 2, 1, 1],
-    ),
-    row(
-        "order lost, checking",
-        Checking,
-        &[Order(Lost), Seconds(1), Order(Answered), Seconds(4)],
-        [2, 1, 0, 1],
-    ),
-    row(
-        "order hangs and arrives, names",
-        Names,
-        &[Order(Hangs), Seconds(4), Order(Answered), Seconds(4)],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "order hangs and arrives twice, checking",
-        Checking,
-        &[
-            Order(Hangs),
-            Seconds(2),
-            Second(Answered),
-            Seconds(2),
-            Order(Answered),
-            Seconds(4),
-        ],
-        [2, 1, 0, 1],
-    ),
-    row(
-        "worker dies in mid-load",
-        Names,
-        &[
-            Order(Answered),
-            Restart(2),
-            Seconds(3),
-            Order(Answered),
-            Seconds(4),
-        ],
-        [2, 2, 0, 1],
-    ),
-    row(
-        "load fails in mid-load",
-        Ids,
-        &[
-            Order(Answered),
-            Seconds(1),
-            Fail(1),
-            Seconds(12),
-            Order(Answered),
-            Seconds(4),
-        ],
-        [2, 2, 1, 1],
-    ),
-    row(
-        "leader change, order in flight, names",
-        Names,
-        &[Elect, Demand(1), Seconds(3), Order(Answered), Seconds(4)],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "leader change, order in flight, checking",
-        Checking,
-        &[
-            Elect,
-            Demand(1),
-            Seconds(3),
-            Second(Answered),
-            Order(Answered),
-            Seconds(4),
-        ],
-        [2, 1, 0, 1],
-    ),
-    row(
-        "leader change, order lost, names",
-        Names,
-        &[Order(Lost), Elect, Demand(1), Seconds(9)],
-        [1, 1, 0, 0],
-    ),
-    row(
-        "leader change, order lost, names, later",
-        Names,
-        &[
-            Order(Lost),
-            Elect,
-            Demand(1),
-            Seconds(24),
-            Order(Answered),
-            Seconds(4),
-        ],
-        [2, 2, 1, 1],
-    ),
-    row(
-        "two leader changes, order in flight, ids",
-        Ids,
-        &[
-            Elect,
-            Seconds(1),
-            Elect,
-            Demand(1),
-            Seconds(3),
-            Order(Answered),
-            Seconds(4),
-        ],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "leader change and death in mid-load",
-        Names,
-        &[
-            Order(Answered),
-            Elect,
-            Restart(2),
-            Demand(1),
-            Seconds(4),
-            Order(Answered),
-            Seconds(4),
-        ],
-        [2, 2, 0, 1],
-    ),
-    row(
-        "answer lost and leader change",
-        Ids,
-        &[Order(AnswerLost), Elect, Demand(1), Seconds(15)],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "worker unreachable for a minute",
-        Ids,
-        &[Order(Answered), Seconds(4), Pause(60), Seconds(2)],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "worker unreachable in mid-load, leader change",
-        Names,
-        &[
-            Order(Answered),
-            Pause(20),
-            Elect,
-            Demand(1),
-            Pause(20),
-            Seconds(4),
-        ],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "worker lost for good, another takes over",
-        Ids,
-        &[
-            Order(Answered),
-            Seconds(4),
-            Elsewhere(12),
-            Order(Answered),
-            Elsewhere(4),
-        ],
-        [2, 2, 0, 2],
-    ),
-    row(
-        "late and doubled heartbeats",
-        Ids,
-        &[
-            Late,
-            Order(Answered),
-            Seconds(2),
-            Doubled,
-            Doubled,
-            Seconds(4),
-        ],
-        [1, 1, 0, 1],
-    ),
-    row(
-        "commits stall for five seconds",
-        Ids,
-        &[
-            Stall(true),
-            Order(Answered),
-            Seconds(5),
-            Stall(false),
-            Seconds(4),
-        ],
-        [1, 1, 0, 1],
-    ),
+    ("none", Names, &[Seconds(1), Order(Answered), Seconds(4)], [1, 1, 0, 1]),
+    ("burst at every entry host", Ids, &[Burst, Seconds(1), Order(Answered), Burst, Seconds(4)], [1, 1, 0, 1]),
+    ("order never left", Names, &[Order(Unsent), Seconds(5), Order(Answered), Seconds(4)], [2, 2, 1, 1]),
+    ("answer lost, ids", Ids, &[Order(AnswerLost), Seconds(15)], [1, 1, 0, 1]),
+    ("answer lost, names", Names, &[Order(AnswerLost), Seconds(15)], [1, 1, 0, 1]),
+    ("answer lost, checking", Checking, &[Order(AnswerLost), Seconds(5)], [1, 1, 0, 1]),
+    ("order lost, names", Names, &[Order(Lost), Seconds(9)], [1, 1, 0, 0]),
+    ("order lost, names, later", Names, &[Order(Lost), Seconds(24), Order(Answered), Seconds(4)], [2, 2, 1, 1]),
+    ("order lost, checking", Checking, &[Order(Lost), Seconds(1), Order(Answered), Seconds(4)], [2, 1, 0, 1]),
+    ("order hangs and arrives, names", Names, &[Order(Hangs), Seconds(4), Order(Answered), Seconds(4)], [1, 1, 0, 1]),
+    ("order hangs and arrives twice, checking", Checking, &[Order(Hangs), Seconds(2), Second(Answered), Seconds(2), Order(Answered), Seconds(4)], [2, 1, 0, 1]),
+    ("worker dies in mid-load", Names, &[Order(Answered), Restart(2), Seconds(3), Order(Answered), Seconds(4)], [2, 2, 0, 1]),
+    ("load fails in mid-load", Ids, &[Order(Answered), Seconds(1), Fail(1), Seconds(12), Order(Answered), Seconds(4)], [2, 2, 1, 1]),
+    ("leader change, order in flight, names", Names, &[Elect, Demand(1), Seconds(3), Order(Answered), Seconds(4)], [1, 1, 0, 1]),
+    ("leader change, order in flight, checking", Checking, &[Elect, Demand(1), Seconds(3), Second(Answered), Order(Answered), Seconds(4)], [2, 1, 0, 1]),
+    ("leader change, order lost, names", Names, &[Order(Lost), Elect, Demand(1), Seconds(9)], [1, 1, 0, 0]),
+    ("leader change, order lost, names, later", Names, &[Order(Lost), Elect, Demand(1), Seconds(24), Order(Answered), Seconds(4)], [2, 2, 1, 1]),
+    ("two leader changes, order in flight, ids", Ids, &[Elect, Seconds(1), Elect, Demand(1), Seconds(3), Order(Answered), Seconds(4)], [1, 1, 0, 1]),
+    ("leader change and death in mid-load", Names, &[Order(Answered), Elect, Restart(2), Demand(1), Seconds(4), Order(Answered), Seconds(4)], [2, 2, 0, 1]),
+    ("answer lost and leader change", Ids, &[Order(AnswerLost), Elect, Demand(1), Seconds(15)], [1, 1, 0, 1]),
+    ("worker unreachable for a minute", Ids, &[Order(Answered), Seconds(4), Pause(60), Seconds(2)], [1, 1, 0, 1]),
+    ("worker unreachable in mid-load, leader change", Names, &[Order(Answered), Pause(20), Elect, Demand(1), Pause(20), Seconds(4)], [1, 1, 0, 1]),
+    ("worker lost for good, another takes over", Ids, &[Order(Answered), Seconds(4), Elsewhere(12), Order(Answered), Elsewhere(4)], [2, 2, 0, 2]),
+    ("late and doubled heartbeats", Ids, &[Late, Order(Answered), Seconds(2), Doubled, Doubled, Seconds(4)], [1, 1, 0, 1]),
+    ("commits stall for five seconds", Ids, &[Stall(true), Order(Answered), Seconds(5), Stall(false), Seconds(4)], [1, 1, 0, 1]),
 ];
 
-impl Row {
-    /// The steps of an act.
-    fn steps(&self, act: Act) -> Vec<Step> {
-        let silent = self.only as u8;
-        let second = |late, paused| Step::Second {
-            lost: 0,
-            late,
-            paused,
-        };
-        let demand = |host, waiting| Step::Demand {
-            host,
-            model: 1,
-            waiting,
-            running: 0,
-            old: false,
-        };
-        match act {
-            Seconds(count) => (0..count)
-                .flat_map(|_| [demand(2, 1), second(0, silent)])
-                .collect(),
-            Demand(waiting) => vec![demand(2, waiting)],
-            Burst => (2..11).map(|host| demand(host, 1)).collect(),
-            Order(fate) => vec![Step::Order { which: 0, fate }],
-            Second(fate) => vec![Step::Order { which: 1, fate }],
-            Elect => vec![Step::Elect {
-                kept: 0,
-                snapshot: true,
-            }],
-            Restart(worker) => vec![Step::Restart {
-                worker,
-                announced: true,
-            }],
-            Fail(worker) => vec![Step::Fail { worker }],
-            Elsewhere(count) => (0..count)
-                .flat_map(|_| [demand(2, 1), second(0, Names as u8)])
-                .collect(),
-            Pause(count) => (0..count)
-                .flat_map(|_| [demand(2, 1), second(0, 0b1111)])
-                .collect(),
-            Stall(stalled) => vec![Step::Stall(stalled)],
-            Late => vec![second(0b1111, silent)],
-            Doubled => vec![Step::Late {
-                which: 0,
-                doubled: true,
-            }],
-        }
+/// The steps of an act.
+fn steps(only: Only, act: Act) -> Vec<Step> {
+    let silent = only as u8;
+    let second = |late, paused| Step::Second {
+        lost: 0,
+        late,
+        paused,
+    };
+    let demand = |host, waiting| Step::Demand {
+        host,
+        model: 1,
+        waiting,
+        running: 0,
+        old: false,
+    };
+    match act {
+        Seconds(count) => (0..count)
+            .flat_map(|_| [demand(2, 1), second(0, silent)])
+            .collect(),
+        Demand(waiting) => vec![demand(2, waiting)],
+        Burst => (2..11).map(|host| demand(host, 1)).collect(),
+        Order(fate) => vec![Step::Order { which: 0, fate }],
+        Second(fate) => vec![Step::Order { which: 1, fate }],
+        Elect => vec![Step::Elect {
+            kept: 0,
+            snapshot: true,
+        }],
+        Restart(worker) => vec![Step::Restart {
+            worker,
+            announced: true,
+        }],
+        Fail(worker) => vec![Step::Fail { worker }],
+        Elsewhere(count) => (0..count)
+            .flat_map(|_| [demand(2, 1), second(0, Names as u8)])
+            .collect(),
+        Pause(count) => (0..count)
+            .flat_map(|_| [demand(2, 1), second(0, 0b1111)])
+            .collect(),
+        Stall(stalled) => vec![Step::Stall(stalled)],
+        Late => vec![second(0b1111, silent)],
+        Doubled => vec![Step::Late {
+            which: 0,
+            doubled: true,
+        }],
     }
+}
 
-    /// Runs the row, and returns what was seen.
-    fn run(&self) -> Result<[usize; 4], String> {
-        let mut world = World::new();
-        for step in [Seconds(3)]
-            .iter()
-            .chain(self.acts)
-            .flat_map(|act| self.steps(*act))
-        {
-            world.run(&step)?;
-        }
-        world.finish()?;
-        Ok([
-            world.loads,
-            world.decided(),
-            world.releases,
-            world.ready("preview"),
-        ])
+/// Runs the row, and returns what was seen.
+fn run(only: Only, acts: &[Act]) -> Result<[usize; 4], String> {
+    let mut world = World::new();
+    for step in [Seconds(3)]
+        .iter()
+        .chain(acts)
+        .flat_map(|act| steps(only, *act))
+    {
+        world.run(&step)?;
     }
+    world.finish()?;
+    Ok([
+        world.loads,
+        world.decided(),
+        world.releases,
+        world.ready("preview"),
+    ])
 }
 
 #[test]
 fn every_fault_ends_as_its_row_says() {
     let mut wrong = Vec::new();
-    for row in ROWS {
-        let expected = [row.loads, row.decided, row.released, row.ready];
-        match row.run() {
-            Ok(seen) if seen == expected => {}
-            other => wrong.push(format!("{}: expected {expected:?}, {other:?}", row.fault)),
+    for (fault, only, acts, expected) in ROWS {
+        match run(*only, acts) {
+            Ok(seen) if seen == *expected => {}
+            other => wrong.push(format!("{fault}: expected {expected:?}, {other:?}")),
         }
     }
     assert!(
--- a/crates/control/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -48,53 +48,22 @@
 );
 
 /// Each refusal of a decision; the pairs are further decisions of a model on a worker before it.
+#[rustfmt::skip]
 const DECISIONS: &[Row] = &[
     (Refusal::Target, |it| it.target = "w9".into(), &[]),
     (Refusal::Service, |it| it.target = "s1".into(), &[]),
-    (
-        Refusal::Incarnation,
-        |it| (it.target, it.incarnation) = ("w2".into(), 1),
-        &[],
-    ),
-    (
-        Refusal::Incarnation,
-        |it| (it.target, it.incarnation) = ("w2".into(), 3),
-        &[],
-    ),
+    (Refusal::Incarnation, |it| (it.target, it.incarnation) = ("w2".into(), 1), &[]),
+    (Refusal::Incarnation, |it| (it.target, it.incarnation) = ("w2".into(), 3), &[]),
     (Refusal::Silent, |it| it.target = "w3".into(), &[]),
     (Refusal::Model, |it| it.model = "unheard".into(), &[]),
     (Refusal::Unmanaged, |it| it.model = "script".into(), &[]),
-    (
-        Refusal::Bytes,
-        |it| (it.target, it.bytes) = ("w2".into(), 39),
-        &[],
-    ),
-    (
-        Refusal::Bytes,
-        |it| (it.target, it.bytes) = ("w2".into(), 0),
-        &[],
-    ),
-    (
-        Refusal::Memory,
-        |it| (it.model, it.bytes) = ("lane".into(), 61),
-        &[],
-    ),
-    (
-        Refusal::Memory,
-        |it| (it.model, it.bytes) = ("lane".into(), 50),
-        &[("preview", "w1")],
-    ),
-    (
-        Refusal::Memory,
-        |it| (it.target, it.bytes) = ("w2".into(), u64::MAX),
-        &[],
-    ),
+    (Refusal::Bytes, |it| (it.target, it.bytes) = ("w2".into(), 39), &[]),
+    (Refusal::Bytes, |it| (it.target, it.bytes) = ("w2".into(), 0), &[]),
+    (Refusal::Memory, |it| (it.model, it.bytes) = ("lane".into(), 61), &[]),
+    (Refusal::Memory, |it| (it.model, it.bytes) = ("lane".into(), 50), &[("preview", "w1")]),
+    (Refusal::Memory, |it| (it.target, it.bytes) = ("w2".into(), u64::MAX), &[]),
     (Refusal::Present, |_| {}, &[]),
-    (
-        Refusal::Limit,
-        |it| it.target = "w4".into(),
-        &[("report", "w2")],
-    ),
+    (Refusal::Limit, |it| it.target = "w4".into(), &[("report", "w2")]),
 ];
 
 #[test]
@@ -199,41 +168,18 @@
         Command::Register(worker("w1", incarnation, memory, fencing))
     };
     // A command, its answer, and the memory that is reserved on the worker then.
+    #[rustfmt::skip]
     let rows: [(Vec<Command>, fleet::Answer, u64); 10] = [
         (vec![register(2, 100, false)], fleet::Answer::Unchanged, 40),
         (vec![Command::Register(moved)], fleet::Answer::Changed, 40),
-        (
-            vec![register(1, 100, false)],
-            fleet::Answer::Ended { next: 2 },
-            40,
-        ),
-        (
-            vec![register(2, 30, false)],
-            fleet::Answer::Inconsistent,
-            40,
-        ),
-        (
-            vec![register(2, 100, true)],
-            fleet::Answer::Inconsistent,
-            40,
-        ),
+        (vec![register(1, 100, false)], fleet::Answer::Ended { next: 2 }, 40),
+        (vec![register(2, 30, false)], fleet::Answer::Inconsistent, 40),
+        (vec![register(2, 100, true)], fleet::Answer::Inconsistent, 40),
         (vec![register(3, 30, true)], fleet::Answer::Registered, 0),
         (vec![dismiss("w1", 2, false)], fleet::Answer::Reserved, 40),
-        (
-            vec![dismiss("w1", 1, true)],
-            fleet::Answer::Ended { next: 2 },
-            40,
-        ),
-        (
-            vec![dismiss("w1", 2, true), register(2, 100, false)],
-            fleet::Answer::Ended { next: 3 },
-            0,
-        ),
-        (
-            vec![dismiss("w1", 2, true), register(3, 100, false)],
-            fleet::Answer::Registered,
-            0,
-        ),
+        (vec![dismiss("w1", 1, true)], fleet::Answer::Ended { next: 2 }, 40),
+        (vec![dismiss("w1", 2, true), register(2, 100, false)], fleet::Answer::Ended { next: 3 }, 0),
+        (vec![dismiss("w1", 2, true), register(3, 100, false)], fleet::Answer::Registered, 0),
     ];
     for (commands, answer, reserved) in rows {
         let mut bench = bench();
