A target whose announcement was lost is asked to announce itself again

Cause: in three runs of the quickstart out of four no model was loaded, and all 120 requests were refused near their deadlines. The stand-ins announced themselves to entry hosts whose sessions had no link to the leader yet; the announcement was answered as taken and lost, and a heartbeat of an unknown target is dropped by the leader, so nothing ever came of it. Ruled out: the estimate ('could not start before 320 ms' is the refusal at the deadline, 8 s later) and the planner (it saw no worker). Change: an entry host answers the heartbeat of a target that control has not published with 410, which the interface defines as 'announce again'. Conclusion: announcements need no acknowledgement from the leader; the view is the acknowledgement.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -224,6 +224,13 @@
         entries::answer(&hosts, whence, &mut self.random)
     }
 
+    /// Whether control published this life of a target, or a later one.
+    #[must_use]
+    pub fn knows(&self, target: &str, incarnation: u64) -> bool {
+        let known = self.picture.targets.get(target);
+        known.is_some_and(|known| known.view.incarnation >= incarnation)
+    }
+
     /// Requests that wait or are in progress.
     #[must_use]
     pub fn load(&self) -> u32 {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -286,17 +286,27 @@
     }
 
     /// Hands on what a target told.
+    ///
+    /// A heartbeat of a target that control has not published is answered with
+    /// the wish for another announcement, since the first one may be lost.
     fn told(&mut self, told: Told, receipt: oneshot::Sender<Receipt>) {
+        let mut answer = Receipt::Taken;
         let upward = match told {
             Told::Announcement(announcement) => Upward::Announce(announcement),
-            Told::Heartbeat(heartbeat) => Upward::Heartbeat(heartbeat),
+            Told::Heartbeat(heartbeat) => {
+                let core = &self.setup.core;
+                if !core.knows(&heartbeat.target, heartbeat.incarnation) {
+                    answer = Receipt::Announce;
+                }
+                Upward::Heartbeat(heartbeat)
+            }
             Told::Leaving(leaving) => Upward::Lost {
                 target: leaving.target,
                 incarnation: leaving.incarnation,
             },
         };
         self.setup.session.tell(upward);
-        let _ = receipt.send(Receipt::Taken);
+        let _ = receipt.send(answer);
     }
 
     /// Gives the core an event and does what it says.
