The fake fleet of the property tests keeps time in order

Cause: a core that woke between two happenings sent messages that came before the later one, and the fake's clock went back; the stall timer then looked late by up to 30 ms in 1 plan in about 20,000. Change: the next happening is chosen only after the cores have been woken.

--- a/crates/entry/src/tests/fleet.rs
+++ b/crates/entry/src/tests/fleet.rs
@@ -76,13 +76,14 @@
     /// Runs a plan with a planted fault or without one.
     pub fn run(plan: &Plan, fault: Option<Fault>) -> Result<(), Violation> {
         let mut fleet = Self::new(plan, fault);
-        while let Some(((at, _), happening)) = fleet.due.pop_first() {
-            if at > END {
-                break;
-            }
+        while let Some(at) = fleet.next().filter(|at| *at <= END) {
             fleet.tick(at)?;
             fleet.now = at;
-            fleet.happen(happening)?;
+            let due = fleet.due.first_entry().filter(|due| due.key().0 <= at);
+            if let Some(due) = due {
+                let happening = due.remove();
+                fleet.happen(happening)?;
+            }
         }
         fleet.tick(END)?;
         fleet.ledger.closes()
@@ -154,6 +155,13 @@
         self.at(self.now + way, happening);
     }
 
+    /// When something happens next.
+    fn next(&self) -> Option<Time> {
+        let wakes = self.cores.iter().filter_map(Core::next_wake);
+        let due = self.due.keys().next().map(|(at, _)| *at);
+        wakes.chain(due).min().map(|next| next.max(self.now))
+    }
+
     /// Wakes the cores, each at the very time that it asked for.
     fn tick(&mut self, until: Time) -> Result<(), Violation> {
         for core in 0..self.cores.len() {
