Settings are checked whole, with line and column of every fault

Cause: a broken settings file gave the library's first error at 1:1, and what parsed was not checked. Change: one table of keys, kinds and limits for each file; a checker that walks the marked nodes and notes every fault (unknown and missing keys with the one that was meant, wrong kinds, limits, doubled names, names that stand for nothing), and relations between keys (shortest over longest time, weights that are both 0, exceptions without reason or effect, votes, addresses, data folder). A file that is too long, too deep, or has a second document is refused before it is parsed, since the parser recurses. Conclusion: an operator sees all that is wrong at once, with its place.

--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -6,7 +6,10 @@
 use cornelhitch_types::id::{ClassId, ModelId, Name, RegionId};
 use serde::{Deserialize, Serialize};
 
-use crate::error::{Error, Fault};
+use crate::error::Error;
+use crate::read::read;
+use crate::relations;
+use crate::schema::FLEET;
 
 /// The fleet's settings: defaults, what there is, and exceptions.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -316,21 +319,9 @@
 impl FromStr for Fleet {
     type Err = Error;
 
+    /// Reads and checks the settings; the error has every fault and its place.
     fn from_str(text: &str) -> Result<Self, Error> {
-        marked_yaml::from_yaml(0, text).map_err(|error| Error::from(&error))
-    }
-}
-
-impl From<&marked_yaml::FromYamlError> for Error {
-    fn from(error: &marked_yaml::FromYamlError) -> Self {
-        let fault = Fault {
-            line: 1,
-            column: 1,
-            message: error.to_string(),
-        };
-        Self {
-            faults: vec![fault],
-        }
+        read(text, &FLEET, relations::check)
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -12,7 +12,14 @@
 //! # Ok::<(), cornelhitch_settings::error::Error>(())
 //! ```
 
+mod check;
+mod document;
 pub mod error;
 pub mod fleet;
+mod hosts;
 pub mod prelude;
+mod print;
 pub mod process;
+mod read;
+mod relations;
+mod schema;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -9,6 +9,9 @@
 use strum::{Display, EnumString};
 
 use crate::error::Error;
+use crate::hosts;
+use crate::read::read;
+use crate::schema::PROCESS;
 
 /// What a process does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
@@ -79,7 +82,8 @@
 impl FromStr for Process {
     type Err = Error;
 
+    /// Reads and checks the settings; the error has every fault and its place.
     fn from_str(text: &str) -> Result<Self, Error> {
-        marked_yaml::from_yaml(0, text).map_err(|error| Error::from(&error))
+        read(text, &PROCESS, hosts::check)
     }
 }
