A shared HTTP/2 connection that has closed is given up

Cause: the pool put the shared sender of an HTTP/2 connection back before asking whether it still stands, so a request after the target's restart took the same dead sender for ever. A request on a new connection could also be sent a second time after its gate had passed, later than the gate was asked. Change: a shared sender is put back only once it stands; what waited too long is swept for all targets; only a connection that stood idle is replaced after the gate. Conclusion: a restart of a target costs its connections and no more.

--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -217,3 +217,24 @@
     engine.stop().await;
     other.stop().await;
 }
+
+#[tokio::test]
+async fn a_connection_that_the_engine_closed_is_not_used_again() {
+    for version in [Version::One, Version::Two] {
+        let engine = engine(|builder| builder).await;
+        let http = Http::builder().version(version).build();
+        for life in 1..4 {
+            ready(&engine).await;
+            let id = format!("r{life}");
+            let gate = Box::new(|| true);
+            let generate = ask(&id, false, None);
+            let answer = http.generate(engine.address(), generate, gate).await;
+            let mut parts = answer.expect("an answer").parts;
+            let part = futures_util::StreamExt::next(&mut parts).await;
+            assert!(matches!(part, Some(Ok(_))), "{version:?} {life}: {part:?}");
+            engine.crash();
+            engine.next_life(life).await;
+        }
+        engine.stop().await;
+    }
+}
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -15,7 +15,7 @@
 use crate::error::Error;
 use crate::message::{
     REQUEST_ID, REQUESTS, broken, cache_request, check_id, generate_request, order_request,
-    outcome, plain_request, set_deadline, status, success,
+    outcome, plain_request, set_deadline, status, success, unsent,
 };
 use crate::parts::{self, Source};
 use crate::pool::{Outgoing, Pool, Sender};
@@ -169,6 +169,7 @@
             Reuse::Yes => self.pool.take(address).await,
             Reuse::No => None,
         };
+        let stale = kept.is_some();
         let sender = match kept {
             Some(sender) => sender,
             None => self.pool.connect(address).await?,
@@ -177,29 +178,35 @@
             self.pool.put(address, sender);
             return Err(Error::Withdrawn);
         }
-        let arrived = self.hand_over(address, request, sender).await?;
+        let arrived = self.hand_over(address, request, sender, stale).await?;
         check_id(expected.as_ref(), arrived.response.headers())?;
         Ok(arrived)
     }
 
-    /// Hands a request to a connection, and once to a new one where nothing of it left.
+    /// Hands a request to a connection.
+    ///
+    /// Where one that stood idle closes before anything of the request left,
+    /// the request goes to a new one. On a new one nothing is tried twice: the
+    /// gate was asked for this moment, and not for a later one.
     async fn hand_over(
         &self,
         address: SocketAddr,
         request: Outgoing,
         mut sender: Sender,
+        stale: bool,
     ) -> Result<Arrived, Error> {
         let mut error = match sender.send(request).await {
             Ok(response) => return Ok(Arrived { response, sender }),
             Err(error) => error,
         };
-        let Some(request) = error.take_message() else {
-            return Err(broken(address, error.into_error()));
-        };
-        let mut sender = self.pool.connect(address).await?;
-        match sender.send(request).await {
-            Ok(response) => Ok(Arrived { response, sender }),
-            Err(error) => Err(broken(address, error.into_error())),
+        let left = error.take_message();
+        match left {
+            None => Err(broken(address, error.into_error())),
+            Some(_) if !stale => Err(unsent(address, error.into_error())),
+            Some(request) => {
+                let sender = self.pool.connect(address).await?;
+                Box::pin(self.hand_over(address, request, sender, false)).await
+            }
         }
     }
 
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -150,6 +150,12 @@
     Error::Broken { address, detail }
 }
 
+/// The connection was lost before anything of the request was handed to it.
+pub(crate) fn unsent(address: SocketAddr, error: hyper::Error) -> Error {
+    let source = std::io::Error::other(error);
+    Error::Connect { address, source }
+}
+
 /// Checks that an answer names the request that was asked.
 pub(crate) fn check_id(expected: Option<&HeaderValue>, headers: &HeaderMap) -> Result<(), Error> {
     let found = headers.get(REQUEST_ID);
--- a/crates/target/src/pool.rs
+++ b/crates/target/src/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -77,8 +77,27 @@
     since: Instant,
 }
 
-/// Connections that wait, by their target.
-type Waiting = HashMap<SocketAddr, Vec<Idle>>;
+/// Connections that wait.
+struct Waiting {
+    /// Those of each target, the one used last at the end.
+    targets: HashMap<SocketAddr, Vec<Idle>>,
+    /// When those that waited too long were last dropped.
+    swept: Instant,
+}
+
+impl Waiting {
+    /// Drops what waited too long, for all targets, once in that time.
+    fn sweep(&mut self, idle: Duration) {
+        if self.swept.elapsed() < idle {
+            return;
+        }
+        self.swept = Instant::now();
+        self.targets.retain(|_, waiting| {
+            waiting.retain(|connection| connection.since.elapsed() < idle);
+            !waiting.is_empty()
+        });
+    }
+}
 
 /// The connections to all targets.
 #[derive(Clone)]
@@ -99,7 +118,10 @@
     /// An empty pool.
     pub fn new(version: Version, connect: Duration, idle: Duration, most: usize) -> Self {
         Self {
-            waiting: Arc::default(),
+            waiting: Arc::new(Mutex::new(Waiting {
+                targets: HashMap::new(),
+                swept: Instant::now(),
+            })),
             version,
             connect,
             idle,
@@ -111,9 +133,13 @@
     pub async fn take(&self, address: SocketAddr) -> Option<Sender> {
         while let Some(mut sender) = self.pop(address) {
             let ready = timeout(self.connect, sender.ready()).await;
-            if ready == Ok(true) {
-                return Some(sender);
+            if ready != Ok(true) {
+                continue;
+            }
+            if let Sender::Two(shared) = &sender {
+                self.put(address, Sender::Two(shared.clone()));
             }
+            return Some(sender);
         }
         None
     }
@@ -125,31 +151,31 @@
         opened.context(ConnectSnafu { address })
     }
 
-    /// Keeps a connection for the next request.
+    /// Keeps a connection for the next request; of one that is shared, once is enough.
     pub fn put(&self, address: SocketAddr, sender: Sender) {
-        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        let idle = waiting.entry(address).or_default();
-        if idle.len() < self.most {
+        let most = match sender {
+            Sender::One(_) => self.most,
+            Sender::Two(_) => 1,
+        };
+        let mut waiting = self.waiting();
+        waiting.sweep(self.idle);
+        let idle = waiting.targets.entry(address).or_default();
+        if idle.len() < most {
             let since = Instant::now();
             idle.push(Idle { sender, since });
         }
     }
 
-    /// Takes the connection that waited the shortest, and forgets those that waited too long.
+    /// Takes the connection that waited the shortest, unless that was too long.
     fn pop(&self, address: SocketAddr) -> Option<Sender> {
-        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        let idle = waiting.get_mut(&address)?;
-        idle.retain(|connection| connection.since.elapsed() < self.idle);
-        let taken = idle.pop().map(|connection| connection.sender);
-        if let Some(Sender::Two(sender)) = &taken {
-            let sender = Sender::Two(sender.clone());
-            let since = Instant::now();
-            idle.push(Idle { sender, since });
-        }
-        if idle.is_empty() {
-            waiting.remove(&address);
-        }
-        taken
+        let mut waiting = self.waiting();
+        let last = waiting.targets.get_mut(&address)?.pop()?;
+        (last.since.elapsed() < self.idle).then_some(last.sender)
+    }
+
+    /// The connections that wait.
+    fn waiting(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Opens a connection and starts the task that drives it.
