--- /dev/null
+++ b/crates/control/src/leases.rs
@@ -0,0 +1,148 @@
+//! Entry hosts and their leases on the settings.
+
+use std::collections::BTreeMap;
+
+use cornelhitch_types::entry;
+use cornelhitch_types::id::{HostId, Time, Version};
+
+use crate::mutation::{self, Mutation};
+use crate::output::Output;
+use crate::turn::Turn;
+
+/// An entry host and its leases.
+#[derive(Debug, Clone)]
+pub(crate) struct Lease {
+    /// What the host said last.
+    pub(crate) host: entry::Host,
+    /// When it said so.
+    pub(crate) heard: Time,
+    /// Settings that it may act on, and until when.
+    grants: BTreeMap<Version, Time>,
+    /// Whether all of them have run out and that was noted.
+    lapsed: bool,
+}
+
+impl Lease {
+    /// Whether the host may take requests.
+    pub(crate) fn is_valid(&self, now: Time) -> bool {
+        self.grants.values().any(|until| now <= *until)
+    }
+
+    /// Whether the host may act on settings older than a version.
+    fn is_behind(&self, version: Version, now: Time) -> bool {
+        let older = self.grants.range(..version);
+        older.into_iter().any(|(_, until)| now <= *until)
+    }
+}
+
+/// All entry hosts that this leader has heard of.
+#[derive(Debug)]
+pub(crate) struct Leases {
+    /// When leases that an earlier leader gave have run out.
+    inherited: Time,
+    hosts: BTreeMap<HostId, Lease>,
+    announced: Version,
+}
+
+impl Leases {
+    /// The leases at the start of a term.
+    pub(crate) fn new(turn: &Turn) -> Self {
+        Self {
+            inherited: turn.now + turn.timing.guarded_lease(),
+            hosts: BTreeMap::new(),
+            announced: 0,
+        }
+    }
+
+    /// An entry host.
+    pub(crate) fn get(&self, host: HostId) -> Option<&Lease> {
+        self.hosts.get(&host)
+    }
+
+    /// All entry hosts.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Lease> {
+        self.hosts.values()
+    }
+
+    /// Gives a host a lease on the settings in force; says whether the view changes.
+    ///
+    /// A host that acts on older settings has to fetch these first; its lease on
+    /// the older ones is not made longer. A lease counts from here on, since the
+    /// host may fetch the settings whenever it hears of them.
+    pub(crate) fn renew(&mut self, host: entry::Host, turn: &mut Turn) -> bool {
+        let version = turn.state.catalogue().version();
+        let old = self.hosts.remove(&host.host);
+        if let Some(newer) = old
+            .as_ref()
+            .filter(|old| old.host.incarnation > host.incarnation)
+        {
+            self.hosts.insert(host.host, newer.clone());
+            return false;
+        }
+        let changed = old
+            .as_ref()
+            .is_none_or(|old| old.host != host || !old.is_valid(turn.now));
+        let same = old.filter(|old| old.host.incarnation == host.incarnation);
+        let mut grants = same.map(|old| old.grants).unwrap_or_default();
+        grants.retain(|granted, _| *granted >= host.settings);
+        if version > 0 {
+            grants.insert(version, turn.now + turn.timing.guarded_lease());
+        }
+        turn.out.push(Output::Lease {
+            host: host.host,
+            incarnation: host.incarnation,
+            length: turn.timing.lease,
+            version,
+        });
+        let lease = Lease {
+            heard: turn.now,
+            lapsed: version == 0,
+            grants,
+            host,
+        };
+        self.hosts.insert(lease.host.host, lease);
+        changed
+    }
+
+    /// Hosts whose lease has run out since the last call.
+    pub(crate) fn lapsed(&mut self, now: Time) -> Vec<HostId> {
+        let mut lapsed = Vec::new();
+        for (host, lease) in &mut self.hosts {
+            if !lease.lapsed && !lease.is_valid(now) {
+                lease.lapsed = true;
+                lapsed.push(*host);
+            }
+        }
+        lapsed
+    }
+
+    /// Whether no entry host acts on settings older than a version.
+    pub(crate) fn in_force(&self, version: Version, now: Time) -> bool {
+        let early = mutation::is(Mutation::EarlyInForce);
+        let current = |lease: &Lease| early || !lease.is_behind(version, now);
+        let inherited = now <= self.inherited && !mutation::is(Mutation::NoInheritedLeases);
+        !inherited && self.hosts.values().all(current)
+    }
+
+    /// Says once that the settings are in force.
+    pub(crate) fn announce(&mut self, turn: &mut Turn) {
+        let version = turn.state.catalogue().version();
+        if version > self.announced && self.in_force(version, turn.now) {
+            self.announced = version;
+            turn.out.push(Output::InForce { version });
+        }
+    }
+
+    /// Drops hosts that have been silent for long, and returns them.
+    pub(crate) fn expire(&mut self, turn: &Turn) -> Vec<Lease> {
+        let silent =
+            |lease: &Lease| !lease.is_valid(turn.now) && lease.heard + turn.timing.host < turn.now;
+        let ids: Vec<HostId> = self
+            .hosts
+            .iter()
+            .filter(|(_, lease)| silent(lease))
+            .map(|(host, _)| *host)
+            .collect();
+        ids.iter().filter_map(|id| self.hosts.remove(id)).collect()
+    }
+}
