A page with every key of both settings files, printed from their tables

Cause: operators had no page to look keys up in, and one written by hand would soon be wrong. Change: each row of the tables has its meaning; docs/SETTINGS.md is printed from them, and a test fails where page and tables differ. A service named '..' is refused, since its name is part of a path. Conclusion: a new key cannot land without its line on the page.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -159,7 +159,10 @@
     let (fits, wanted) = match form {
         Form::Sentence => (!text.trim().is_empty(), ", which says nothing"),
         Form::Name => (name_like(text, true), NAMES),
-        Form::Segment => (name_like(text, false), SEGMENTS),
+        Form::Segment => (
+            name_like(text, false) && !matches!(text, "." | ".."),
+            SEGMENTS,
+        ),
         Form::Method => (
             !text.is_empty() && text.chars().all(|c| c.is_ascii_uppercase()),
             ", not an HTTP method in capitals",
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod error;
 pub mod fleet;
 mod hosts;
+pub mod manual;
 pub mod prelude;
 mod print;
 pub mod process;
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -1,6 +1,7 @@
 //! The keys of both settings files, as one table each: name, kind and limits.
 //!
-//! A new key is a row here and a field in [`crate::fleet`] or [`crate::process`].
+//! A new key is a row here and a field in [`crate::fleet`] or [`crate::process`];
+//! `docs/SETTINGS.md` is printed from these tables.
 
 /// What a key's value must be.
 #[derive(Debug, Clone, Copy)]
@@ -51,6 +52,8 @@
     pub name: &'static str,
     /// What its value must be.
     pub kind: Kind,
+    /// What it means, for operators.
+    pub meaning: &'static str,
     /// Whether it may not be left out.
     pub required: bool,
 }
@@ -72,19 +75,21 @@
 }
 
 /// A key that may be left out.
-const fn may(name: &'static str, kind: Kind) -> Key {
+const fn may(name: &'static str, kind: Kind, meaning: &'static str) -> Key {
     Key {
         name,
         kind,
+        meaning,
         required: false,
     }
 }
 
 /// A key that may not be left out.
-const fn must(name: &'static str, kind: Kind) -> Key {
+const fn must(name: &'static str, kind: Kind, meaning: &'static str) -> Key {
     Key {
         name,
         kind,
+        meaning,
         required: true,
     }
 }
@@ -117,16 +122,56 @@
 pub const FLEET: Shape = Shape {
     noun: "the fleet's settings",
     keys: &[
-        may("loading", Kind::Map(&LOADING)),
-        may("keeping", Kind::Map(&KEEPING)),
-        may("placing", Kind::Map(&PLACING)),
-        may("refusing", Kind::Map(&REFUSING)),
-        may("regions", Kind::List(&Kind::Map(&REGION))),
-        may("classes", Kind::List(&Kind::Map(&CLASS))),
-        may("groups", Kind::List(&Kind::Map(&GROUP))),
-        may("models", Kind::List(&Kind::Map(&MODEL))),
-        may("services", Kind::List(&Kind::Map(&SERVICE))),
-        may("exceptions", Kind::List(&Kind::Map(&EXCEPTION))),
+        may(
+            "loading",
+            Kind::Map(&LOADING),
+            "How the weight store and the workers are loaded from.",
+        ),
+        may(
+            "keeping",
+            Kind::Map(&KEEPING),
+            "How long idle replicas are kept.",
+        ),
+        may(
+            "placing",
+            Kind::Map(&PLACING),
+            "Where and how many replicas are placed.",
+        ),
+        may(
+            "refusing",
+            Kind::Map(&REFUSING),
+            "When requests are refused.",
+        ),
+        may(
+            "regions",
+            Kind::List(&Kind::Map(&REGION)),
+            "Regions, and what a byte between them costs.",
+        ),
+        may(
+            "classes",
+            Kind::List(&Kind::Map(&CLASS)),
+            "Classes of requests.",
+        ),
+        may(
+            "groups",
+            Kind::List(&Kind::Map(&GROUP)),
+            "Groups of models that are moved over together.",
+        ),
+        may(
+            "models",
+            Kind::List(&Kind::Map(&MODEL)),
+            "The catalogue of models.",
+        ),
+        may(
+            "services",
+            Kind::List(&Kind::Map(&SERVICE)),
+            "Plain services.",
+        ),
+        may(
+            "exceptions",
+            Kind::List(&Kind::Map(&EXCEPTION)),
+            "Departures from the defaults, each with its reason.",
+        ),
     ],
 };
 
@@ -134,12 +179,36 @@
 const LOADING: Shape = Shape {
     noun: "`loading`",
     keys: &[
-        may("starts-per-second", Kind::Number(0.001, 1e5)),
-        may("concurrency", Kind::Whole(1, COUNT)),
-        may("adapters-in-flight", Kind::Whole(1, COUNT)),
-        may("remote-ms-per-gib", Kind::Whole(0, GIB_MS)),
-        may("disk-ms-per-gib", Kind::Whole(0, GIB_MS)),
-        may("memory-ms-per-gib", Kind::Whole(0, GIB_MS)),
+        may(
+            "starts-per-second",
+            Kind::Number(0.001, 1e5),
+            "Loads that the weight store allows to start, a second.",
+        ),
+        may(
+            "concurrency",
+            Kind::Whole(1, COUNT),
+            "Loads that run at full speed at once.",
+        ),
+        may(
+            "adapters-in-flight",
+            Kind::Whole(1, COUNT),
+            "Adapter loads in flight across all workers.",
+        ),
+        may(
+            "remote-ms-per-gib",
+            Kind::Whole(0, GIB_MS),
+            "Time of a load from the weight store at full speed, a gibibyte, in milliseconds.",
+        ),
+        may(
+            "disk-ms-per-gib",
+            Kind::Whole(0, GIB_MS),
+            "Time of a load from a worker's disk, a gibibyte, in milliseconds.",
+        ),
+        may(
+            "memory-ms-per-gib",
+            Kind::Whole(0, GIB_MS),
+            "Time of a load from host memory, a gibibyte, in milliseconds.",
+        ),
     ],
 };
 
@@ -147,10 +216,22 @@
 const KEEPING: Shape = Shape {
     noun: "`keeping`",
     keys: &[
-        may("cold-start-weight", WEIGHT),
-        may("idle-weight", WEIGHT),
-        may("minimum-s", KEEP_S),
-        may("maximum-s", KEEP_S),
+        may(
+            "cold-start-weight",
+            WEIGHT,
+            "Weight of the tail cold-start time against idle accelerator hours.",
+        ),
+        may("idle-weight", WEIGHT, "Weight of idle accelerator hours."),
+        may(
+            "minimum-s",
+            KEEP_S,
+            "No idle replica is unloaded sooner, but for a waiting request; in seconds.",
+        ),
+        may(
+            "maximum-s",
+            KEEP_S,
+            "Every idle replica is unloaded by then; in seconds.",
+        ),
     ],
 };
 
@@ -158,9 +239,17 @@
 const PLACING: Shape = Shape {
     noun: "`placing`",
     keys: &[
-        may("replicas", REPLICAS),
-        may("concurrency", CONCURRENCY),
-        may("spread", Kind::Switch),
+        may("replicas", REPLICAS, "Replicas of one model at most."),
+        may(
+            "concurrency",
+            CONCURRENCY,
+            "Requests that one replica answers at once.",
+        ),
+        may(
+            "spread",
+            Kind::Switch,
+            "Whether replicas of one model go to different zones where they can.",
+        ),
     ],
 };
 
@@ -168,12 +257,32 @@
 const REFUSING: Shape = Shape {
     noun: "`refusing`",
     keys: &[
-        may("queue", Kind::Whole(1, 10_000_000)),
-        may("caller", Kind::Whole(1, 10_000_000)),
-        may("deadline-ms", DEADLINE_MS),
-        may("body", Kind::Whole(1, 1 << 30)),
-        may("claims-s", Kind::Whole(1, 365 * DAY_S)),
-        may("quarantine-s", Kind::Whole(1, 30 * DAY_S)),
+        may(
+            "queue",
+            Kind::Whole(1, 10_000_000),
+            "Requests that wait on one entry host at most.",
+        ),
+        may(
+            "caller",
+            Kind::Whole(1, 10_000_000),
+            "Requests of one caller on one entry host at most.",
+        ),
+        may(
+            "deadline-ms",
+            DEADLINE_MS,
+            "Deadline of a request that names none and whose class has none, in milliseconds.",
+        ),
+        may("body", Kind::Whole(1, 1 << 30), "Largest body in bytes."),
+        may(
+            "claims-s",
+            Kind::Whole(1, 365 * DAY_S),
+            "How long outcomes of requests with a key are kept, in seconds.",
+        ),
+        may(
+            "quarantine-s",
+            Kind::Whole(1, 30 * DAY_S),
+            "How long a request that took targets down is refused, in seconds.",
+        ),
     ],
 };
 
@@ -181,9 +290,17 @@
 const REGION: Shape = Shape {
     noun: "a region",
     keys: &[
-        must("name", NAME),
-        may("distance-ms", Kind::Whole(0, 60_000)),
-        may("price", Kind::Number(0.0, 1e9)),
+        must("name", NAME, "Its name."),
+        may(
+            "distance-ms",
+            Kind::Whole(0, 60_000),
+            "Time of a byte's way to another region and back, in milliseconds.",
+        ),
+        may(
+            "price",
+            Kind::Number(0.0, 1e9),
+            "Price of a gibibyte to another region, in any one currency.",
+        ),
     ],
 };
 
@@ -191,30 +308,61 @@
 const CLASS: Shape = Shape {
     noun: "a class",
     keys: &[
-        must("name", NAME),
-        must("weight", Kind::Whole(1, 1_000_000)),
-        may("deadline-ms", DEADLINE_MS),
-        may("patient", Kind::Switch),
+        must("name", NAME, "Its name."),
+        must(
+            "weight",
+            Kind::Whole(1, 1_000_000),
+            "Its weight against other classes; a larger one goes first.",
+        ),
+        may(
+            "deadline-ms",
+            DEADLINE_MS,
+            "Deadline of its requests that name none, in milliseconds.",
+        ),
+        may(
+            "patient",
+            Kind::Switch,
+            "Whether it may be moved or queued for the sake of others.",
+        ),
     ],
 };
 
 /// Models that are moved over together.
 const GROUP: Shape = Shape {
     noun: "a group",
-    keys: &[must("name", NAME), may("managed", Kind::Switch)],
+    keys: &[
+        must("name", NAME, "Its name."),
+        may(
+            "managed",
+            Kind::Switch,
+            "Whether cornelhitch loads and unloads its models, or only routes to them.",
+        ),
+    ],
 };
 
 /// A model.
 const MODEL: Shape = Shape {
     noun: "a model",
     keys: &[
-        must("name", NAME),
-        must("bytes", Kind::Whole(1, MODEL_BYTES)),
-        may("accelerators", Kind::Whole(1, 1_024)),
-        may("group", Kind::Reference("groups")),
-        may("version", NAME),
-        may("class", Kind::Reference("classes")),
-        may("adapters", Kind::List(&NAME)),
+        must("name", NAME, "Its name."),
+        must(
+            "bytes",
+            Kind::Whole(1, MODEL_BYTES),
+            "Accelerator memory that a replica takes, in bytes; at most 1 TiB an accelerator.",
+        ),
+        may(
+            "accelerators",
+            Kind::Whole(1, 1_024),
+            "Accelerators that a replica takes.",
+        ),
+        may("group", Kind::Reference("groups"), "Its group."),
+        may("version", NAME, "The version in force."),
+        may(
+            "class",
+            Kind::Reference("classes"),
+            "Class of its requests that name none.",
+        ),
+        may("adapters", Kind::List(&NAME), "Its adapters."),
     ],
 };
 
@@ -222,9 +370,21 @@
 const SERVICE: Shape = Shape {
     noun: "a service",
     keys: &[
-        must("name", Kind::Text(Form::Segment)),
-        may("repeatable", Kind::List(&Kind::Text(Form::Method))),
-        may("class", Kind::Reference("classes")),
+        must(
+            "name",
+            Kind::Text(Form::Segment),
+            "Its name, which is also the first part of its path below `/services/`.",
+        ),
+        may(
+            "repeatable",
+            Kind::List(&Kind::Text(Form::Method)),
+            "Methods whose calls may be repeated.",
+        ),
+        may(
+            "class",
+            Kind::Reference("classes"),
+            "Class of its requests that name none.",
+        ),
     ],
 };
 
@@ -232,14 +392,26 @@
 const EXCEPTION: Shape = Shape {
     noun: "an exception",
     keys: &[
-        must("reason", Kind::Text(Form::Sentence)),
-        may("model", Kind::Reference("models")),
-        may("group", Kind::Reference("groups")),
-        may("minimum-s", KEEP_S),
-        may("maximum-s", KEEP_S),
-        may("replicas", REPLICAS),
-        may("concurrency", CONCURRENCY),
-        may("deadline-ms", DEADLINE_MS),
+        must("reason", Kind::Text(Form::Sentence), "Why, for people."),
+        may(
+            "model",
+            Kind::Reference("models"),
+            "The model it is for, or none for a group.",
+        ),
+        may(
+            "group",
+            Kind::Reference("groups"),
+            "The group it is for, or none for a model.",
+        ),
+        may("minimum-s", KEEP_S, "In place of that in `keeping`."),
+        may("maximum-s", KEEP_S, "In place of that in `keeping`."),
+        may("replicas", REPLICAS, "In place of that in `placing`."),
+        may("concurrency", CONCURRENCY, "In place of that in `placing`."),
+        may(
+            "deadline-ms",
+            DEADLINE_MS,
+            "In place of that in `refusing`.",
+        ),
     ],
 };
 
@@ -247,20 +419,64 @@
 pub const PROCESS: Shape = Shape {
     noun: "the process's settings",
     keys: &[
-        must("cluster", NAME),
-        must("host", Kind::Whole(0, u64::MAX)),
-        must("region", NAME),
-        must("zone", NAME),
-        must("roles", Kind::List(&Kind::Choice(&["entry", "control"]))),
-        must("callers", Kind::Text(Form::Address)),
-        must("operators", Kind::Text(Form::Address)),
-        must("peers", Kind::Text(Form::Reachable)),
-        must("voters", Kind::List(&Kind::Map(&PEER))),
-        may("data", Kind::Text(Form::Path)),
-        must("keys", Kind::Text(Form::Path)),
-        must("token", Kind::Text(Form::Path)),
-        may("fleet", Kind::Text(Form::Path)),
-        may("otlp", Kind::Text(Form::Url)),
+        must(
+            "cluster",
+            NAME,
+            "The cluster's name; frames of another one are dropped.",
+        ),
+        must("host", Kind::Whole(0, u64::MAX), "This host's number."),
+        must("region", NAME, "Its region."),
+        must("zone", NAME, "Its availability zone."),
+        must(
+            "roles",
+            Kind::List(&Kind::Choice(&["entry", "control"])),
+            "What it does: it takes requests from callers, or it keeps the replicated state.",
+        ),
+        must(
+            "callers",
+            Kind::Text(Form::Address),
+            "Where callers and targets connect.",
+        ),
+        must(
+            "operators",
+            Kind::Text(Form::Address),
+            "Where operators connect.",
+        ),
+        must(
+            "peers",
+            Kind::Text(Form::Reachable),
+            "Where other cornelhitch processes reach it, over UDP and TCP.",
+        ),
+        must(
+            "voters",
+            Kind::List(&Kind::Map(&PEER)),
+            "The voters, this one too if it is one; 1 to 9.",
+        ),
+        may(
+            "data",
+            Kind::Text(Form::Path),
+            "The folder for durable state; for the role control, and only for it.",
+        ),
+        must(
+            "keys",
+            Kind::Text(Form::Path),
+            "The file with the keys that peers share, one a line; the first is used to send.",
+        ),
+        must(
+            "token",
+            Kind::Text(Form::Path),
+            "The file with the token that operators show.",
+        ),
+        may(
+            "fleet",
+            Kind::Text(Form::Path),
+            "A fleet settings file that a new cluster starts from.",
+        ),
+        may(
+            "otlp",
+            Kind::Text(Form::Url),
+            "Where metrics go over OTLP/HTTP; to the log where it is not set.",
+        ),
     ],
 };
 
@@ -268,8 +484,12 @@
 const PEER: Shape = Shape {
     noun: "a voter",
     keys: &[
-        must("host", Kind::Whole(0, u64::MAX)),
-        must("address", Kind::Text(Form::Reachable)),
+        must("host", Kind::Whole(0, u64::MAX), "Its number."),
+        must(
+            "address",
+            Kind::Text(Form::Reachable),
+            "Its address, over UDP and TCP.",
+        ),
     ],
 };
 
--- a/crates/settings/tests/fleet.rs
+++ b/crates/settings/tests/fleet.rs
@@ -46,6 +46,7 @@
 models: [{ name: m, bytes: 1, adapters: [a, a] }]    => 1:45: `a` stands in `adapters` twice, first on line 1
 models: [{ name: m@1, bytes: 1 }]                    => 1:18: `name` is "m@1", not a name of up to 128 ASCII letters, digits, `-`, `_`, `.` and `/`
 services: [{ name: a/b }]                            => 1:20: `name` is "a/b", not a name of up to 128 ASCII letters, digits, `-`, `_` and `.`
+services: [{ name: .. }]                             => 1:20: `name` is "..", not a name of up to 128 ASCII letters, digits, `-`, `_` and `.`
 services: [{ name: a, repeatable: [get] }]           => 1:36: `repeatable` is "get", not an HTTP method in capitals
 exceptions: [{ reason: r, replicas: 2 }]             => 1:14: an exception is for a `model` or for a `group`, one of the two
 exceptions: [{ reason: r, model: m, replicas: 2 }]   => 1:34: `model` is "m", which is not in `models`
