Strikes below the limit are forgotten too, and that is published

Cause: a single strike stayed in the state until another one came, and entry hosts were never told that it is over.

Change: each fingerprint has a time at which its strikes are forgotten; the leader publishes 0 strikes then, also one elected in between.

Conclusion: an innocent neighbour of a crash is free after the quarantine time.

--- a/crates/control/src/reign.rs
+++ b/crates/control/src/reign.rs
@@ -56,7 +56,7 @@
     pub(crate) adapters: BTreeMap<Adapter, Time>,
     /// Copies that were ordered nearer to an accelerator, and since when.
     pub(crate) warming: BTreeMap<Warming, Time>,
-    /// Fingerprints that are refused for a time, and until when.
+    /// Fingerprints with strikes, and until when.
     pub(crate) quarantine: BTreeMap<u64, Time>,
     /// When the planner was last asked.
     pub(crate) planned: Option<Time>,
@@ -319,12 +319,13 @@
         self.eager = true;
     }
 
-    /// Notes until when a fingerprint is refused.
+    /// Notes until when a fingerprint has strikes.
     fn refuse(&mut self, count: Count) {
-        match count.until {
-            Some(until) => self.quarantine.insert(count.fingerprint, until),
-            None => self.quarantine.remove(&count.fingerprint),
-        };
+        if count.lost > 0 {
+            self.quarantine.insert(count.fingerprint, count.forgotten);
+        } else {
+            self.quarantine.remove(&count.fingerprint);
+        }
     }
 
     /// Lets time pass.
@@ -367,7 +368,7 @@
         }
     }
 
-    /// Publishes that fingerprints are no longer refused.
+    /// Publishes that strikes are forgotten.
     fn end_quarantine(&mut self, turn: &Turn) {
         let over = |until: &Time| *until <= turn.now;
         let ended: Vec<u64> = self
--- a/crates/control/src/scene.rs
+++ b/crates/control/src/scene.rs
@@ -93,7 +93,7 @@
 
     /// A struck fingerprint; one whose time is over counts 0.
     pub(crate) fn strike(&self, count: Count) -> Change {
-        let over = count.until.is_some_and(|until| until <= self.now);
+        let over = count.forgotten <= self.now;
         Change::Strike(count.fingerprint, if over { 0 } else { count.lost })
     }
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -180,7 +180,7 @@
             }
             Command::Strike(strike) => {
                 let quarantine = self.quarantine();
-                self.strikes.expire(quarantine, now);
+                self.strikes.expire(now);
                 Reply::Strike(self.strikes.strike(strike, quarantine, now))
             }
             Command::Pardon { fingerprint } => Reply::Strike(self.strikes.pardon(fingerprint)),
--- a/crates/control/src/strikes.rs
+++ b/crates/control/src/strikes.rs
@@ -39,6 +39,8 @@
     pub lost: u32,
     /// Until when it is refused, if it is.
     pub until: Option<Time>,
+    /// When its strikes are forgotten.
+    pub forgotten: Time,
 }
 
 /// A fingerprint with strikes.
@@ -47,6 +49,7 @@
     lost: BTreeSet<Life>,
     last: Time,
     until: Option<Time>,
+    forgotten: Time,
 }
 
 /// One life of a target.
@@ -72,6 +75,7 @@
             fingerprint,
             lost: u32::try_from(lost).unwrap_or(u32::MAX),
             until: suspect.and_then(|suspect| suspect.until),
+            forgotten: suspect.map_or(Time::ZERO, |suspect| suspect.forgotten),
         }
     }
 
@@ -94,8 +98,9 @@
                 suspect.lost.insert(life.clone());
             }
             suspect.last = now;
+            suspect.forgotten = now.saturating_add(quarantine);
             if suspect.lost.len() >= LIMIT {
-                suspect.until = Some(now.saturating_add(quarantine));
+                suspect.until = Some(suspect.forgotten);
             }
         }
         self.bound();
@@ -108,13 +113,9 @@
         self.answer(vec![fingerprint])
     }
 
-    /// Forgets strikes that are older than `quarantine`, and returns their fingerprints.
-    pub(crate) fn expire(&mut self, quarantine: Duration, now: Time) {
-        self.suspects.retain(|_, suspect| {
-            now < suspect
-                .until
-                .unwrap_or(suspect.last.saturating_add(quarantine))
-        });
+    /// Forgets strikes whose time is over.
+    pub(crate) fn expire(&mut self, now: Time) {
+        self.suspects.retain(|_, suspect| now < suspect.forgotten);
     }
 
     /// How some fingerprints stand.
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -5,6 +5,7 @@
 use common::{Bench, MODELS, entry_host, heartbeat, holding, report, worker};
 use cornelhitch_control::claims::Outcome;
 use cornelhitch_control::prelude::*;
+use cornelhitch_control::strikes::Strike;
 use cornelhitch_control::{catalogue, claims};
 use cornelhitch_types::order::Action;
 use cornelhitch_types::target::{Heartbeat, Holding, Load, Stage};
@@ -148,6 +149,22 @@
     assert_eq!(closed, 1);
 }
 
+#[test]
+fn strikes_are_published_and_forgotten() {
+    let mut bench = bench();
+    bench.commit(&Command::Strike(Strike {
+        fingerprints: vec![7],
+        target: "w1".into(),
+        incarnation: 1,
+    }));
+    assert!(bench.changes().contains(&Change::Strike(7, 1)));
+    bench.elect();
+    bench.pass(3_000);
+    assert!(bench.changes().contains(&Change::Strike(7, 1)));
+    bench.pass(700);
+    assert!(bench.changes().contains(&Change::Strike(7, 0)));
+}
+
 #[test]
 fn claims_of_an_ended_host_are_unknown() {
     // The life that renews its lease after the claim, if any, and what a resend is told in the end.
