Claims: what is said and what is kept in files of their own

Change: claim.rs holds the requests and answers, claims.rs the table; the first plan of a term waits 1.1 s for heartbeats.

Conclusion: no change of behaviour but the shorter wait.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -28,6 +28,7 @@
 
 mod beats;
 pub mod catalogue;
+mod claim;
 pub mod claims;
 pub mod command;
 pub mod error;
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -60,7 +60,7 @@
         Self {
             plan: ms(100),
             replan: s(1),
-            gather: ms(1_500),
+            gather: ms(1_100),
             suspicion: s(2),
             doubt: ms(1_200),
             distrust: s(30),
