--- a/crates/control/tests/common/world.rs
+++ b/crates/control/tests/common/world.rs
@@ -5,6 +5,7 @@
 
 use cornelhitch_control::prelude::*;
 use cornelhitch_control::replicas::Decide;
+use cornelhitch_planner::Planner;
 use cornelhitch_types::id::ReplicaId;
 use cornelhitch_types::order::{Action, Order, Outcome};
 use cornelhitch_types::target::Heartbeat;
@@ -111,10 +112,14 @@
     told: bool,
 }
 
+/// Makes a planner for a new leader.
+pub type Make = fn() -> Box<dyn Planner>;
+
 /// Everything.
 pub struct World {
     state: State,
     leader: Leader,
+    planner: Make,
     now: Duration,
     term: u64,
     log: Vec<(Entry, Command)>,
@@ -134,6 +139,11 @@
 
 impl World {
     pub fn new() -> Self {
+        Self::with(|| Box::new(Trivial))
+    }
+
+    /// A world whose leaders have a planner.
+    pub fn with(planner: Make) -> Self {
         let habit = |fencing, ids| Habit { fencing, ids };
         let mut workers = vec![
             Fake::new("w0", 100, habit(true, true)),
@@ -151,7 +161,8 @@
         }
         let mut world = Self {
             state: State::default(),
-            leader: Leader::new(Box::new(Trivial)),
+            leader: Leader::new(planner()),
+            planner,
             now: super::START,
             term: 0,
             log: Vec::new(),
@@ -278,6 +289,11 @@
                 return Err(format!("{model} is not ready after the faults"));
             }
         }
+        Ok(())
+    }
+
+    /// After [`World::calm`], with a planner that keeps nothing idle: nothing is left.
+    pub fn empty(&self) -> Result<(), String> {
         match self.state.replicas().iter().next() {
             Some(replica) => Err(format!("{replica:?} is left though nobody asks for it")),
             None => Ok(()),
@@ -508,7 +524,7 @@
             flight.told = true;
         }
         self.term += 1;
-        self.leader = Leader::new(Box::new(Trivial));
+        self.leader = Leader::new((self.planner)());
         self.give(Input::Elected { term: self.term });
     }
 
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -6,6 +6,7 @@
 
 use common::world::{Fate, Step, World, step};
 use cornelhitch_control::mutation::{self, Mutation};
+use cornelhitch_planner::policy::Policy;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
@@ -30,6 +31,7 @@
         world.run(step)?;
     }
     world.calm()?;
+    world.empty()?;
     world.finish()?;
     Ok(world)
 }
@@ -65,6 +67,29 @@
     );
 }
 
+/// Schedules that are run with the daemon's own planner.
+const POLICY_CASES: u32 = 60;
+
+#[test]
+fn every_schedule_keeps_the_promises_under_the_policy() {
+    let strategy = vec(step(), 1..120);
+    let mut runner = runner();
+    for _ in 0..POLICY_CASES {
+        let steps = strategy
+            .new_tree(&mut runner)
+            .expect("a schedule")
+            .current();
+        let mut world = World::with(|| Box::new(Policy::default()));
+        let result = steps.iter().try_for_each(|step| world.run(step));
+        let result = result
+            .and_then(|()| world.calm())
+            .and_then(|()| world.finish());
+        if let Err(error) = result {
+            panic!("{error}\n{steps:#?}");
+        }
+    }
+}
+
 #[test]
 fn every_mutation_of_decisions_and_orders_is_found() {
     let mutations = [
