The leader's soft state for operators

Cause: operators could see the replicated state but not what the leader has heard, which orders are unknown, or which entry host holds settings back.

Change: Leader::dump. The settings test compares its answer with in_force.

Conclusion: the node can add it to its dump.

--- a/crates/control/src/claims/tests.rs
+++ b/crates/control/src/claims/tests.rs
@@ -23,27 +23,12 @@
 };
 
 #[derive(Debug, Clone)]
+#[rustfmt::skip]
 enum Step {
-    Claim {
-        key: u8,
-        digest: u8,
-        host: u64,
-        issued: Option<u64>,
-        repeated: bool,
-    },
-    Finish {
-        key: u8,
-        host: u64,
-        body: u8,
-    },
-    Abandon {
-        key: u8,
-        host: u64,
-        late: bool,
-    },
-    HostEnded {
-        host: u64,
-    },
+    Claim { key: u8, digest: u8, host: u64, issued: Option<u64>, repeated: bool },
+    Finish { key: u8, host: u64, body: u8 },
+    Abandon { key: u8, host: u64, late: bool },
+    HostEnded { host: u64 },
     Pass(u64),
     Restart,
 }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -6,6 +6,7 @@
 use cornelhitch_types::id::{Term, Time, Version};
 use cornelhitch_types::view::View;
 
+use crate::dump::Dump;
 use crate::input::Input;
 use crate::output::Output;
 use crate::reign::Reign;
@@ -127,6 +128,25 @@
         }
     }
 
+    /// The soft state, for operators; none when this host does not lead.
+    ///
+    /// ```
+    /// # use cornelhitch_control::prelude::*;
+    /// # use cornelhitch_planner::policy::Policy;
+    /// # use cornelhitch_types::id::Time;
+    /// let state = State::default();
+    /// let mut leader = Leader::new(Box::new(Policy::default()));
+    /// let now = Time::from_secs(7);
+    /// assert!(leader.dump(&state, now).is_none());
+    /// leader.handle(Input::Elected { term: 3 }, &state, now);
+    /// assert_eq!(leader.dump(&state, now).map(|dump| dump.term), Some(3));
+    /// ```
+    #[must_use]
+    pub fn dump(&self, state: &State, now: Time) -> Option<Dump> {
+        let reign = self.reign.as_ref();
+        reign.map(|reign| Dump::new(reign, state, now))
+    }
+
     /// Why a model is where it is, one line a step, for operators.
     #[must_use]
     pub fn explain(&self, model: &str, now: Time) -> Vec<String> {
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -124,6 +124,15 @@
         !inherited && self.hosts.values().all(current)
     }
 
+    /// The oldest settings that some host may act on: [`Version::MAX`] when no host has a lease,
+    /// and none while leases of an earlier leader may run.
+    pub(crate) fn oldest(&self, now: Time) -> Option<Version> {
+        let grants = self.hosts.values().flat_map(|lease| &lease.grants);
+        let valid = grants.filter(|(_, until)| now <= **until);
+        let oldest = valid.map(|(version, _)| *version).min();
+        (now > self.inherited).then_some(oldest.unwrap_or(Version::MAX))
+    }
+
     /// Says once that the settings are in force.
     pub(crate) fn announce(&mut self, turn: &mut Turn) {
         let version = turn.state.catalogue().version();
--- a/crates/control/src/mutation.rs
+++ b/crates/control/src/mutation.rs
@@ -53,6 +53,12 @@
         ACTIVE.set(mutation);
     }
 
+    /// The fault that is in, if any.
+    #[must_use]
+    pub fn current() -> Option<Mutation> {
+        ACTIVE.get()
+    }
+
     /// Whether a fault is in.
     pub(crate) fn is(mutation: Mutation) -> bool {
         ACTIVE.get() == Some(mutation)
@@ -62,7 +68,7 @@
 #[cfg(feature = "mutation")]
 pub(crate) use active::is;
 #[cfg(feature = "mutation")]
-pub use active::set;
+pub use active::{current, set};
 
 /// Whether a fault is in.
 #[cfg(not(feature = "mutation"))]
--- a/crates/control/src/tracks.rs
+++ b/crates/control/src/tracks.rs
@@ -33,6 +33,19 @@
     Withheld,
 }
 
+impl Sent {
+    /// Its name, for operators.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Never => "never sent",
+            Self::Out { .. } => "out",
+            Self::Unknown { .. } => "unknown",
+            Self::Settled => "answered",
+            Self::Withheld => "withheld",
+        }
+    }
+}
+
 /// One replica.
 #[derive(Debug, Clone)]
 pub(crate) struct Track {
--- a/crates/control/tests/bytes.rs
+++ b/crates/control/tests/bytes.rs
@@ -33,61 +33,26 @@
 }
 
 /// One command of each kind.
+#[rustfmt::skip]
 fn commands() -> Vec<Command> {
     let (target, incarnation) = ("w1".into(), 1);
     let bid = key("bid-1");
     let holder = common::holder(1, 1);
     vec![
-        Command::Apply(Apply {
-            operator: "ann".into(),
-            request: "1".into(),
-            base: 0,
-            text: MODELS.into(),
-        }),
+        Command::Apply(Apply { operator: "ann".into(), request: "1".into(), base: 0, text: MODELS.into() }),
         Command::Register(worker("w1", 1, 100, true)),
         Command::Decide(decide()),
-        Command::Ready {
-            replica: 1,
-            sequence: 2,
-        },
+        Command::Ready { replica: 1, sequence: 2 },
         Command::Retire { replica: 1 },
-        Command::Release {
-            replica: 1,
-            evidence: Evidence::Inventory { sequence: 9 },
-            unknown: true,
-        },
+        Command::Release { replica: 1, evidence: Evidence::Inventory { sequence: 9 }, unknown: true },
         Command::Claim(claim("bid-1", 1, 1)),
-        Command::Finish(Finish {
-            key: bid.clone(),
-            holder,
-            call: 1,
-            outcome: outcome(),
-        }),
-        Command::Abandon {
-            key: bid,
-            holder,
-            call: 1,
-        },
-        Command::HostEnded {
-            host: 1,
-            incarnation,
-        },
-        Command::Strike(Strike {
-            fingerprints: vec![7, 8],
-            target: "w1".into(),
-            incarnation,
-        }),
+        Command::Finish(Finish { key: bid.clone(), holder, call: 1, outcome: outcome() }),
+        Command::Abandon { key: bid, holder, call: 1 },
+        Command::HostEnded { host: 1, incarnation },
+        Command::Strike(Strike { fingerprints: vec![7, 8], target: "w1".into(), incarnation }),
         Command::Pardon { fingerprint: 7 },
-        Command::Silence {
-            target: "w1".into(),
-            incarnation,
-            silent: true,
-        },
-        Command::Dismiss {
-            target,
-            incarnation,
-            attested: true,
-        },
+        Command::Silence { target: "w1".into(), incarnation, silent: true },
+        Command::Dismiss { target, incarnation, attested: true },
         Command::Nothing,
     ]
 }
--- a/crates/control/tests/common/world.rs
+++ b/crates/control/tests/common/world.rs
@@ -37,19 +37,14 @@
 
 /// One step of a schedule. Masks have one bit a worker.
 #[derive(Debug, Clone)]
+#[rustfmt::skip]
 pub enum Step {
     /// A second with ticks and heartbeats, some lost, some late, some from paused workers.
     Second { lost: u8, late: u8, paused: u8 },
     /// A late heartbeat arrives, and stays on its way when it is doubled.
     Late { which: usize, doubled: bool },
     /// An entry host reports; an old sequence number makes it a late report.
-    Demand {
-        host: u64,
-        model: usize,
-        waiting: u32,
-        running: u32,
-        old: bool,
-    },
+    Demand { host: u64, model: usize, waiting: u32, running: u32, old: bool },
     /// An order on its way meets its fate.
     Order { which: usize, fate: Fate },
     /// A worker dies and comes back.
--- a/crates/control/tests/settings.rs
+++ b/crates/control/tests/settings.rs
@@ -22,18 +22,14 @@
 
 /// One step of a schedule.
 #[derive(Debug, Clone)]
+#[rustfmt::skip]
 enum Step {
     /// Time passes, in units of 100 ms.
     Pass(u32),
     /// A host asks for its lease; the answer is lost, or arrives after a while.
     Renew { host: u64, lost: bool, delay: u32 },
     /// An operator applies a text made from some versions before the one in force.
-    Apply {
-        operator: u8,
-        request: u8,
-        behind: u64,
-        valid: bool,
-    },
+    Apply { operator: u8, request: u8, behind: u64, valid: bool },
     /// Another host leads, out of a snapshot.
     Elect,
     /// An entry host restarts without settings.
@@ -257,6 +253,11 @@
         let claimed = (1..=version)
             .filter(|it| self.leader.in_force(*it, self.now))
             .max();
+        let dumped = self.leader.dump(&self.state, self.now);
+        let dumped = dumped.map_or(0, |dump| dump.in_force);
+        if mutation::current().is_none() && dumped != claimed.unwrap_or(0) {
+            return Err(format!("{dumped} dumped, {claimed:?} in force"));
+        }
         let claimed = claimed.unwrap_or(0).max(self.announced);
         let acting = self.hosts.iter().filter(|host| self.now <= host.until);
         match acting.clone().find(|host| host.acts_on < claimed) {
