--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,9 +1,10 @@
 //! From the queue to a place.
 
-use cornelhitch_types::id::{ModelId, Name, Time};
+use cornelhitch_types::id::{ModelId, Name, RegionId, Time};
 use cornelhitch_types::view::State;
 
 use crate::action::{Action, Destination};
+use crate::config::Guard;
 use crate::core::Core;
 use crate::estimate::Supply;
 use crate::event::{CallId, What};
@@ -13,6 +14,7 @@
 use crate::queue::Key;
 use crate::request::{Call, Reach, Run, Stage};
 use crate::route::{Candidate, Place};
+use crate::share::Sharers;
 
 /// Requests that are looked at for a place at once; those before them wait for an adapter or a
 /// target of their own.
@@ -53,7 +55,7 @@
             return;
         }
         let mut options = self.options(key);
-        let waiting: Vec<CallId> = self.queue.lane(key).map(|(_, id)| id).take(SCAN).collect();
+        let waiting: Vec<CallId> = self.queue.lane(key).take(SCAN).collect();
         for id in waiting {
             if !options.iter().any(Choice::free) {
                 return;
@@ -71,7 +73,7 @@
 
     /// Goes through the whole queue, past requests that wait for something of their own.
     fn look_further(&mut self, key: &Key, options: &mut [Choice]) {
-        let rest: Vec<CallId> = self.queue.lane(key).map(|(_, id)| id).skip(SCAN).collect();
+        let rest: Vec<CallId> = self.queue.lane(key).skip(SCAN).collect();
         for id in rest {
             if !options.iter().any(Choice::free) {
                 return;
@@ -149,7 +151,7 @@
             region: view.region.clone(),
             zone: view.zone.clone(),
             own,
-            others: reported.saturating_sub(own),
+            others: reported.saturating_sub(target.own),
             age: self.now.saturating_sub(target.measured),
             capacity,
             cached: 0.0,
@@ -158,19 +160,25 @@
             place,
         };
         Some(Choice {
-            limit: self.limit(&candidate.place, capacity),
+            limit: self.limit(&candidate, capacity),
             candidate,
             adapters: Vec::new(),
         })
     }
 
     /// Requests that this host may have at a place.
-    fn limit(&self, place: &Place, capacity: u32) -> u32 {
-        if !self.config.sharing {
+    fn limit(&self, candidate: &Candidate, capacity: u32) -> u32 {
+        if !self.config.uses(Guard::Sharing) {
             return capacity;
         }
-        let (hosts, _) = self.picture.sharers(self.config.host);
-        self.shares.limit(place, capacity, hosts)
+        let sharers = self.sharers(&candidate.region);
+        self.shares.limit(&candidate.place, capacity, sharers)
+    }
+
+    /// Who shares a target in a region.
+    pub(crate) fn sharers(&self, region: &RegionId) -> Sharers {
+        let config = &self.config;
+        self.picture.sharers(config.host, &config.region, region)
     }
 
     /// What is known of the places for one kind of request.
@@ -203,7 +211,7 @@
         if call.pause > self.now {
             return None;
         }
-        if call.reach > Reach::Unsent && !self.budget.has(self.now) {
+        if call.reach > Reach::Unsent && !self.affords() {
             self.starved = Some(self.now + BUDGET_PAUSE);
             return None;
         }
@@ -233,6 +241,11 @@
         fit.get(chosen).copied()
     }
 
+    /// Whether a request may be sent once more.
+    pub(crate) fn affords(&mut self) -> bool {
+        !self.config.uses(Guard::Budget) || self.budget.has(self.now)
+    }
+
     /// Whether a place has what a request needs, and the request may go there.
     fn fits(&self, call: &Call, option: &Choice) -> bool {
         if let What::Model(reference) = &call.request.what
@@ -297,7 +310,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        self.queue.remove(&call.key, call.rank, id);
+        self.queue.serve(&call.key, call.rank, id);
         let fingerprint = call.request.fingerprint;
         let life = (candidate.place.target.clone(), candidate.incarnation);
         let strikes = self.quarantine.strikes(fingerprint);
