--- a/crates/cornelhitch/src/log.rs
+++ b/crates/cornelhitch/src/log.rs
@@ -1,5 +1,7 @@
 //! Logs of the two binaries.
 
+use std::io::IsTerminal;
+
 use strum::{Display, EnumString};
 use tracing_subscriber::EnvFilter;
 
@@ -24,6 +26,7 @@
     let filter: EnvFilter = filter.parse()?;
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     // A subscriber that stands already, as in tests, is left as it is.
     let _ = match format {
--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -56,11 +56,25 @@
 }
 
 /// A host that runs.
-struct Running {
+pub struct Running {
     runtime: Runtime,
     node: Node,
 }
 
+impl Running {
+    /// Shuts the host down gracefully and waits for its end, at most so long.
+    ///
+    /// Returns whether it ended by itself.
+    #[must_use]
+    pub fn drain(self, limit: Duration) -> bool {
+        self.node.drain();
+        let ending = async { tokio::time::timeout(limit, self.node.ended()).await };
+        let ended = self.runtime.block_on(ending);
+        self.runtime.shutdown_background();
+        ended.is_ok()
+    }
+}
+
 /// The hosts of a cluster.
 pub struct Cluster {
     /// The hosts, by their numbers less one.
@@ -145,17 +159,9 @@
         }
     }
 
-    /// Shuts a host down gracefully and waits for its end, at most so long.
-    ///
-    /// Returns whether it ended by itself.
-    pub fn drain(&mut self, index: usize, limit: Duration) -> bool {
-        let Some(Running { runtime, node }) = self.hosts[index].running.take() else {
-            return true;
-        };
-        node.drain();
-        let ended = runtime.block_on(async { tokio::time::timeout(limit, node.ended()).await });
-        runtime.shutdown_background();
-        ended.is_ok()
+    /// Takes a running host out, for a graceful shutdown without the others.
+    pub fn take(&mut self, index: usize) -> Option<Running> {
+        self.hosts[index].running.take()
     }
 
     /// Starts a host that does not run, on its ports and its folder.
