--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -245,26 +245,31 @@
 
     /// The state of this process.
     async fn dump(&self) -> serde_json::Value {
-        let (answer, entry) = oneshot::channel();
-        if let Some(task) = &self.entry {
-            let _ = task.send(entry::Input::Dump(answer));
-        }
-        let (answer, control) = oneshot::channel();
-        if let Some(task) = &self.control {
-            let _ = task.send(control::Told::Dump(answer));
-        }
+        let entry = state(self.entry.as_ref(), entry::Input::Dump).await;
+        let control = state(self.control.as_ref(), control::Told::Dump).await;
         serde_json::json!({
             "host": self.host,
             "incarnation": self.incarnation,
             "version": env!("CARGO_PKG_VERSION"),
             "session": self.session.status(),
-            "entry": entry.await.ok(),
-            "control": control.await.ok(),
+            "entry": entry,
+            "control": control,
             "metrics": self.metrics.sums(),
         })
     }
 }
 
+/// The state of a task, where the host has it.
+async fn state<M>(
+    task: Option<&mpsc::UnboundedSender<M>>,
+    question: impl FnOnce(oneshot::Sender<serde_json::Value>) -> M,
+) -> Option<serde_json::Value> {
+    let task = task?;
+    let (answer, answered) = oneshot::channel();
+    task.send(question(answer)).ok()?;
+    answered.await.ok()
+}
+
 impl Verdict {
     /// The HTTP status of a verdict.
     fn status(&self) -> StatusCode {
--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -24,6 +24,15 @@
     },
 }
 
+impl Error {
+    /// Whether another socket has the address.
+    #[must_use]
+    pub fn is_taken(&self) -> bool {
+        let Self::Bind { source, .. } = self;
+        source.kind() == std::io::ErrorKind::AddrInUse
+    }
+}
+
 /// The sockets of one process, bound and not yet served.
 #[derive(Debug)]
 pub struct Sockets {
--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -16,6 +16,9 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, Snafu, whatever};
 
+/// Time after which a caller gives up on a host that says nothing.
+const PATIENCE: Duration = Duration::from_secs(15);
+
 /// What the terminator of a stream says.
 const DONE: &str = "[DONE]";
 
@@ -158,6 +161,23 @@
 
     /// Asks a model at a host and checks the answer.
     pub async fn ask(&self, host: SocketAddr, ask: &Ask) -> End {
+        patient(self.ask_model(host, ask)).await
+    }
+
+    /// Calls a plain service, with a key where the call may not be repeated.
+    pub async fn call(
+        &self,
+        host: SocketAddr,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> End {
+        patient(self.call_service(host, method, path, key, body)).await
+    }
+
+    /// Asks a model.
+    async fn ask_model(&self, host: SocketAddr, ask: &Ask) -> End {
         let body = Body {
             model: ask.model.to_string(),
             messages: [Message {
@@ -191,8 +211,8 @@
         }
     }
 
-    /// Calls a plain service, with a key where the call may not be repeated.
-    pub async fn call(
+    /// Calls a plain service.
+    async fn call_service(
         &self,
         host: SocketAddr,
         method: Method,
@@ -229,6 +249,16 @@
     }
 }
 
+/// The end of a request, or that there was none for a long time.
+async fn patient(asking: impl Future<Output = End>) -> End {
+    match tokio::time::timeout(PATIENCE, asking).await {
+        Ok(end) => end,
+        Err(_) => End::Lost {
+            detail: format!("no end within {PATIENCE:?}"),
+        },
+    }
+}
+
 /// The end of a request whose connection failed.
 fn lost(error: &impl std::fmt::Debug) -> End {
     End::Lost {
--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -8,6 +8,7 @@
 use cornelhitch_node::socket::{self, Addresses, Sockets};
 use cornelhitch_settings::process::{Peer, Process, Role};
 use cornelhitch_types::id::HostId;
+use rand::Rng;
 use snafu::{ResultExt, Snafu};
 use tempfile::TempDir;
 use tokio::runtime::{Builder, Runtime};
@@ -15,6 +16,9 @@
 /// Threads of one host's runtime.
 const THREADS: usize = 2;
 
+/// Ports that a host's first one is taken from.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// The token of operators.
 pub const TOKEN: &str = "a token for operators";
 
@@ -109,11 +113,8 @@
         for index in 0..plan.hosts {
             let runtime = runtime()?;
             let mut process = process(&folder, plan, index);
-            let sockets = runtime.block_on(Sockets::bind(&process))?;
+            let sockets = runtime.block_on(bind(&mut process))?;
             let addresses = sockets.addresses()?;
-            process.callers = addresses.callers;
-            process.operators = addresses.operators;
-            process.peers = addresses.peers;
             bound.push((runtime, process, sockets, addresses));
         }
         let voters: Vec<Peer> = bound
@@ -242,6 +243,24 @@
     }
 }
 
+/// Binds free ports below those that the system gives to outgoing connections.
+///
+/// A port that the system chose could be taken by such a connection while its
+/// host is away.
+async fn bind(process: &mut Process) -> Result<Sockets, Error> {
+    loop {
+        let port = rand::rng().random_range(PORTS);
+        process.callers.set_port(port);
+        process.operators.set_port(port + 1);
+        process.peers.set_port(port + 2);
+        match Sockets::bind(process).await {
+            Ok(sockets) => return Ok(sockets),
+            Err(error) if error.is_taken() => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
+
 /// A runtime for one host.
 fn runtime() -> std::io::Result<Runtime> {
     Builder::new_multi_thread()
--- a/crates/trial/src/operator.rs
+++ b/crates/trial/src/operator.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
@@ -12,8 +13,17 @@
 
 use crate::cluster::{Cluster, TOKEN};
 
+/// Time after which an operator gives up on a host that says nothing.
+const PATIENCE: Duration = Duration::from_secs(12);
+
 /// One call of an operator; `Null` where there was no answer.
 pub async fn call(host: SocketAddr, method: &str, path: &str, body: &Value) -> Value {
+    let calling = tokio::time::timeout(PATIENCE, ask(host, method, path, body));
+    calling.await.unwrap_or_default()
+}
+
+/// One call of an operator.
+async fn ask(host: SocketAddr, method: &str, path: &str, body: &Value) -> Value {
     let body = if body.is_null() {
         Bytes::new()
     } else {
