--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -76,7 +76,7 @@
         Self {
             peers: Vec::new(),
             founder: false,
-            election: Duration::from_secs(1),
+            election: Duration::from_millis(800),
             heartbeat: Duration::from_millis(150),
             stall: Duration::from_secs(2),
             retry: Duration::from_millis(500),
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -117,7 +117,7 @@
             leader: None,
             commit: log.snapshot_index(),
             applied: log.snapshot_index(),
-            held: 0,
+            held: log.snapshot_index(),
             heard_stamp: Time::ZERO,
             votes: BTreeSet::new(),
             outside: BTreeSet::new(),
--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -22,6 +22,13 @@
         self.election_at = self.now + self.config.election.mul_f64(1.0 + spread);
     }
 
+    /// Puts the next attempt off by a quarter to three quarters of an election time-out: votes
+    /// that were split need another attempt, and no promise stands against it any more.
+    fn retry_election(&mut self) {
+        let spread = self.rng.random_range(0.25..0.75);
+        self.election_at = self.now + self.config.election.mul_f64(spread);
+    }
+
     /// Follows in `term`, which is not before this member's.
     pub(super) fn become_follower(&mut self, term: Term) {
         if term > self.ballot.term {
@@ -59,6 +66,9 @@
     }
 
     pub(super) fn on_election_timeout(&mut self) {
+        if self.role == Role::Candidate && self.disk.busy() {
+            return self.retry_election();
+        }
         self.postpone_election();
         self.leader = None;
         self.role = Role::Follower;
@@ -70,6 +80,7 @@
         }
         self.role = Role::PreCandidate;
         self.votes = [self.me().id].into();
+        self.retry_election();
         for peer in self.other_voters() {
             let message = self.vote(true);
             let term = self.ballot.term + 1;
--- a/crates/quorum/src/core/persist.rs
+++ b/crates/quorum/src/core/persist.rs
@@ -53,6 +53,11 @@
         self.failing || self.stalled
     }
 
+    /// Whether something is not known to be synced.
+    pub(super) fn busy(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     pub(super) fn stage(&mut self, record: Record) {
         self.staged.push(record);
     }
--- a/crates/quorum/src/core/transfer.rs
+++ b/crates/quorum/src/core/transfer.rs
@@ -161,6 +161,7 @@
     pub(super) fn on_chunk(&mut self, from: Peer, chunk: Chunk) {
         let id = chunk.snapshot;
         if id.index <= self.commit {
+            self.held = self.held.max(self.commit);
             return self.acknowledge();
         }
         if id.total > self.config.snapshot_bytes || self.is_backed_up() {
--- a/crates/quorum/tests/disk.rs
+++ b/crates/quorum/tests/disk.rs
@@ -1,10 +1,16 @@
-//! One voter with a real disk and its writer.
+//! The store on disk: restarts, torn and damaged files, full disks, the writer's thread.
 
-use std::path::Path;
+use std::fs::{self, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, channel};
 
-use cornelhitch_quorum::disk::{Disk, Owner, Writer};
+use cornelhitch_quorum::disk::{Block, Disk, LIMIT, Owner, Writer, scan};
+use cornelhitch_quorum::log::{Entry, Payload, Snapshot};
 use cornelhitch_quorum::prelude::*;
+use cornelhitch_quorum::store::{Ballot, Record};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const OWNER: Owner = Owner {
     cluster: 7,
@@ -13,6 +19,9 @@
     incarnation: 41,
 };
 
+/// Bytes before the payload of a frame.
+const HEAD: usize = 20;
+
 /// A single voter whose owner waits for the disk after each event.
 struct Voter {
     core: Core,
@@ -20,33 +29,47 @@
     done: Receiver<Event>,
     now: Time,
     applied: Vec<String>,
-    results: Vec<Action>,
+    last: Index,
+    rejected: Vec<(RequestId, Reason)>,
 }
 
 impl Voter {
-    fn start(folder: &Path, config: Config) -> Self {
-        let disk = Disk::open(folder, OWNER).unwrap();
+    fn start(disk: Disk) -> Self {
+        let mut voter = Self::new(disk);
+        voter.tick(3);
+        voter
+    }
+
+    fn new(disk: Disk) -> Self {
         let recovered = disk.recovered();
         let (sender, done) = channel();
         let report = move |result: cornelhitch_quorum::disk::Done| {
             sender.send(result.into()).unwrap();
         };
         let writer = Writer::start(Box::new(disk), report).unwrap();
+        let config = Config {
+            founder: true,
+            ..Config::default()
+        };
         let core = Core::new(config, recovered, 1, Time::ZERO);
-        let (applied, results) = (Vec::new(), Vec::new());
-        let mut voter = Self {
+        let (now, last) = (Time::ZERO, 0);
+        let (applied, rejected) = (Vec::new(), Vec::new());
+        Self {
             core,
             writer,
             done,
-            now: Time::ZERO,
+            now,
             applied,
-            results,
-        };
-        for _ in 0..3 {
-            voter.now = voter.now.max(voter.core.next_wake());
-            voter.run(Event::Tick);
+            last,
+            rejected,
+        }
+    }
+
+    fn tick(&mut self, times: usize) {
+        for _ in 0..times {
+            self.now = self.now.max(self.core.next_wake());
+            self.run(Event::Tick);
         }
-        voter
     }
 
     fn run(&mut self, event: Event) {
@@ -60,14 +83,17 @@
                         self.writer.submit(batch);
                     }
                     Action::Apply(entry) => {
+                        self.last = entry.index;
                         self.applied
                             .push(String::from_utf8(entry.payload.to_vec()).unwrap());
                     }
                     Action::Restore(snapshot) => {
+                        self.last = snapshot.index;
                         let text = String::from_utf8(snapshot.data.to_vec()).unwrap();
                         self.applied = text.split_terminator(' ').map(str::to_owned).collect();
                     }
-                    other => self.results.push(other),
+                    Action::Rejected { id, reason, .. } => self.rejected.push((id, reason)),
+                    _ => {}
                 }
             }
             events.extend((0..writes).map(|_| self.done.recv().unwrap()));
@@ -84,16 +110,11 @@
     }
 
     fn snapshot(&mut self) {
-        let index = self.core.status().applied;
         let data = self.applied.join(" ").into();
-        self.run(Event::Snapshot { index, data });
-    }
-}
-
-fn founder() -> Config {
-    Config {
-        founder: true,
-        ..Config::default()
+        self.run(Event::Snapshot {
+            index: self.last,
+            data,
+        });
     }
 }
 
@@ -101,11 +122,55 @@
     range.map(|id| id.to_string()).collect()
 }
 
+fn entry(index: Index) -> Record {
+    let payload = Payload::Data(format!("entry {index}").into());
+    Record::Entry(Entry {
+        index,
+        term: 1,
+        payload,
+    })
+}
+
+fn snapshot(index: Index) -> Record {
+    let membership = Membership::of(&[Peer {
+        id: 1,
+        incarnation: 41,
+    }]);
+    Record::Snapshot(Snapshot {
+        index,
+        term: 1,
+        membership,
+        data: "state".into(),
+    })
+}
+
+/// A folder with entries 1 to 9, one frame each, and its log file.
+fn folder_with_entries() -> (tempfile::TempDir, PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut disk = Disk::open(folder.path(), OWNER).unwrap();
+    (1..10).for_each(|index| disk.append(&[entry(index)]).unwrap());
+    let log = file(folder.path(), "log-");
+    (folder, log)
+}
+
+fn file(folder: &Path, prefix: &str) -> PathBuf {
+    let mut files = fs::read_dir(folder)
+        .unwrap()
+        .map(|file| file.unwrap().path());
+    let named = |path: &PathBuf| {
+        path.file_name()
+            .unwrap()
+            .to_string_lossy()
+            .starts_with(prefix)
+    };
+    files.find(named).unwrap()
+}
+
 #[test]
 fn a_single_voter_commits_and_goes_on_after_restarts() {
     let folder = tempfile::tempdir().unwrap();
     for life in 0..4 {
-        let mut voter = Voter::start(folder.path(), founder());
+        let mut voter = Voter::start(Disk::open(folder.path(), OWNER).unwrap());
         assert!(
             voter.core.lease(voter.now).is_some(),
             "{:?}",
@@ -119,3 +184,277 @@
         }
     }
 }
+
+/// A full disk: the leader steps down, acknowledges nothing, and goes on once there is room.
+#[test]
+fn a_full_disk_stops_the_leader_until_it_has_room() {
+    for bytes in [0, 7, HEAD + 1, 10_000] {
+        let folder = tempfile::tempdir().unwrap();
+        let mut disk = Disk::open(folder.path(), OWNER).unwrap();
+        disk.append(&[Record::Ballot(Ballot::default())]).unwrap();
+        let mut voter = Voter::start(disk);
+        voter.propose(0..3);
+        drop(voter);
+        let mut disk = Disk::open(folder.path(), OWNER).unwrap();
+        disk.fail_after(bytes);
+        let mut voter = Voter::new(disk);
+        voter.tick(1);
+        assert!(
+            !voter.core.is_leader(),
+            "a candidate whose vote is not synced leads"
+        );
+        voter.propose(3..4);
+        assert_eq!(voter.rejected, [(3, Reason::NotLeader)]);
+        voter.tick(8);
+        assert!(voter.core.is_leader(), "{:?}", voter.core.status());
+        voter.propose(4..6);
+        drop(voter);
+        let voter = Voter::start(Disk::open(folder.path(), OWNER).unwrap());
+        assert_eq!(voter.applied, ["0", "1", "2", "4", "5"]);
+    }
+}
+
+#[test]
+fn a_failed_write_leaves_nothing_that_was_not_given_again() {
+    for bytes in [0, 1, HEAD, 30, 10_000] {
+        let (folder, _) = folder_with_entries();
+        let mut disk = Disk::open(folder.path(), OWNER).unwrap();
+        disk.fail_after(bytes);
+        assert!(disk.append(&[entry(10)]).is_err());
+        assert_eq!(disk.recovered().last(), 9);
+        disk.append(&[entry(10), entry(11)]).unwrap();
+        let kept = disk.recovered();
+        drop(disk);
+        assert_eq!(Disk::open(folder.path(), OWNER).unwrap().recovered(), kept);
+    }
+}
+
+/// What is done to the log file, given where its frames start.
+type Harm = fn(&mut Vec<u8>, &[usize]);
+
+/// What is done, and how many entries are left or what the error says.
+const HARMS: [(&str, Harm, Result<Index, &str>); 9] = [
+    ("nothing", |_, _| {}, Ok(9)),
+    (
+        "last byte lost",
+        |bytes, _| bytes.truncate(bytes.len() - 1),
+        Ok(8),
+    ),
+    (
+        "only the mark of the last frame",
+        |bytes, at| bytes.truncate(at[9] + 4),
+        Ok(8),
+    ),
+    (
+        "zeros where the last frame was",
+        |bytes, at| bytes[at[9]..].fill(0),
+        Ok(8),
+    ),
+    (
+        "a byte of the last frame",
+        |bytes, at| bytes[at[9] + HEAD + 2] ^= 1,
+        Ok(8),
+    ),
+    (
+        "junk after the last frame",
+        |bytes, _| bytes.extend([7; 99]),
+        Ok(9),
+    ),
+    (
+        "a byte of the fifth frame",
+        |bytes, at| bytes[at[5] + HEAD] ^= 1,
+        Err("at byte"),
+    ),
+    (
+        "a length",
+        |bytes, at| bytes[at[5] + 4] ^= 0xff,
+        Err("at byte"),
+    ),
+    ("the base", |bytes, _| bytes[HEAD] ^= 1, Err("at byte 0")),
+];
+
+#[test]
+fn a_torn_tail_is_cut_and_other_damage_is_refused() {
+    for (what, harm, result) in HARMS {
+        let (folder, log) = folder_with_entries();
+        let mut bytes = fs::read(&log).unwrap();
+        let frames: Vec<usize> = scan(&bytes)
+            .blocks
+            .iter()
+            .map(|(at, _)| usize::try_from(*at).unwrap())
+            .collect();
+        harm(&mut bytes, &frames);
+        fs::write(&log, &bytes).unwrap();
+        match (Disk::open(folder.path(), OWNER), result) {
+            (Ok(mut disk), Ok(last)) => {
+                assert_eq!(disk.recovered().last(), last, "{what}");
+                disk.append(&[entry(last + 1)]).unwrap();
+                drop(disk);
+                let disk = Disk::open(folder.path(), OWNER).unwrap();
+                assert_eq!(disk.recovered().last(), last + 1, "{what}");
+            }
+            (Err(error), Err(part)) => {
+                let text = error.to_string();
+                let named = text.contains(&log.display().to_string()) && text.contains(part);
+                assert!(named && text.contains("To rejoin"), "{what}: {text}");
+            }
+            (opened, _) => panic!("{what}: {opened:?}"),
+        }
+    }
+}
+
+/// A crash at any byte of an unfinished write loses nothing that was synced.
+#[test]
+fn a_crash_at_any_byte_keeps_what_was_synced() {
+    let (folder, log) = folder_with_entries();
+    let whole = fs::read(&log).unwrap();
+    let frames = scan(&whole).blocks;
+    let from = usize::try_from(frames[9].0).unwrap();
+    for length in from..=whole.len() {
+        fs::write(&log, &whole[..length]).unwrap();
+        let last = Disk::open(folder.path(), OWNER).unwrap().recovered().last();
+        assert_eq!(last, if length == whole.len() { 9 } else { 8 });
+    }
+}
+
+#[test]
+fn a_snapshot_replaces_the_log_and_old_files_go() {
+    let (folder, _) = folder_with_entries();
+    let mut disk = Disk::open(folder.path(), OWNER).unwrap();
+    disk.append(&[snapshot(4), entry(10)]).unwrap();
+    disk.append(&[snapshot(6)]).unwrap();
+    fs::write(folder.path().join("unfinished"), "half a file").unwrap();
+    let kept = disk.recovered();
+    drop(disk);
+    let disk = Disk::open(folder.path(), OWNER).unwrap();
+    assert_eq!(disk.recovered(), kept);
+    assert_eq!(kept.entries.first().map(|entry| entry.index), Some(7));
+    assert_eq!(kept.last(), 10);
+    assert_eq!(
+        fs::read_dir(folder.path()).unwrap().count(),
+        3,
+        "log, snapshot and lock"
+    );
+    drop(disk);
+    fs::write(file(folder.path(), "snapshot-"), "stale").unwrap();
+    let text = Disk::open(folder.path(), OWNER).unwrap_err().to_string();
+    assert!(
+        text.contains("snapshot-") && text.contains("To rejoin"),
+        "{text}"
+    );
+    fs::remove_file(file(folder.path(), "log-")).unwrap();
+    let text = Disk::open(folder.path(), OWNER).unwrap_err().to_string();
+    assert!(text.contains("there is a snapshot and no log"), "{text}");
+}
+
+#[test]
+fn a_folder_has_one_process_and_one_member() {
+    let (folder, _) = folder_with_entries();
+    let disk = Disk::open(folder.path(), OWNER).unwrap();
+    let text = Disk::open(folder.path(), OWNER).unwrap_err().to_string();
+    assert!(text.contains("in use by another process"), "{text}");
+    drop(disk);
+    let others = [
+        Owner { member: 2, ..OWNER },
+        Owner {
+            cluster: 8,
+            ..OWNER
+        },
+        Owner { group: 1, ..OWNER },
+    ];
+    for other in others {
+        let text = Disk::open(folder.path(), other).unwrap_err().to_string();
+        assert!(
+            text.contains("belongs to member 1 of cluster 7 group 0"),
+            "{text}"
+        );
+    }
+    let later = Owner {
+        incarnation: 99,
+        ..OWNER
+    };
+    let found = Disk::open(folder.path(), later)
+        .unwrap()
+        .recovered()
+        .identity;
+    assert_eq!(
+        found.peer.incarnation, OWNER.incarnation,
+        "only an empty folder takes a new one"
+    );
+    fs::remove_dir_all(folder.path()).unwrap();
+    let fresh = Disk::open(folder.path(), later).unwrap().recovered();
+    assert_eq!((fresh.identity.peer.incarnation, fresh.last()), (99, 0));
+}
+
+/// A frame with any length in its head, as another program might have left it.
+fn forged(length: u32, rest: &[u8]) -> Vec<u8> {
+    let mut bytes = b"cqf1".to_vec();
+    bytes.extend(length.to_le_bytes());
+    bytes.extend(rest);
+    bytes
+}
+
+/// A frame whose checksum is right and whose payload is not a block.
+fn sealed(payload: &[u8]) -> Vec<u8> {
+    let mut body = 0_u64.to_le_bytes().to_vec();
+    body.extend(payload);
+    let mut bytes = b"cqf1".to_vec();
+    bytes.extend(u32::try_from(payload.len()).unwrap().to_le_bytes());
+    bytes.extend(crc32fast::hash(&body).to_le_bytes());
+    bytes.extend(body);
+    bytes
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_bytes_are_read_without_panic_and_within_their_length(
+        bytes in proptest::collection::vec(any::<u8>(), 0..2000),
+        length in prop_oneof![any::<u32>(), 0..3000_u32, Just(u32::try_from(LIMIT).unwrap())],
+    ) {
+        for bytes in [bytes.clone(), forged(length, &bytes), sealed(&bytes)] {
+            let scan = scan(&bytes);
+            prop_assert!(scan.end <= bytes.len() as u64);
+            let held: usize = scan.blocks.iter().map(|(_, block)| size(block)).sum();
+            prop_assert!(held <= bytes.len());
+        }
+    }
+
+    #[test]
+    fn any_change_of_a_log_file_is_cut_or_refused(at in any::<prop::sample::Index>(), flip in 1..=255_u8) {
+        let (folder, log) = folder_with_entries();
+        let mut bytes = fs::read(&log).unwrap();
+        let whole = scan(&bytes).blocks;
+        let at = at.index(bytes.len());
+        bytes[at] ^= flip;
+        let mut file = OpenOptions::new().write(true).truncate(true).open(&log).unwrap();
+        file.write_all(&bytes).unwrap();
+        let last_frame = whole.last().is_some_and(|(start, _)| at as u64 >= *start);
+        match Disk::open(folder.path(), OWNER) {
+            Ok(disk) => prop_assert!(last_frame && disk.recovered().last() == 8),
+            Err(error) => prop_assert!(!last_frame, "{}", error),
+        }
+    }
+}
+
+/// Payload bytes that a block holds.
+fn size(block: &Block) -> usize {
+    let Block::Records(records) = block else {
+        return 0;
+    };
+    let size = |record: &Record| match record {
+        Record::Entry(Entry {
+            payload: Payload::Data(data),
+            ..
+        }) => data.len(),
+        Record::Snapshot(snapshot) => snapshot.data.len(),
+        _ => 0,
+    };
+    records.iter().map(size).sum()
+}
--- a/crates/quorum/tests/schedule/ledger.rs
+++ b/crates/quorum/tests/schedule/ledger.rs
@@ -65,6 +65,8 @@
     /// Until when a member's lease was promised, in real time.
     leases: BTreeMap<MemberId, Duration>,
     requests: BTreeMap<RequestId, Request>,
+    /// Changes that are done, and requests that are rejected.
+    pub outcomes: BTreeMap<RequestId, Result<(), Reason>>,
 }
 
 impl Ledger {
--- a/crates/quorum/tests/schedule/mod.rs
+++ b/crates/quorum/tests/schedule/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test and example uses a part")]
 
+pub mod failover;
 pub mod ledger;
 pub mod node;
 pub mod world;
--- a/crates/quorum/tests/schedule/world.rs
+++ b/crates/quorum/tests/schedule/world.rs
@@ -42,6 +42,10 @@
     requests: RequestId,
     incarnations: u64,
     quiet: bool,
+    /// Whether a leader's owner admits members that ask.
+    pub admits: bool,
+    /// What was sent, for tests that look at it.
+    pub sent: Option<Vec<Envelope>>,
 }
 
 /// Runs a schedule to its end.
@@ -88,6 +92,8 @@
             requests: 0,
             incarnations: 1,
             quiet: false,
+            admits: true,
+            sent: None,
             schedule,
         };
         (0..world.nodes.len()).for_each(|at| world.start(at));
@@ -223,6 +229,7 @@
             }
             Action::NeedSnapshot => return Ok(Some(self.snapshot(at))),
             Action::Rejected { id, reason, .. } => {
+                self.ledger.outcomes.insert(id, Err(reason));
                 if reason != Reason::Unknown {
                     self.ledger.refused(id)?;
                 }
@@ -234,13 +241,14 @@
                     .map_or(0, |c| c.status().applied);
                 self.ledger.read(id, applied)?;
             }
-            Action::Joining(peer) => return Ok(Some(self.admit(at, peer))),
+            Action::Joining(peer) if self.admits => return Ok(Some(self.admit(at, peer))),
             Action::Role {
                 role: Role::Leader,
                 term,
                 ..
             } => self.ledger.lead(peer, term)?,
-            Action::Role { .. } | Action::Changed { .. } => {}
+            Action::Changed { id } => drop(self.ledger.outcomes.insert(id, Ok(()))),
+            Action::Joining(_) | Action::Role { .. } => {}
         }
         Ok(None)
     }
@@ -263,6 +271,9 @@
     }
 
     fn send(&mut self, message: &Envelope) {
+        if let Some(sent) = &mut self.sent {
+            sent.push(message.clone());
+        }
         let copies = match self.rng.random_range(0..1000) {
             _ if self.quiet => 1,
             dice if dice < self.schedule.loss => 0,
@@ -314,7 +325,8 @@
         }
     }
 
-    fn members(&self, at: usize) -> Membership {
+    /// The members that a member knows.
+    pub fn members(&self, at: usize) -> Membership {
         self.nodes[at]
             .core
             .as_ref()
@@ -333,6 +345,14 @@
         (0..self.nodes.len()).filter(leads).max_by_key(term)
     }
 
+    /// The leader of the latest term, if it holds a lease.
+    pub fn leased(&self) -> Option<usize> {
+        let at = self.leader()?;
+        let node = &self.nodes[at];
+        let core = node.core.as_ref()?;
+        core.lease(node.local(self.now)).map(|_| at)
+    }
+
     fn pick(&self, target: Target) -> usize {
         let leader = if target >= LEADER {
             self.leader()
@@ -352,7 +372,8 @@
         Ok(id)
     }
 
-    fn act(&mut self, act: &Act) -> Check {
+    /// Does what a step says.
+    pub fn act(&mut self, act: &Act) -> Check {
         match *act {
             Act::Propose(target) => self.propose(self.pick(target)).map(drop)?,
             Act::Burst(target, count) => {
@@ -453,9 +474,6 @@
     }
 
     fn ask_change(&mut self, asked: Asked, a: usize, b: usize) -> Check {
-        let Some(leader) = self.leader() else {
-            return Ok(());
-        };
         let (a, b) = (self.nodes[a].peer, self.nodes[b].peer);
         let change = match asked {
             Asked::Add => Change::Add(a),
@@ -463,8 +481,16 @@
             Asked::Remove => Change::Remove(a.id),
             Asked::Replace => Change::Replace { old: a.id, new: b },
         };
+        self.change(change).map(drop)
+    }
+
+    /// Asks whoever leads for a change.
+    pub fn change(&mut self, change: Change) -> Result<RequestId, Violation> {
         let id = self.request();
-        self.handle(leader, Event::Change { id, change })
+        if let Some(leader) = self.leader() {
+            self.handle(leader, Event::Change { id, change })?;
+        }
+        Ok(id)
     }
 
     /// Ends all faults: a leader must come, commit a new proposal, and all members follow it.
@@ -508,7 +534,8 @@
         ensure(all, Rule::Progress, || self.describe("a member is behind"))
     }
 
-    fn describe(&self, what: &str) -> String {
+    /// What is wrong, with the status of all members.
+    pub fn describe(&self, what: &str) -> String {
         let status = |node: &Node| {
             node.core
                 .as_ref()
