Quorum: an example that measures commits with real disks and starts

Cause: commits per second, latency and the time of a start were not measured. Change: crates/quorum/examples/commits.rs runs three voters in threads with a folder each.

--- /dev/null
+++ b/crates/quorum/examples/commits.rs
@@ -0,0 +1,272 @@
+//! Commits of three voters in threads with real disks: `commits [SECONDS] [FOLDER]`.
+//!
+//! Messages pass through channels, encoded with postcard. A single client waits for each commit;
+//! a batch of clients keeps many proposals under way. Then: how long a start takes.
+
+use std::collections::HashMap;
+use std::path::Path;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cornelhitch_quorum::disk::{Disk, Done, Owner, Writer};
+use cornelhitch_quorum::log::{Entry, Payload};
+use cornelhitch_quorum::prelude::*;
+use cornelhitch_quorum::store::{Ballot, Record};
+
+const VOTERS: u64 = 3;
+
+/// Proposals under way when they are batched.
+const BATCH: usize = 256;
+
+/// Bytes of a proposal.
+const PAYLOAD: usize = 128;
+
+/// Events that a voter takes at once.
+const EVENTS: usize = 512;
+
+enum Input {
+    Event(Event),
+    Message(Vec<u8>),
+    Stop,
+}
+
+/// What a voter tells the clients.
+enum Output {
+    Leads(MemberId),
+    Applied(RequestId),
+    Rejected,
+}
+
+struct Voter {
+    core: Core,
+    writer: Writer,
+    inputs: Receiver<Input>,
+    peers: Vec<Sender<Input>>,
+    output: Sender<Output>,
+    start: Instant,
+}
+
+impl Voter {
+    fn run(mut self) {
+        loop {
+            let wake = self.core.next_wake().saturating_sub(self.start.elapsed());
+            let first = self.inputs.recv_timeout(wake).ok();
+            let mut events = Vec::new();
+            for input in first.into_iter().chain(self.inputs.try_iter().take(EVENTS)) {
+                match input {
+                    Input::Event(event) => events.push(event),
+                    Input::Message(bytes) => events.extend(decode(&bytes)),
+                    Input::Stop => return,
+                }
+            }
+            let actions = self.core.handle_all(events, self.start.elapsed());
+            for action in actions {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let told = match action {
+            Action::Persist(batch) => return self.writer.submit(batch),
+            Action::Send { to, message } => {
+                let bytes = postcard::to_allocvec(&message).expect("messages can be encoded");
+                let at = usize::try_from(to).expect("few voters");
+                return drop(self.peers[at].send(Input::Message(bytes)));
+            }
+            Action::Apply(entry) => entry.id.map(Output::Applied),
+            Action::Role {
+                role: Role::Leader, ..
+            } => Some(Output::Leads(self.core.status().peer.id)),
+            Action::Rejected { .. } => Some(Output::Rejected),
+            _ => None,
+        };
+        if let Some(told) = told {
+            drop(self.output.send(told));
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Option<Event> {
+    let message: Envelope = postcard::from_bytes(bytes).ok()?;
+    Some(Event::Receive {
+        from: message.from.id,
+        message,
+    })
+}
+
+fn owner(member: MemberId) -> Owner {
+    Owner {
+        cluster: 7,
+        group: 0,
+        member,
+        incarnation: 1,
+    }
+}
+
+/// Opens a folder and gives it the first entries of a group of three.
+fn open(folder: &Path, member: MemberId) -> Disk {
+    let mut disk = Disk::open(folder.join(member.to_string()), owner(member)).expect("a folder");
+    if disk.recovered().entries.is_empty() {
+        let peers: Vec<Peer> = (0..VOTERS).map(|id| Peer { id, incarnation: 1 }).collect();
+        let seeded = Recovered::seeded(disk.recovered().identity, &Membership::of(&peers));
+        let mut records = vec![Record::Ballot(seeded.ballot)];
+        records.extend(seeded.entries.into_iter().map(Record::Entry));
+        disk.append(&records).expect("room on the disk");
+    }
+    disk
+}
+
+struct Group {
+    inputs: Vec<Sender<Input>>,
+    output: Receiver<Output>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+    leader: usize,
+}
+
+impl Group {
+    fn start(folder: &Path) -> Self {
+        let (inputs, queues): (Vec<_>, Vec<_>) = (0..VOTERS).map(|_| channel()).unzip();
+        let (output, told) = channel();
+        let start = Instant::now();
+        let mut threads = Vec::new();
+        for (member, queue) in (0..VOTERS).zip(queues) {
+            let disk = open(folder, member);
+            let config = Config {
+                compact_entries: u64::MAX,
+                ..Config::default()
+            };
+            let core = Core::new(config, disk.recovered(), member, start.elapsed());
+            let own = inputs[threads.len()].clone();
+            let report = move |done: Done| drop(own.send(Input::Event(done.into())));
+            let writer = Writer::start(Box::new(disk), report).expect("a thread");
+            let (peers, output) = (inputs.clone(), output.clone());
+            let voter = Voter {
+                core,
+                writer,
+                inputs: queue,
+                peers,
+                output,
+                start,
+            };
+            threads.push(std::thread::spawn(move || voter.run()));
+        }
+        let mut group = Self {
+            inputs,
+            output: told,
+            threads,
+            leader: 0,
+        };
+        while !matches!(group.wait(), Output::Leads(_)) {}
+        group
+    }
+
+    fn wait(&mut self) -> Output {
+        let told = self.output.recv().expect("voters run");
+        if let Output::Leads(id) = told {
+            self.leader = usize::try_from(id).expect("few voters");
+        }
+        told
+    }
+
+    fn propose(&self, id: RequestId) {
+        let payload = Bytes::from(vec![7; PAYLOAD]);
+        drop(self.inputs[self.leader].send(Input::Event(Event::Propose { id, payload })));
+    }
+
+    /// Keeps so many proposals under way for a time; returns how long each took.
+    fn load(&mut self, under_way: usize, time: Duration) -> Vec<Duration> {
+        let start = Instant::now();
+        let mut asked = HashMap::new();
+        let mut took = Vec::new();
+        let mut next = 0;
+        while start.elapsed() < time {
+            while asked.len() < under_way {
+                next += 1;
+                asked.insert(next, Instant::now());
+                self.propose(next);
+            }
+            match self.wait() {
+                Output::Applied(id) => took.extend(asked.remove(&id).map(|at| at.elapsed())),
+                Output::Leads(_) | Output::Rejected => asked.clear(),
+            }
+        }
+        while !asked.is_empty() {
+            if let Output::Applied(id) = self.wait() {
+                asked.remove(&id);
+            }
+        }
+        took
+    }
+
+    fn stop(self) {
+        self.inputs
+            .iter()
+            .for_each(|input| drop(input.send(Input::Stop)));
+        self.threads
+            .into_iter()
+            .for_each(|thread| thread.join().expect("no panic"));
+    }
+}
+
+fn report(what: &str, mut took: Vec<Duration>, time: Duration) {
+    took.sort_unstable();
+    let part = |percent: usize| took[(took.len() - 1) * percent / 100];
+    let rate = f64::from(u32::try_from(took.len()).unwrap_or(u32::MAX)) / time.as_secs_f64();
+    println!(
+        "{what}: {rate:.0} commits/s, p50 {:?}, p99 {:?}",
+        part(50),
+        part(99)
+    );
+}
+
+/// How long a member with so many entries takes from opening its folder to its first actions.
+fn restart(folder: &Path, entries: u64) {
+    let folder = folder.join(format!("restart-{entries}"));
+    let mut disk = Disk::open(&folder, owner(0)).expect("a folder");
+    let data = Bytes::from(vec![7; PAYLOAD]);
+    let entry = |index| Entry {
+        index,
+        term: 1,
+        payload: Payload::Data(data.clone()),
+    };
+    let lineage = 1;
+    let ballot = Record::Ballot(Ballot {
+        term: 1,
+        vote: None,
+        lineage,
+    });
+    disk.append(&[ballot]).expect("room on the disk");
+    let records: Vec<Record> = (1..=entries)
+        .map(|index| Record::Entry(entry(index)))
+        .collect();
+    records
+        .chunks(100)
+        .for_each(|part| disk.append(part).expect("room on the disk"));
+    drop(disk);
+    let start = Instant::now();
+    let disk = Disk::open(&folder, owner(0)).expect("a folder");
+    let mut core = Core::new(Config::default(), disk.recovered(), 1, Time::ZERO);
+    core.handle(Event::Tick, Time::ZERO);
+    println!("start with {entries} entries: {:?}", start.elapsed());
+}
+
+fn main() {
+    let seconds = std::env::args()
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(5);
+    let time = Duration::from_secs(seconds);
+    let folder = match std::env::args().nth(2) {
+        Some(path) => tempfile::tempdir_in(path),
+        None => tempfile::tempdir(),
+    };
+    let folder = folder.expect("a temporary folder");
+    let mut group = Group::start(folder.path());
+    report("single", group.load(1, time), time);
+    report("batched", group.load(BATCH, time), time);
+    group.stop();
+    restart(folder.path(), 500);
+    restart(folder.path(), 100_000);
+}
