--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -5,6 +5,7 @@
 //! thesis, Stanford 2014): pre-vote §9.6, check-quorum and leases §6.4, single-server changes of
 //! members §4, snapshots §5, pipelined appends §10.2.
 
+mod apply;
 mod barrier;
 mod change;
 mod election;
@@ -12,6 +13,7 @@
 mod persist;
 mod progress;
 mod replicate;
+mod route;
 mod transfer;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -19,13 +21,13 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::action::{Action, Entry, Reason};
+use crate::action::Action;
 use crate::config::{Config, Fault};
 use crate::event::Event;
 use crate::id::{Index, MemberId, Peer, RequestId, Term, Time};
 use crate::log::{Log, Payload};
 use crate::member::{History, Membership};
-use crate::message::{Envelope, Message};
+use crate::message::Envelope;
 use crate::status::{Lease, Role, Status};
 use crate::store::{Ballot, Identity, Recovered};
 
@@ -303,136 +305,6 @@
         self.is_voter() && self.membership().quorum() == 1
     }
 
-    fn send(&mut self, to: Peer, message: Message) {
-        self.send_in_term(to.id, Some(to.incarnation), self.ballot.term, message);
-    }
-
-    fn send_in_term(
-        &mut self,
-        to: MemberId,
-        incarnation: Option<u64>,
-        term: Term,
-        message: Message,
-    ) {
-        let message = self.envelope(to, incarnation, term, message);
-        self.actions.push(Action::Send { to, message });
-    }
-
-    fn envelope(
-        &self,
-        to: MemberId,
-        incarnation: Option<u64>,
-        term: Term,
-        message: Message,
-    ) -> Envelope {
-        let Identity {
-            cluster,
-            group,
-            peer,
-        } = self.identity;
-        let lineage = self.ballot.lineage;
-        Envelope {
-            cluster,
-            group,
-            lineage,
-            from: peer,
-            to,
-            incarnation,
-            term,
-            message,
-        }
-    }
-
-    /// Whether a message is meant for this group and this life of the disk.
-    fn is_mine(&self, from: MemberId, envelope: &Envelope) -> bool {
-        let lineages = [self.ballot.lineage, envelope.lineage];
-        let addressed = envelope
-            .incarnation
-            .is_none_or(|i| i == self.me().incarnation);
-        envelope.cluster == self.identity.cluster
-            && envelope.group == self.identity.group
-            && envelope.from.id == from
-            && envelope.to == self.me().id
-            && (addressed || self.faulty(Fault::AnyIncarnation))
-            && (lineages.contains(&0) || lineages[0] == lineages[1])
-    }
-
-    fn receive(&mut self, from: MemberId, envelope: Envelope) {
-        if !self.is_mine(from, &envelope) {
-            self.dropped += 1;
-            return;
-        }
-        let Envelope {
-            from,
-            term,
-            lineage,
-            message,
-            ..
-        } = envelope;
-        match message {
-            Message::Vote(vote) => self.on_vote(from, term, lineage, vote),
-            Message::Voted(voted) => self.on_voted(from, term, voted),
-            Message::Append(append) => {
-                if self.accept_leader(from, term, lineage, append.stamp) {
-                    self.on_append(from, append);
-                }
-            }
-            Message::Chunk(chunk) => {
-                if self.accept_leader(from, term, lineage, chunk.stamp) {
-                    self.on_chunk(from, chunk);
-                }
-            }
-            Message::Appended(answer) => self.on_appended(from, term, answer),
-            Message::Refused(answer) => self.on_refused(from, term, answer),
-            Message::Received(answer) => self.on_received(from, term, answer),
-            Message::Join => self.on_join(from),
-            Message::Outside(outside) => self.on_outside(from, outside),
-        }
-    }
-
-    fn apply_committed(&mut self) {
-        while self.applied < self.commit {
-            let Some(entry) = self.log.entry(self.applied + 1).cloned() else {
-                return;
-            };
-            self.applied = entry.index;
-            self.apply(entry);
-        }
-    }
-
-    fn apply(&mut self, entry: crate::log::Entry) {
-        let crate::log::Entry {
-            index,
-            term,
-            payload,
-        } = entry;
-        let id = self.settle(index, term);
-        if let Payload::Data(payload) = payload {
-            self.owner_index = index;
-            self.actions.push(Action::Apply(Entry {
-                index,
-                term,
-                payload,
-                id,
-            }));
-        }
-    }
-
-    /// The proposal that became the committed entry; one that another entry replaced is over.
-    fn settle(&mut self, index: Index, term: Term) -> Option<RequestId> {
-        let (proposed, id) = self.proposals.remove(&index)?;
-        if proposed == term {
-            return Some(id);
-        }
-        self.reject(id, Reason::Superseded);
-        None
-    }
-
-    fn reject(&mut self, id: RequestId, reason: Reason) {
-        let leader = self.leader.map(|peer| peer.id);
-        self.actions.push(Action::Rejected { id, reason, leader });
-    }
-
     fn announce(&mut self) {
         let state = (self.role, self.ballot.term, self.leader.map(|peer| peer.id));
         if self.announced == Some(state) {
--- a/crates/quorum/src/disk.rs
+++ b/crates/quorum/src/disk.rs
@@ -7,24 +7,23 @@
 
 mod file;
 mod frame;
+mod kept;
 mod writer;
 
 use std::fs::{self, File};
 use std::path::{Path, PathBuf};
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt};
 
-use crate::id::{ClusterId, GroupId, Incarnation, Index, MemberId, Peer, Term};
-use crate::log::Snapshot;
-use crate::member::Membership;
+use crate::id::{ClusterId, GroupId, Incarnation, MemberId, Peer};
 use crate::store::{
     Ballot, DamagedSnafu, Error, ForeignSnafu, Identity, IoSnafu, LockedSnafu, Record, Recovered,
     Store,
 };
 
 pub use frame::{LIMIT, Scan, scan};
+pub use kept::Kept;
 pub use writer::{Done, Writer};
 
 /// Payload bytes of the records that go into one frame.
@@ -51,32 +50,6 @@
     Records(Vec<Record>),
 }
 
-/// A snapshot whose data is in a file of its own.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Kept {
-    index: Index,
-    term: Term,
-    membership: Membership,
-    total: u64,
-    checksum: u32,
-}
-
-impl Kept {
-    fn of(snapshot: &Snapshot) -> Self {
-        Self {
-            index: snapshot.index,
-            term: snapshot.term,
-            membership: snapshot.membership.clone(),
-            total: snapshot.data.len() as u64,
-            checksum: crc32fast::hash(&snapshot.data),
-        }
-    }
-
-    fn name(&self) -> String {
-        format!("{SNAPSHOT}{:016x}-{:016x}", self.index, self.term)
-    }
-}
-
 /// Whose folder it is to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Owner {
@@ -193,7 +166,7 @@
         let mut image = self.image.clone();
         records.iter().try_for_each(|record| image.apply(record))?;
         if let Some(snapshot) = &image.snapshot {
-            write_snapshot(&self.folder, snapshot)?;
+            kept::write_snapshot(&self.folder, snapshot)?;
         }
         let number = self.number + 1;
         self.log = write_base(&self.folder, number, &image)?;
@@ -321,16 +294,6 @@
     Ok(log)
 }
 
-fn write_snapshot(folder: &Path, snapshot: &Snapshot) -> Result<(), Error> {
-    let kept = Kept::of(snapshot);
-    let path = folder.join(kept.name());
-    let present = fs::metadata(&path).is_ok_and(|file| file.len() == kept.total);
-    if present {
-        return Ok(());
-    }
-    file::write_whole(folder, &folder.join(UNFINISHED), &path, &snapshot.data)
-}
-
 fn recover(folder: &Path, path: &Path) -> Result<(Recovered, file::Log), Error> {
     let (log, blocks) = file::Log::open(path)?;
     let mut blocks = blocks.into_iter();
@@ -359,7 +322,7 @@
     let mut image = Recovered::empty(identity);
     image.ballot = ballot;
     image.snapshot = snapshot
-        .map(|kept| read_snapshot(folder, kept))
+        .map(|kept| kept::read_snapshot(folder, kept))
         .transpose()?;
     for (offset, block) in blocks {
         let Block::Records(records) = block else {
@@ -379,33 +342,3 @@
     }
     Ok((image, log))
 }
-
-fn read_snapshot(folder: &Path, kept: Kept) -> Result<Snapshot, Error> {
-    let path = folder.join(kept.name());
-    let data = fs::read(&path).context(IoSnafu {
-        what: "read",
-        path: &path,
-    })?;
-    let sound = data.len() as u64 == kept.total && crc32fast::hash(&data) == kept.checksum;
-    if !sound {
-        let what = "its checksum differs from the one in the log";
-        return DamagedSnafu {
-            path,
-            offset: 0_u64,
-            what,
-        }
-        .fail();
-    }
-    let Kept {
-        index,
-        term,
-        membership,
-        ..
-    } = kept;
-    Ok(Snapshot {
-        index,
-        term,
-        membership,
-        data: Bytes::from(data),
-    })
-}
