Extra heartbeats do not shorten the quiet time

Cause: a worker also sends a heartbeat at each change of its inventory, so ten of them may stand for less than ten seconds of its running time.

--- a/crates/control/src/reign.rs
+++ b/crates/control/src/reign.rs
@@ -12,6 +12,7 @@
 use crate::input::Input;
 use crate::leases::Leases;
 use crate::levels::Levels;
+use crate::mutation::{self, Mutation};
 use crate::pending::Pending;
 use crate::replicas::{Answer, Replica};
 use crate::scene::Scene;
@@ -286,7 +287,12 @@
                 }
                 self.touch(*replica, turn);
             }
-            (Command::Release { .. }, Answer::Released(replica)) => {
+            (Command::Release { unknown, .. }, Answer::Released(replica)) => {
+                let unknown = *unknown && !mutation::is(Mutation::NoQuiet);
+                if let Some(worker) = self.workers.get_mut(&replica.target).filter(|_| unknown) {
+                    let until = turn.now + turn.timing.quiet;
+                    worker.back_off(&replica.model, until, turn.now);
+                }
                 self.forget(replica.id, &replica.target);
                 self.eager = true;
             }
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -32,7 +32,8 @@
     pub resend: Duration,
     /// How long a model is not loaded on a worker that refused it or was not reached.
     pub backoff: Duration,
-    /// How long a model is not loaded on a worker after an unload of an unexplained copy.
+    /// How long a model is not loaded on a worker while an order with unknown outcome, or an unload
+    /// of an unexplained copy, may still arrive; besides the heartbeats that the rules count.
     pub quiet: Duration,
     /// From the retirement of a replica until every entry host has heard of it.
     pub settle: Duration,
--- a/crates/control/src/tracks.rs
+++ b/crates/control/src/tracks.rs
@@ -9,8 +9,9 @@
 use crate::mutation::{self, Mutation};
 use crate::replicas::{QUIET_BEATS, Replica};
 
-/// Between two heartbeats at least, so that each stands for running time of the worker.
-const APART: Time = Time::from_millis(500);
+/// Between two heartbeats at least, so that each stands for running time of the worker: it also
+/// sends one at each change of its inventory.
+const APART: Time = Time::from_millis(800);
 
 /// An order, as far as it is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
