--- a/crates/control/tests/common/fake.rs
+++ b/crates/control/tests/common/fake.rs
@@ -31,6 +31,8 @@
     pub habit: Habit,
     pub announcement: Announcement,
     pub sequence: u64,
+    /// Seconds that it has run.
+    pub ran: u64,
     pub fence: u64,
     pub held: Vec<Held>,
     /// Replica ids whose load was taken in this life.
@@ -45,6 +47,7 @@
             habit,
             announcement: super::worker(name, 1, memory, habit.fencing),
             sequence: 0,
+            ran: 0,
             fence: 0,
             held: Vec::new(),
             taken: Vec::new(),
@@ -66,6 +69,12 @@
         for held in &mut self.held {
             held.left = held.left.saturating_sub(1);
         }
+        self.ran += 1;
+        self.beat()
+    }
+
+    /// A heartbeat, which it also sends at each change of its inventory.
+    pub fn beat(&mut self) -> Heartbeat {
         self.sequence += 1;
         let inventory = self.held.iter().map(|held| self.show(held)).collect();
         let name = &self.announcement.target;
--- a/crates/control/tests/common/world.rs
+++ b/crates/control/tests/common/world.rs
@@ -15,7 +15,8 @@
 use super::fake::{Fake, Habit, Held};
 use super::{MODELS, Trivial};
 
-/// Heartbeats of its worker after which an order on its way is lost with its connection.
+/// Seconds of its worker's running time after which an order on its way is lost with its
+/// connection.
 const ORDER_LIFE: u64 = 8;
 
 /// Models and their bytes.
@@ -344,7 +345,7 @@
             self.flights.push(Flight {
                 order,
                 worker,
-                expires: self.workers[worker].sequence + ORDER_LIFE,
+                expires: self.workers[worker].ran + ORDER_LIFE,
                 told: false,
             });
         }
@@ -436,7 +437,7 @@
     /// Orders whose connection is closed are lost.
     fn expire(&mut self) {
         let workers = &self.workers;
-        let over = |it: &Flight| workers[it.worker].sequence >= it.expires;
+        let over = |it: &Flight| workers[it.worker].ran >= it.expires;
         let (gone, left) = self.flights.drain(..).partition(over);
         self.flights = left;
         for flight in gone {
@@ -476,6 +477,7 @@
         }
         let flight = self.flights.remove(at);
         let worker = &mut self.workers[flight.worker];
+        let before = worker.held.len();
         let outcome = match fate {
             Fate::Answered => Outcome::Answered(worker.take(&flight.order)),
             Fate::AnswerLost | Fate::Hangs => {
@@ -485,6 +487,11 @@
             Fate::Lost => Outcome::Unknown,
             Fate::Unsent => Outcome::Unsent,
         };
+        // A change of the inventory is told at once, which may be before the order's answer.
+        let beat = (worker.held.len() != before).then(|| worker.beat());
+        if let Some(beat) = beat {
+            self.give(Input::Heartbeat(beat));
+        }
         self.tell(flight, outcome);
     }
 
