--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -149,6 +149,34 @@
     assert_eq!(closed, 1);
 }
 
+#[test]
+fn settings_are_in_force_within_five_seconds() {
+    // Hosts that are out of touch from the moment of the change on.
+    for isolated in [0, 1, 9] {
+        let mut bench = bench();
+        let mut acts_on = 1;
+        for second in 0..15 {
+            let left = if second < 10 { 0 } else { isolated };
+            for host in 1..=9 - left {
+                bench.give(Input::Renewal(entry_host(host, acts_on)));
+            }
+            if second == 10 {
+                bench.outputs.clear();
+                bench.commit(&Command::Apply(Apply {
+                    operator: "ann".into(),
+                    request: "second".into(),
+                    base: 1,
+                    text: "{}".into(),
+                }));
+            }
+            bench.pass(1);
+            acts_on = bench.state.catalogue().version();
+        }
+        let told = bench.outputs.contains(&Output::InForce { version: 2 });
+        assert!(told, "{isolated} hosts out of touch");
+    }
+}
+
 #[test]
 fn strikes_are_published_and_forgotten() {
     let mut bench = bench();
