The number of schedules under the policy can be asked for too

Cause: only the trivial planner's schedules could be run at length.

Change: SCHEDULES counts for both.

Conclusion: long runs cover both planners.

--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -18,6 +18,12 @@
 /// Schedules within which each mutation has to be found.
 const MUTANT_CASES: u32 = 3_000;
 
+/// How many schedules to run.
+fn cases(default: u32) -> u32 {
+    let asked = std::env::var("SCHEDULES").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
 /// A runner with a fixed seed.
 fn runner() -> TestRunner {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
@@ -42,9 +48,7 @@
     let mut releases = 0;
     let strategy = vec(step(), 1..120);
     let mut runner = runner();
-    let cases = std::env::var("SCHEDULES").ok();
-    let cases = cases.and_then(|text| text.parse().ok()).unwrap_or(CASES);
-    for _ in 0..cases {
+    for _ in 0..cases(CASES) {
         let steps = strategy
             .new_tree(&mut runner)
             .expect("a schedule")
@@ -74,7 +78,7 @@
 fn every_schedule_keeps_the_promises_under_the_policy() {
     let strategy = vec(step(), 1..120);
     let mut runner = runner();
-    for _ in 0..POLICY_CASES {
+    for _ in 0..cases(POLICY_CASES) {
         let steps = strategy
             .new_tree(&mut runner)
             .expect("a schedule")
