Weights act by their square; adapters and loads ahead stay within the budget

Change: the price of a cold start goes by the square of the declared weights and the fourth power of its length; searches that weigh evictions count eight times; a load ahead is tried once a gap. The square is fitted to two deployments; a third may want another.

--- a/crates/planner/examples/scale.rs
+++ b/crates/planner/examples/scale.rs
@@ -109,6 +109,7 @@
 
 /// Demand of every model from every region; a third of the models waits.
 fn demand(picture: &mut Picture, now: Duration, random: &mut SmallRng) {
+    let most = u32::try_from(picture.workers.len() / 20).expect("a small count");
     picture.demand.clear();
     for model in &picture.settings.models {
         let waits = random.random_bool(0.3);
@@ -119,11 +120,11 @@
                 version: None,
                 region: region.into(),
                 waiting: if waits {
-                    random.random_range(1..400)
+                    random.random_range(1..most)
                 } else {
                     0
                 },
-                running: random.random_range(0..500),
+                running: random.random_range(0..most),
                 deadline: now + Duration::from_secs(random.random_range(1..60)),
                 weight: 1,
                 arrivals: random.random_range(0..200),
--- a/crates/planner/src/adapt.rs
+++ b/crates/planner/src/adapt.rs
@@ -5,7 +5,7 @@
 
 use crate::decision::{Action, Reason};
 use crate::need::Need;
-use crate::pending::What;
+use crate::pending::{What, same};
 use crate::picture::Replica;
 use crate::round::Round;
 
@@ -42,16 +42,7 @@
         }
         let ready = |replica: &&Replica| replica.state == State::Ready;
         let replicas: Vec<&Replica> = self.scene.staying(&need.key).filter(ready).collect();
-        let has = |replica: &&Replica| {
-            let pending = What::Adapter {
-                replica: replica.replica,
-                target: replica.target.clone(),
-                adapter: adapter.clone(),
-            };
-            replica.adapters.contains(adapter)
-                || self.policy.pending.iter().any(|what| *what == pending)
-        };
-        if replicas.iter().any(has) {
+        if replicas.iter().any(|r| r.adapters.contains(adapter)) || self.adapting(need, adapter) {
             return false;
         }
         let near = |replica: &Replica| {
@@ -78,4 +69,19 @@
         self.decide(&need.key.model, action, Reason::Waiting, detail.into());
         true
     }
+
+    /// Whether the load of an adapter onto a model is pending.
+    fn adapting(&self, need: &Need, adapter: &Name) -> bool {
+        self.policy.pending.iter().any(|what| match what {
+            What::Adapter {
+                replica,
+                target,
+                adapter: known,
+            } => {
+                let replica = || self.scene.find(*replica, target);
+                known == adapter && replica().is_some_and(|r| same(r, &need.key))
+            }
+            What::Load { .. } | What::Unload(..) | What::Warm(..) => false,
+        })
+    }
 }
--- a/crates/planner/src/ahead.rs
+++ b/crates/planner/src/ahead.rs
@@ -56,7 +56,16 @@
             version: entry.model.version.clone(),
         };
         let need = Need::expected(key, region);
-        let Some(place) = self.search(&need, entry) else {
+        let workers = self.scene.picture.workers.len();
+        if self.budget < workers {
+            return;
+        }
+        let place = self.search(&need, entry);
+        self.spend(workers, place.as_ref());
+        if let Some(history) = self.policy.histories.get_mut(model) {
+            history.ahead = true;
+        }
+        let Some(place) = place else {
             return;
         };
         let free = place.from != Stage::Remote || self.policy.store.open();
@@ -64,8 +73,5 @@
             return;
         }
         self.take(&need, entry, &place, Reason::Expected);
-        if let Some(history) = self.policy.histories.get_mut(model) {
-            history.ahead = true;
-        }
     }
 }
--- a/crates/planner/src/keep.rs
+++ b/crates/planner/src/keep.rs
@@ -8,14 +8,16 @@
 use crate::number::time;
 
 /// Accelerator seconds that a cold start of [`TYPICAL`] is worth, a second and request.
-const EXCHANGE: f64 = 4.0;
+const EXCHANGE: f64 = 1.3;
 /// A cold start in the middle of the range, in seconds.
 const TYPICAL: f64 = 5.0;
 /// How much a cold start of twice the length costs more, as a power of two.
 ///
 /// Above 1, since the tail is what counts: a long cold start is worse than two
 /// of half its length.
-const TAIL: i32 = 3;
+const TAIL: i32 = 4;
+/// How strongly the declared weights act on the price: their ratio to this power.
+const WEIGHT: i32 = 2;
 
 /// Gaps that must have been seen before a model is loaded ahead.
 const KNOWN: f64 = 3.0;
@@ -128,8 +130,8 @@
 /// Keeping it for `d` costs the accelerators until the next call or `d`, and a
 /// cold start if the call comes after `d`.
 fn cheapest(facts: &Facts) -> Verdict {
-    let idle_price = facts.keeping.idle_weight * f64::from(facts.accelerators);
-    let cold_price = facts.keeping.cold_start_weight * EXCHANGE * pain(facts);
+    let idle_price = facts.keeping.idle_weight.powi(WEIGHT) * f64::from(facts.accelerators);
+    let cold_price = facts.keeping.cold_start_weight.powi(WEIGHT) * EXCHANGE * pain(facts);
     let idle = facts.idle.as_secs_f64();
     let last = facts.rules.maximum.as_secs_f64();
     let all: f64 = facts.history.gaps.after(facts.idle).map(|b| b.share).sum();
--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/load.rs
@@ -15,6 +15,9 @@
 use crate::round::Round;
 use crate::scale::{Supply, missing};
 
+/// How many times as long a worker takes to weigh where something must leave first.
+const EVICTIONS: usize = 8;
+
 impl<'a> Round<'a> {
     /// Loads what waiting requests need, the most urgent first.
     pub fn loads(&mut self) {
@@ -53,8 +56,9 @@
             if self.budget < workers && self.budget < BUDGET {
                 return;
             }
-            self.budget = self.budget.saturating_sub(workers);
-            let Some(place) = self.search(need, &entry) else {
+            let place = self.search(need, &entry);
+            self.spend(workers, place.as_ref());
+            let Some(place) = place else {
                 self.policy.unplaced.insert(need.key.clone());
                 return;
             };
@@ -63,6 +67,13 @@
         }
     }
 
+    /// Takes a search off the budget; one that had to weigh evictions costs more.
+    pub fn spend(&mut self, workers: usize, place: Option<&Place>) {
+        let full = place.is_none_or(|place| place.blocked);
+        let cost = if full { workers * EVICTIONS } else { workers };
+        self.budget = self.budget.saturating_sub(cost);
+    }
+
     /// The replicas that a model has.
     fn supply(&self, need: &Need, entry: &Entry) -> Supply {
         let store = &self.policy.store;
