--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/load.rs
@@ -42,16 +42,17 @@
         }
         let allowed = entry.rules.replicas;
         let room = allowed.saturating_sub(self.scene.decided(&need.key.model));
-        if room == 0 {
-            return;
-        }
         let supply = self.supply(need, &entry);
+        let missing = missing(need, &supply, self.now);
+        if missing > 0 && room == 0 {
+            self.note(need, "no more replicas: the settings allow no more");
+        }
         let reason = if supply.ready + supply.loading > 0 {
             Reason::Burst
         } else {
             Reason::Waiting
         };
-        for _ in 0..missing(need, &supply, self.now).min(room) {
+        for _ in 0..missing.min(room) {
             let workers = self.scene.picture.workers.len();
             if self.budget < workers && self.budget < BUDGET {
                 return;
@@ -60,6 +61,10 @@
             self.spend(workers, place.as_ref());
             let Some(place) = place else {
                 self.policy.unplaced.insert(need.key.clone());
+                self.note(
+                    need,
+                    "not loaded: it fits on no worker that may be loaded now",
+                );
                 return;
             };
             self.policy.unplaced.remove(&need.key);
@@ -120,11 +125,13 @@
         let bytes = entry.model.bytes;
         if place.blocked {
             self.scene.claim(place.worker, bytes);
+            self.note(need, "not loaded yet: it waits until memory is freed");
             return;
         }
         let remote = place.from == Stage::Remote;
         if remote && !self.policy.store.open() {
             self.scene.claim(place.worker, bytes);
+            self.note(need, "not loaded yet: it waits for the weight store");
             return;
         }
         let target = self.scene.at(place.worker).target.clone();
@@ -149,6 +156,12 @@
         self.decide(&need.key.model, action, reason, detail.into());
     }
 
+    /// Notes for operators why a waiting model is not loaded.
+    fn note(&mut self, need: &Need, why: &str) {
+        let notes = &mut self.policy.notes;
+        notes.add(&need.key.model, self.now, why.into());
+    }
+
     /// The figures behind a load.
     fn why(&self, need: &Need, place: &Place) -> String {
         let ready = seconds(place.ready);
--- a/crates/planner/src/store.rs
+++ b/crates/planner/src/store.rs
@@ -87,16 +87,20 @@
         for replica in &picture.replicas {
             self.learn(replica);
         }
+        let loading = picture
+            .replicas
+            .iter()
+            .filter(|replica| replica.state == State::Loading);
+        self.seen = loading.map(|replica| replica.replica).collect();
         self.count(picture, pending, now);
     }
 
     /// Notes the load of one replica.
     fn learn(&mut self, replica: &Replica) {
         if replica.state == State::Loading {
-            self.seen.insert(replica.replica);
             return;
         }
-        if !self.seen.remove(&replica.replica) {
+        if !self.seen.contains(&replica.replica) {
             return;
         }
         let Some(ready) = replica.ready else {
