Tables for how many replicas, zone spread and adapters in flight

Cause: of the mutations on the new code, an adapter ordered twice was not caught, and how many replicas are wanted had no test of its own.

--- a/crates/planner/tests/policy.rs
+++ b/crates/planner/tests/policy.rs
@@ -179,6 +179,18 @@
             p.replicas[0].decided = NOW;
             p.workers[0].free = 6 * GIB;
         }),
+        case(
+            "a burst goes to another zone",
+            &["load report b"],
+            two(),
+            |p| {
+                p.workers.insert(1, worker("a2", 16));
+                p.workers[1].zone = "a".into();
+                p.workers[0].free = 6 * GIB;
+                p.replicas = vec![replica(1, "report", "a", State::Ready)];
+                p.demand = vec![demand("report", 300)];
+            },
+        ),
         case("one allowed", &[], two(), |p| {
             p.demand = vec![demand("single", 5_000)];
             p.replicas = vec![replica(1, "single", "a", State::Loading)];
@@ -267,6 +279,21 @@
     assert_eq!(texts(&policy.plan(&picture, later)), ["load report a"]);
 }
 
+#[test]
+fn an_adapter_is_not_ordered_again_while_it_loads() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 6)]);
+    picture.replicas = vec![replica(1, "report", "a", State::Ready)];
+    picture.demand = vec![demand("report", 1)];
+    picture.demand[0].adapters = vec!["dealer-1".into()];
+    let first = policy.plan(&picture, NOW);
+    assert_eq!(texts(&first), ["adapter dealer-1 1"]);
+    let soon = NOW + Duration::from_millis(500);
+    assert!(policy.plan(&picture, soon).is_empty());
+    let later = NOW + Duration::from_secs(3);
+    assert_eq!(texts(&policy.plan(&picture, later)), ["adapter dealer-1 1"]);
+}
+
 #[test]
 fn starts_from_the_store_are_paced() {
     let mut policy = Policy::default();
