--- a/crates/planner/examples/replay.rs
+++ b/crates/planner/examples/replay.rs
@@ -5,6 +5,8 @@
 
 #[path = "replay/cache.rs"]
 mod cache;
+#[path = "replay/host.rs"]
+mod host;
 #[path = "replay/report.rs"]
 mod report;
 #[path = "replay/run.rs"]
--- a/crates/planner/examples/replay/world.rs
+++ b/crates/planner/examples/replay/world.rs
@@ -9,27 +9,17 @@
 use std::time::Duration;
 
 use cornelhitch_planner::decision::{Action, Decision};
-use cornelhitch_planner::picture::{Copy, Demand, Picture, Replica, Worker};
+use cornelhitch_planner::picture::{Demand, Picture, Replica, Worker};
 use cornelhitch_settings::fleet::{Fleet, Model};
 use cornelhitch_types::id::{ModelId, Name, RegionId, ReplicaId, Time};
 use cornelhitch_types::target::Stage;
 use cornelhitch_types::view::State;
 
-use super::cache::Cache;
+use super::host::{Host, worker};
 use super::stats::Stats;
 
-/// Accelerator memory of a worker, in bytes.
-pub const MEMORY: u64 = 48 << 30;
-/// Accelerators of a worker.
-pub const ACCELERATORS: u32 = 2;
-/// Disk of a worker for copies, in bytes.
-const DISK: u64 = 96 << 30;
-/// Host memory of a worker for copies, in bytes.
-const HOST: u64 = 32 << 30;
 /// Workers in a region.
 const PER_REGION: usize = 4;
-/// Zones in a region.
-const ZONES: usize = 2;
 
 /// A request.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,13 +45,6 @@
     cold: bool,
 }
 
-/// A worker's caches below accelerator memory.
-#[derive(Debug, Clone)]
-struct Host {
-    disk: Cache,
-    memory: Cache,
-}
-
 /// The work of a replica.
 #[derive(Debug, Clone, Default)]
 struct Work {
@@ -102,13 +85,9 @@
                 workers.push(worker(&region.name, index));
             }
         }
-        let host = Host {
-            disk: Cache::new(DISK),
-            memory: Cache::new(HOST),
-        };
         Self {
             fleet: Arc::clone(fleet),
-            hosts: vec![host; workers.len()],
+            hosts: vec![Host::new(); workers.len()],
             workers,
             replicas: Vec::new(),
             stats: Stats::default(),
@@ -250,7 +229,7 @@
         let target = self.workers[worker].target.clone();
         self.workers[worker].open = false;
         self.workers[worker].free = self.workers[worker].memory;
-        self.hosts[worker].memory = Cache::new(HOST);
+        self.hosts[worker].restart();
         self.replicas.retain(|replica| replica.target != target);
     }
 
@@ -263,7 +242,7 @@
     pub fn picture(&mut self) -> Picture {
         let mut workers = self.workers.clone();
         for (worker, host) in workers.iter_mut().zip(&self.hosts) {
-            worker.copies = copies(host);
+            worker.copies = host.copies();
         }
         let arrivals = std::mem::take(&mut self.arrivals);
         let mut demand: BTreeMap<(ModelId, RegionId), Demand> = BTreeMap::new();
@@ -361,48 +340,6 @@
     }
 }
 
-impl Host {
-    /// Where the nearest copy is.
-    fn stage(&self, model: &str) -> Stage {
-        if self.memory.has(model) {
-            Stage::Memory
-        } else if self.disk.has(model) {
-            Stage::Disk
-        } else {
-            Stage::Remote
-        }
-    }
-}
-
-/// A worker of a region.
-fn worker(region: &RegionId, index: usize) -> Worker {
-    Worker {
-        target: format!("{region}-worker-{}", index + 1).into(),
-        region: region.clone(),
-        zone: format!("{region}-zone-{}", index % ZONES + 1).into(),
-        memory: MEMORY,
-        free: MEMORY,
-        accelerators: ACCELERATORS,
-        open: true,
-        copies: Vec::new(),
-        quiet: Vec::new(),
-    }
-}
-
-/// The copies of a worker.
-fn copies(host: &Host) -> Vec<Copy> {
-    let of = |cache: &Cache, stage: Stage| -> Vec<Copy> {
-        let copy = |model: &ModelId| Copy {
-            model: model.clone(),
-            stage,
-        };
-        cache.iter().map(copy).collect()
-    };
-    let mut copies = of(&host.disk, Stage::Disk);
-    copies.extend(of(&host.memory, Stage::Memory));
-    copies
-}
-
 /// A row of demand with nothing in it.
 fn row(key: &(ModelId, RegionId)) -> Demand {
     Demand {
