--- a/crates/planner/tests/policy.rs
+++ b/crates/planner/tests/policy.rs
@@ -294,6 +294,57 @@
     assert_eq!(texts(&policy.plan(&picture, later)), ["adapter dealer-1 1"]);
 }
 
+/// Carries decisions out at once, and counts the loads.
+fn carry(picture: &mut Picture, decisions: &[Decision], now: Time) -> u32 {
+    let mut loads = 0;
+    for decision in decisions {
+        match &decision.action {
+            Action::Load { model, target, .. } => {
+                let mut new = replica(u64::from(loads) + 1, model, target, State::Ready);
+                new.decided = now;
+                new.ready = Some(now);
+                new.used = now;
+                picture.replicas.push(new);
+                loads += 1;
+            }
+            Action::Unload { .. } => picture.replicas.clear(),
+            Action::Adapter { .. } | Action::Warm { .. } => {}
+        }
+    }
+    loads
+}
+
+#[test]
+fn a_call_that_stays_away_is_loaded_ahead_for_once() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 16)]);
+    let mut fleet = (*picture.settings).clone();
+    fleet.keeping.cold_start_weight = 0.8;
+    fleet.keeping.idle_weight = 0.2;
+    picture.settings = Arc::new(fleet);
+    // Calls now five minutes apart, now fifty, while no worker may be loaded.
+    picture.workers[0].open = false;
+    picture.demand = vec![demand("report", 1)];
+    let mut start = NOW;
+    for call in 0..12 {
+        start += Duration::from_mins(if call % 2 == 0 { 5 } else { 50 });
+        policy.plan(&picture, start);
+    }
+    picture.workers[0].open = true;
+    picture.demand.clear();
+    let mut loads = Vec::new();
+    for second in 1..7_200 {
+        let now = start + Duration::from_secs(second);
+        let decisions = policy.plan(&picture, now);
+        if carry(&mut picture, &decisions, now) > 0 {
+            assert_eq!(decisions[0].reason, Reason::Expected);
+            loads.push(second);
+        }
+    }
+    assert_eq!(loads.len(), 1, "loaded after {loads:?} s");
+    assert!(picture.replicas.is_empty(), "unloaded when no call came");
+}
+
 #[test]
 fn starts_from_the_store_are_paced() {
     let mut policy = Policy::default();
