--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/load.rs
@@ -15,6 +15,9 @@
 use crate::round::Round;
 use crate::scale::{Supply, missing};
 
+/// How many times as long a worker takes to weigh where something must leave first.
+const EVICTIONS: usize = 8;
+
 impl<'a> Round<'a> {
     /// Loads what waiting requests need, the most urgent first.
     pub fn loads(&mut self) {
@@ -39,23 +42,29 @@
         }
         let allowed = entry.rules.replicas;
         let room = allowed.saturating_sub(self.scene.decided(&need.key.model));
-        if room == 0 {
-            return;
-        }
         let supply = self.supply(need, &entry);
+        let missing = missing(need, &supply, self.now);
+        if missing > 0 && room == 0 {
+            self.note(need, "no more replicas: the settings allow no more");
+        }
         let reason = if supply.ready + supply.loading > 0 {
             Reason::Burst
         } else {
             Reason::Waiting
         };
-        for _ in 0..missing(need, &supply, self.now).min(room) {
+        for _ in 0..missing.min(room) {
             let workers = self.scene.picture.workers.len();
             if self.budget < workers && self.budget < BUDGET {
                 return;
             }
-            self.budget = self.budget.saturating_sub(workers);
-            let Some(place) = self.search(need, &entry) else {
+            let place = self.search(need, &entry);
+            self.spend(workers, place.as_ref());
+            let Some(place) = place else {
                 self.policy.unplaced.insert(need.key.clone());
+                self.note(
+                    need,
+                    "not loaded: it fits on no worker that may be loaded now",
+                );
                 return;
             };
             self.policy.unplaced.remove(&need.key);
@@ -63,6 +72,13 @@
         }
     }
 
+    /// Takes a search off the budget; one that had to weigh evictions costs more.
+    pub fn spend(&mut self, workers: usize, place: Option<&Place>) {
+        let full = place.is_none_or(|place| place.blocked);
+        let cost = if full { workers * EVICTIONS } else { workers };
+        self.budget = self.budget.saturating_sub(cost);
+    }
+
     /// The replicas that a model has.
     fn supply(&self, need: &Need, entry: &Entry) -> Supply {
         let store = &self.policy.store;
@@ -109,11 +125,13 @@
         let bytes = entry.model.bytes;
         if place.blocked {
             self.scene.claim(place.worker, bytes);
+            self.note(need, "not loaded yet: it waits until memory is freed");
             return;
         }
         let remote = place.from == Stage::Remote;
         if remote && !self.policy.store.open() {
             self.scene.claim(place.worker, bytes);
+            self.note(need, "not loaded yet: it waits for the weight store");
             return;
         }
         let target = self.scene.at(place.worker).target.clone();
@@ -138,6 +156,12 @@
         self.decide(&need.key.model, action, reason, detail.into());
     }
 
+    /// Notes for operators why a waiting model is not loaded.
+    fn note(&mut self, need: &Need, why: &str) {
+        let notes = &mut self.policy.notes;
+        notes.add(&need.key.model, self.now, why.into());
+    }
+
     /// The figures behind a load.
     fn why(&self, need: &Need, place: &Place) -> String {
         let ready = seconds(place.ready);
--- a/crates/planner/tests/policy.rs
+++ b/crates/planner/tests/policy.rs
@@ -179,6 +179,18 @@
             p.replicas[0].decided = NOW;
             p.workers[0].free = 6 * GIB;
         }),
+        case(
+            "a burst goes to another zone",
+            &["load report b"],
+            two(),
+            |p| {
+                p.workers.insert(1, worker("a2", 16));
+                p.workers[1].zone = "a".into();
+                p.workers[0].free = 6 * GIB;
+                p.replicas = vec![replica(1, "report", "a", State::Ready)];
+                p.demand = vec![demand("report", 300)];
+            },
+        ),
         case("one allowed", &[], two(), |p| {
             p.demand = vec![demand("single", 5_000)];
             p.replicas = vec![replica(1, "single", "a", State::Loading)];
@@ -267,6 +279,72 @@
     assert_eq!(texts(&policy.plan(&picture, later)), ["load report a"]);
 }
 
+#[test]
+fn an_adapter_is_not_ordered_again_while_it_loads() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 6)]);
+    picture.replicas = vec![replica(1, "report", "a", State::Ready)];
+    picture.demand = vec![demand("report", 1)];
+    picture.demand[0].adapters = vec!["dealer-1".into()];
+    let first = policy.plan(&picture, NOW);
+    assert_eq!(texts(&first), ["adapter dealer-1 1"]);
+    let soon = NOW + Duration::from_millis(500);
+    assert!(policy.plan(&picture, soon).is_empty());
+    let later = NOW + Duration::from_secs(3);
+    assert_eq!(texts(&policy.plan(&picture, later)), ["adapter dealer-1 1"]);
+}
+
+/// Carries decisions out at once, and counts the loads.
+fn carry(picture: &mut Picture, decisions: &[Decision], now: Time) -> u32 {
+    let mut loads = 0;
+    for decision in decisions {
+        match &decision.action {
+            Action::Load { model, target, .. } => {
+                let mut new = replica(u64::from(loads) + 1, model, target, State::Ready);
+                new.decided = now;
+                new.ready = Some(now);
+                new.used = now;
+                picture.replicas.push(new);
+                loads += 1;
+            }
+            Action::Unload { .. } => picture.replicas.clear(),
+            Action::Adapter { .. } | Action::Warm { .. } => {}
+        }
+    }
+    loads
+}
+
+#[test]
+fn a_call_that_stays_away_is_loaded_ahead_for_once() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 16)]);
+    let mut fleet = (*picture.settings).clone();
+    fleet.keeping.cold_start_weight = 0.8;
+    fleet.keeping.idle_weight = 0.2;
+    picture.settings = Arc::new(fleet);
+    // Calls now five minutes apart, now fifty, while no worker may be loaded.
+    picture.workers[0].open = false;
+    picture.demand = vec![demand("report", 1)];
+    let mut start = NOW;
+    for call in 0..12 {
+        start += Duration::from_mins(if call % 2 == 0 { 5 } else { 50 });
+        policy.plan(&picture, start);
+    }
+    picture.workers[0].open = true;
+    picture.demand.clear();
+    let mut loads = Vec::new();
+    for second in 1..7_200 {
+        let now = start + Duration::from_secs(second);
+        let decisions = policy.plan(&picture, now);
+        if carry(&mut picture, &decisions, now) > 0 {
+            assert_eq!(decisions[0].reason, Reason::Expected);
+            loads.push(second);
+        }
+    }
+    assert_eq!(loads.len(), 1, "loaded after {loads:?} s");
+    assert!(picture.replicas.is_empty(), "unloaded when no call came");
+}
+
 #[test]
 fn starts_from_the_store_are_paced() {
     let mut policy = Policy::default();
@@ -292,6 +370,12 @@
         report was last called 4 s ago; 0.0 gaps seen, 1.0 requests a call
         4 s ago: load on a (waiting): 3 requests wait, the nearest deadline is in 30.0 s; ready from remote in 10.0 s"]]
     .assert_eq(&lines.join("\n"));
+    picture.workers[0].open = false;
+    let later = NOW + Duration::from_secs(5);
+    policy.plan(&picture, later);
+    let last = policy.explain("report", later).pop();
+    let expected = "0 s ago: not loaded: it fits on no worker that may be loaded now";
+    assert_eq!(last.as_deref(), Some(expected));
     let unknown = policy.explain("other", NOW);
     assert_eq!(unknown, ["other is not in the settings"]);
 }
