A sent prompt counts as held until an event says otherwise

Cause: cache events come a second or more after the prompt was read, and by then the next requests of its group had gone elsewhere.

--- a/crates/entry/examples/policy/bench.rs
+++ b/crates/entry/examples/policy/bench.rs
@@ -38,6 +38,8 @@
     pub groups: u64,
     /// When the first engine dies.
     pub death: Option<Duration>,
+    /// Only times of requests that arrive within it are kept, if there is one.
+    pub window: Option<(Duration, Duration)>,
     /// In 100 attempts, how many fail at their end.
     pub sick: u32,
     /// Whether one request of the first batch takes its engine down.
@@ -163,6 +165,7 @@
         if let Some(death) = bench.setup.death {
             bench.at(death, Happening::Die(0));
         }
+        bench.figures.window = bench.setup.window;
         bench
     }
 
--- a/crates/entry/examples/policy/figures.rs
+++ b/crates/entry/examples/policy/figures.rs
@@ -34,6 +34,8 @@
     pub in_span: usize,
     /// Requests that waited inside an engine, at most.
     pub queued: usize,
+    /// Only times of requests that arrived within it are kept, if there is one.
+    pub window: Option<(Time, Time)>,
     /// Engines lost.
     pub lost: u64,
     /// The largest batch that died.
@@ -51,6 +53,7 @@
             crossed: 0,
             in_span: 0,
             queued: 0,
+            window: None,
             lost: 0,
             batch: 0,
         }
@@ -64,6 +67,10 @@
         if now <= self.span {
             self.in_span += 1;
         }
+        let inside = |(from, to): (Time, Time)| ticket.at >= from && ticket.at < to;
+        if !self.window.is_none_or(inside) {
+            return;
+        }
         let class = self.classes.entry(ticket.class).or_default();
         class.took.push(now.saturating_sub(ticket.at));
     }
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -296,7 +296,7 @@
         let (key, rank) = (call.key.clone(), call.rank);
         let first = self.queue.waiting(&key) == 0;
         self.queue.push(&key, rank, id);
-        if first && matches!(key, Key::Model(..)) && self.supply(&key).slots == 0 {
+        if first && !self.is_ready(&key) {
             self.actions.push(Action::Report);
         }
         self.dirty.insert(key);
--- a/crates/entry/src/affinity.rs
+++ b/crates/entry/src/affinity.rs
@@ -14,6 +14,9 @@
 /// Prefixes kept per target; the oldest go first.
 const LIMIT: usize = 4_096;
 
+/// The trust in a prompt that was only sent there.
+const EXPECTED: f64 = 0.7;
+
 /// What is left of the trust in old events after a gap.
 const AFTER_GAP: f64 = 0.5;
 
@@ -55,6 +58,19 @@
         }
     }
 
+    /// Notes a prompt that was sent to a target: it will hold most of it soon, and its event comes
+    /// only later. Of the prefixes every other length twice as long is noted, and the longest.
+    pub fn sent(&mut self, target: &TargetId, model: &ModelId, prefixes: &[u64]) {
+        let noted = prefixes.iter().enumerate().filter(|(index, _)| {
+            let length = index + 1;
+            length.is_power_of_two() || length == prefixes.len()
+        });
+        let cache = self.targets.entry(target.clone()).or_default();
+        for (_, prefix) in noted {
+            cache.expect(model.clone(), *prefix);
+        }
+    }
+
     /// Forgets a target, when it is gone or has a new life.
     pub fn forget(&mut self, target: &str) {
         self.targets.remove(target);
@@ -115,6 +131,26 @@
         self.trim();
     }
 
+    /// Notes a prefix that is expected to be held soon.
+    fn expect(&mut self, model: ModelId, prefix: u64) {
+        let at = (model, prefix);
+        if self.entries.get(&at).is_some_and(|known| known.held) {
+            return;
+        }
+        if let Some(known) = self.entries.get(&at) {
+            let old = (known.sequence, at.0.clone(), at.1);
+            self.order.remove(&old);
+        }
+        let entry = Entry {
+            sequence: self.newest,
+            held: true,
+            trust: EXPECTED,
+        };
+        self.order.insert((self.newest, at.0.clone(), at.1));
+        self.entries.insert(at, entry);
+        self.trim();
+    }
+
     /// Believes less of what is known: events were lost.
     fn doubt(&mut self) {
         for entry in self.entries.values_mut() {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -205,6 +205,19 @@
         }
     }
 
+    /// Whether there is a place for one kind of request; plain services are not loaded.
+    pub(crate) fn is_ready(&self, key: &Key) -> bool {
+        let Key::Model(model, version) = key else {
+            return true;
+        };
+        let wanted = self.wanted(model, version.as_ref());
+        self.picture.of_model(model).any(|replica| {
+            let view = &replica.view;
+            let fits = wanted.is_none() || view.version == wanted;
+            fits && view.state == State::Ready && !self.ejections.has(&view.target)
+        })
+    }
+
     /// Chooses a place for a request, as an index of `options`.
     fn choose(&mut self, id: CallId, options: &mut [Choice]) -> Option<usize> {
         let call = self.calls.get(&id)?;
@@ -333,6 +346,13 @@
         *self.flights.entry(candidate.place.clone()).or_default() += 1;
         let targets = self.prints.entry(fingerprint).or_default();
         *targets.entry(life.0).or_default() += 1;
+        if let What::Model(reference) = &call.request.what
+            && !call.request.prefixes.is_empty()
+        {
+            let prefixes = &call.request.prefixes;
+            let target = &candidate.place.target;
+            self.caches.sent(target, &reference.model, prefixes);
+        }
         self.actions.push(Action::Send {
             id,
             attempt: call.attempts,
--- a/crates/entry/tests/core.rs
+++ b/crates/entry/tests/core.rs
@@ -187,3 +187,69 @@
     let text = serde_json::to_string(&core.dump()).expect("a dump");
     assert!(text.contains("\"waiting\":1"), "{text}");
 }
+
+#[test]
+fn a_load_that_takes_too_long_is_told_at_once() {
+    let mut core = core();
+    let changes = vec![target("w1", &[]), replica(4, "w1", State::Loading)];
+    core.handle(view(1, 2, changes), at(0));
+    let mut request = report(7);
+    request.deadline = Some(at(1_000));
+    let actions = core.handle(Event::Arrived(request), at(100));
+    let [Action::Refuse { refusal, .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((refusal.reason, refusal.run), (Reason::Late, Run::NotRun));
+    // The replica is ready 3.9 s after the request came.
+    assert_eq!(refusal.retry_after, Some(at(3_900)));
+    let mut patient = report(8);
+    patient.deadline = Some(at(9_000));
+    assert_eq!(
+        refused(&core.handle(Event::Arrived(patient), at(100))),
+        None
+    );
+}
+
+#[test]
+fn a_struck_fingerprint_is_refused_until_an_operator_releases_it() {
+    let mut core = core();
+    let ready = vec![target("w1", &[]), replica(4, "w1", State::Ready)];
+    core.handle(view(1, 2, ready), at(0));
+    core.handle(view(2, 3, vec![Change::Strike(99, 2)]), at(0));
+    let mut request = report(7);
+    request.fingerprint = 99;
+    let actions = core.handle(Event::Arrived(request.clone()), at(1));
+    assert_eq!(refused(&actions), Some((Reason::Quarantined, Run::Failed)));
+    core.handle(view(3, 4, vec![Change::Strike(99, 0)]), at(2));
+    request.id = 8;
+    let actions = core.handle(Event::Arrived(request), at(3));
+    assert!(
+        matches!(actions[..], [Action::Send { id: 8, .. }]),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn classes_go_before_one_another_and_the_last_is_shed() {
+    let settings = SETTINGS.to_owned() + "refusing: { queue: 2 }\n";
+    let mut core = core();
+    core.handle(
+        view(1, 2, vec![Change::Settings(2, settings.into())]),
+        at(0),
+    );
+    let mut ask = |id, class: &str, now| {
+        let mut request = report(id);
+        request.class = Some(class.into());
+        let actions = core.handle(Event::Arrived(request), at(now));
+        actions.into_iter().find_map(|action| match action {
+            Action::Refuse { id, refusal } => Some((id, refusal.reason)),
+            _ => None,
+        })
+    };
+    assert_eq!(ask(1, "review", 1), None);
+    assert_eq!(ask(2, "review", 2), None);
+    // The later review goes, not the preview that came last.
+    assert_eq!(ask(3, "preview", 3), Some((2, Reason::Overloaded)));
+    assert_eq!(ask(4, "preview", 4), Some((1, Reason::Overloaded)));
+    assert_eq!(ask(5, "none", 5), Some((5, Reason::Malformed)));
+}
