Streams may pause for 20 s; a bound on remembered strikes

Cause: owners report progress every 64 tokens; at 80 ms a token that is 5.1 s, and a healthy stream would have been cut off by the stall bound of 5 s. The table of strikes had no bound but time. Change: attempt::STALL is 20 s for streams, attempt::REST stays 5 s past the deadline for whole answers; at most 10,000 fingerprints with strikes are kept.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -19,9 +19,14 @@
 use crate::rule::{self, Next};
 use crate::stopped::Suspect;
 
-/// The longest time without a part of an answer that has begun; also how far past its deadline a
-/// whole answer may go on that had begun before.
-pub const STALL: Duration = Duration::from_secs(5);
+/// The longest time without a part of a streamed answer that has begun.
+///
+/// Owners report `Progress` well within it, also where tokens come slowly; a caller that takes
+/// nothing for so long is cut off too.
+pub const STALL: Duration = Duration::from_secs(20);
+
+/// How far past its deadline an answer may go on that is not streamed and had begun before.
+pub const REST: Duration = Duration::from_secs(5);
 
 /// Attempts of one request at most.
 const ATTEMPTS: Attempt = 8;
@@ -119,7 +124,7 @@
         let at = if call.request.streaming {
             self.now + STALL
         } else {
-            call.deadline + STALL
+            call.deadline + REST
         };
         self.set_timer(id, at);
     }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -16,6 +16,9 @@
 /// Targets that one fingerprint may take down.
 pub const LIMIT: u32 = 2;
 
+/// Fingerprints with strikes that are remembered; the oldest go first.
+const RECORDS: usize = 10_000;
+
 /// Targets that one host reserves for suspects at once.
 const RESERVED: usize = 2;
 
@@ -90,6 +93,18 @@
         record.seen.insert(life);
         record.least = record.least.max(known + 1);
         record.at = now;
+        self.bound();
+    }
+
+    /// Forgets the oldest strikes beyond the limit.
+    fn bound(&mut self) {
+        while self.records.len() > RECORDS {
+            let oldest = self.records.iter().min_by_key(|(_, record)| record.at);
+            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.records.remove(&fingerprint);
+        }
     }
 
     /// Takes what control published; 0 is an operator's release.
@@ -101,6 +116,7 @@
         let record = self.records.entry(fingerprint).or_default();
         record.published = strikes;
         record.at = now;
+        self.bound();
     }
 
     /// Forgets what control published, before the whole of it comes again.
