--- a/crates/control/src/claims/tests.rs
+++ b/crates/control/src/claims/tests.rs
@@ -29,6 +29,7 @@
         digest: u8,
         host: u64,
         issued: Option<u64>,
+        repeated: bool,
     },
     Finish {
         key: u8,
@@ -38,6 +39,7 @@
     Abandon {
         key: u8,
         host: u64,
+        late: bool,
     },
     HostEnded {
         host: u64,
@@ -48,13 +50,20 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        8 => (0..12_u8, prop::bool::weighted(0.1), 0..3_u64, prop::option::of(0..150_u64))
-            .prop_map(|(key, other, host, issued)| {
-                Step::Claim { key, digest: u8::from(other), host, issued }
+        8 => (
+            0..12_u8,
+            prop::bool::weighted(0.1),
+            0..3_u64,
+            prop::option::of(0..150_u64),
+            prop::bool::weighted(0.2),
+        )
+            .prop_map(|(key, other, host, issued, repeated)| {
+                Step::Claim { key, digest: u8::from(other), host, issued, repeated }
             }),
         5 => (0..12_u8, 0..3_u64, 0..40_u8)
             .prop_map(|(key, host, body)| Step::Finish { key, host, body }),
-        1 => (0..12_u8, 0..3_u64).prop_map(|(key, host)| Step::Abandon { key, host }),
+        1 => (0..12_u8, 0..3_u64, any::<bool>())
+            .prop_map(|(key, host, late)| Step::Abandon { key, host, late }),
         1 => (0..3_u64).prop_map(|host| Step::HostEnded { host }),
         2 => (1..40_u64).prop_map(Step::Pass),
         1 => Just(Step::Restart),
@@ -65,6 +74,7 @@
 #[derive(Debug, Clone)]
 struct Grant {
     holder: Holder,
+    call: u64,
     digest: u8,
     outcome: Option<Outcome>,
     ended: Option<Time>,
@@ -75,6 +85,7 @@
     claims: Claims,
     now: Time,
     grants: BTreeMap<u8, Grant>,
+    calls: u64,
     granted: usize,
     forgotten: usize,
 }
@@ -95,16 +106,20 @@
                 digest,
                 host,
                 issued,
-            } => self.claim(key, digest, host, issued)?,
+                repeated,
+            } => {
+                let (holder, call) = self.caller(key, host, repeated);
+                let issued = issued.map(|age| self.now.saturating_sub(Duration::from_secs(age)));
+                self.claim(key, digest, holder, call, issued)?;
+            }
             Step::Finish { key, host, body } => self.finish(key, host, body),
-            Step::Abandon { key, host } => {
-                let holder = Holder {
-                    host,
-                    incarnation: 1,
-                };
-                if self.claims.abandon(&Self::key(key), holder) == Answer::Done {
+            Step::Abandon { key, host, late } => {
+                let (holder, call) = self.caller(key, host, true);
+                let call = call.saturating_sub(u64::from(late));
+                if self.claims.abandon(&Self::key(key), holder, call) == Answer::Done {
                     let grant = self.grants.remove(&key);
                     let held = grant.is_some_and(|it| it.holder == holder && it.ended.is_none());
+                    let held = held && !late;
                     return held.then_some(()).ok_or("another's claim was freed".into());
                 }
             }
@@ -123,16 +138,31 @@
         self.bounds()
     }
 
-    fn claim(&mut self, key: u8, digest: u8, host: u64, issued: Option<u64>) -> Result<(), String> {
+    /// Who asks, under a new number or the one that was granted.
+    fn caller(&mut self, key: u8, host: u64, repeated: bool) -> (Holder, u64) {
+        let grant = self.grants.get(&key).filter(|_| repeated);
         let holder = Holder {
-            host,
+            host: grant.map_or(host, |it| it.holder.host),
             incarnation: 1,
         };
+        self.calls += 2;
+        (holder, grant.map_or(self.calls, |it| it.call))
+    }
+
+    fn claim(
+        &mut self,
+        key: u8,
+        digest: u8,
+        holder: Holder,
+        call: u64,
+        issued: Option<Time>,
+    ) -> Result<(), String> {
         let claim = Claim {
             key: Self::key(key),
             digest: [digest; 32],
             holder,
-            issued: issued.map(|age| self.now.saturating_sub(Duration::from_secs(age))),
+            call,
+            issued,
         };
         let answer = self.claims.claim(&claim, &SMALL);
         let over = |ended: Time| ended + RETENTION < self.now;
@@ -142,7 +172,12 @@
             .filter(|it| !it.ended.is_some_and(over));
         let right = match (&answer, old) {
             (Answer::Granted | Answer::Refused(Refusal::Full), None) => true,
-            (Answer::InProgress, Some(old)) => old.ended.is_none() && old.digest == digest,
+            (Answer::InProgress, Some(old)) => {
+                old.ended.is_none() && old.digest == digest && old.call != call
+            }
+            (Answer::Granted, Some(old)) => {
+                old.ended.is_none() && (old.holder, old.call, old.digest) == (holder, call, digest)
+            }
             (Answer::Recorded(outcome), Some(old)) => {
                 let first = old.outcome.as_ref();
                 let kept = first.is_some_and(|it| outcome == it || *outcome == it.short());
@@ -164,6 +199,7 @@
                 key,
                 Grant {
                     holder,
+                    call,
                     digest,
                     outcome,
                     ended,
@@ -174,6 +210,8 @@
     }
 
     fn finish(&mut self, key: u8, host: u64, body: u8) {
+        let granted = self.grants.get(&key);
+        let call = granted.map_or(0, |it| it.call);
         let holder = Holder {
             host,
             incarnation: 1,
@@ -186,6 +224,7 @@
         let finish = Finish {
             key: Self::key(key),
             holder,
+            call,
             outcome: outcome.clone(),
         };
         if self.claims.finish(finish, &SMALL, self.now) == Answer::Done
--- a/crates/control/tests/bytes.rs
+++ b/crates/control/tests/bytes.rs
@@ -19,6 +19,19 @@
     }
 }
 
+/// A decision.
+fn decide() -> Decide {
+    Decide {
+        model: "report".into(),
+        version: Some("3".into()),
+        target: "w1".into(),
+        incarnation: 1,
+        bytes: 40,
+        after: 1,
+        adopted: false,
+    }
+}
+
 /// One command of each kind.
 fn commands() -> Vec<Command> {
     let (target, incarnation) = ("w1".into(), 1);
@@ -32,15 +45,7 @@
             text: MODELS.into(),
         }),
         Command::Register(worker("w1", 1, 100, true)),
-        Command::Decide(Decide {
-            model: "report".into(),
-            version: Some("3".into()),
-            target: "w1".into(),
-            incarnation,
-            bytes: 40,
-            after: 1,
-            adopted: false,
-        }),
+        Command::Decide(decide()),
         Command::Ready {
             replica: 1,
             sequence: 2,
@@ -55,9 +60,14 @@
         Command::Finish(Finish {
             key: bid.clone(),
             holder,
+            call: 1,
             outcome: outcome(),
         }),
-        Command::Abandon { key: bid, holder },
+        Command::Abandon {
+            key: bid,
+            holder,
+            call: 1,
+        },
         Command::HostEnded {
             host: 1,
             incarnation,
