--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -120,7 +120,7 @@
 
 /// The fleet's settings.
 pub const FLEET: Shape = Shape {
-    noun: "the fleet's settings",
+    noun: "the fleet's file",
     keys: &[
         may(
             "loading",
@@ -417,7 +417,7 @@
 
 /// The settings of one process.
 pub const PROCESS: Shape = Shape {
-    noun: "the process's settings",
+    noun: "the process's file",
     keys: &[
         must(
             "cluster",
--- a/crates/settings/tests/fleet.rs
+++ b/crates/settings/tests/fleet.rs
@@ -13,7 +13,7 @@
 /// Settings with one fault each, on one line, and the whole of what is said.
 const ROWS: &str = r#"
 placing: { replica: 2 }                              => 1:12: `placing` has no key "replica"; did you mean `replicas`?
-colour: red                                          => 1:1: the fleet's settings has no key "colour"; it has loading, keeping, placing, refusing, regions, classes, groups, models, services, exceptions
+colour: red                                          => 1:1: the fleet's file has no key "colour"; it has loading, keeping, placing, refusing, regions, classes, groups, models, services, exceptions
 placing: { replicas: two }                           => 1:22: `replicas` is "two", not a whole number from 1 to 100000
 placing: { replicas: "2" }                           => 1:22: `replicas` is "2", not a whole number from 1 to 100000
 placing: { replicas: 0 }                             => 1:22: `replicas` is "0", not a whole number from 1 to 100000
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -24,9 +24,9 @@
 
 /// A line of the sound settings, what stands in its place, and what is said.
 const ROWS: &str = r#"
-host: 1                         |                                  | 1:1: the process's settings has no `host`
+host: 1                         |                                  | 1:1: the process's file has no `host`
 host: 1                         | host: one                        | 2:7: `host` is "one", not a whole number from 0 to 18446744073709551615
-host: 1                         | hots: 1                          | 1:1: the process's settings has no `host` // 2:1: the process's settings has no key "hots"; did you mean `host`?
+host: 1                         | hots: 1                          | 1:1: the process's file has no `host` // 2:1: the process's file has no key "hots"; did you mean `host`?
 cluster: co-op                  | cluster: "co op"                 | 1:10: `cluster` is "co op", not a name of up to 128 ASCII letters, digits, `-`, `_`, `.` and `/`
 roles: [entry, control]         | roles: []                        | 5:8: the process has no role
 roles: [entry, control]         | roles: [entry, voter]            | 5:16: `roles` is "voter", not one of entry, control
@@ -42,7 +42,7 @@
 data: /var/lib/cornelhitch      |                                  | 1:1: the role control needs `data`, a folder that lasts
 token: /etc/cornelhitch/token   | token: /etc/cornelhitch/keys     | 15:8: /etc/cornelhitch/keys is read twice, first on line 14
 token: /etc/cornelhitch/token   | token:                           | 15:1: `token` has no value
-token: /etc/cornelhitch/token   | otlp: collector:4318             | 1:1: the process's settings has no `token` // 15:7: `otlp` is "collector:4318", not a URL of the form http://HOST[:PORT][/PATH]
+token: /etc/cornelhitch/token   | otlp: collector:4318             | 1:1: the process's file has no `token` // 15:7: `otlp` is "collector:4318", not a URL of the form http://HOST[:PORT][/PATH]
 "#;
 
 #[test]
