--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -9,7 +9,7 @@
 use crate::error::Error;
 use crate::read::read;
 use crate::relations;
-use crate::schema::FLEET;
+use crate::table::FLEET;
 
 /// The fleet's settings: defaults, what there is, and exceptions.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -24,3 +24,4 @@
 mod read;
 mod relations;
 mod schema;
+mod table;
--- a/crates/settings/src/manual.rs
+++ b/crates/settings/src/manual.rs
@@ -3,7 +3,8 @@
 use serde_json::Value;
 
 use crate::fleet::Fleet;
-use crate::schema::{FLEET, Form, Key, Kind, PROCESS, Shape};
+use crate::schema::{Form, Key, Kind, Shape};
+use crate::table::{FLEET, PROCESS};
 
 /// The text of `docs/SETTINGS.md`.
 ///
@@ -40,7 +41,7 @@
 # Settings
 
 This page is printed from the tables by which the files are checked
-(`crates/settings/src/schema.rs`); a test fails where the two differ. `UPDATE_EXPECT=1 cargo test -p
+(`crates/settings/src/table.rs`); a test fails where the two differ. `UPDATE_EXPECT=1 cargo test -p
 cornelhitch-settings` prints it anew.
 
 Both files are YAML: one document of keys and values, without anchors and tags, at most 4 MiB long
--- a/crates/settings/src/print.rs
+++ b/crates/settings/src/print.rs
@@ -5,7 +5,8 @@
 use serde_json::Value;
 
 use crate::fleet::Fleet;
-use crate::schema::{FLEET, Kind, Shape};
+use crate::schema::{Kind, Shape};
+use crate::table::FLEET;
 
 impl fmt::Display for Fleet {
     /// The whole settings in block style, with the keys in the order of their table.
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -11,7 +11,7 @@
 use crate::error::Error;
 use crate::hosts;
 use crate::read::read;
-use crate::schema::PROCESS;
+use crate::table::PROCESS;
 
 /// What a process does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
--- a/crates/settings/src/relations.rs
+++ b/crates/settings/src/relations.rs
@@ -6,7 +6,7 @@
 use crate::document::{Place, items, place, scalar, whole};
 use crate::error::Fault;
 use crate::fleet::Fleet;
-use crate::schema::MODEL_BYTES;
+use crate::table::MODEL_BYTES;
 
 /// The most accelerator memory of one model on one accelerator, in bytes.
 const ACCELERATOR: u64 = 1 << 40;
--- a/crates/settings/src/schema/tests.rs
+++ b/crates/settings/src/table/tests.rs
@@ -2,9 +2,10 @@
 
 use serde_json::Value;
 
-use super::{FLEET, Kind, PROCESS, Shape};
+use super::{FLEET, PROCESS};
 use crate::fleet::{Exception, Fleet};
 use crate::process::Process;
+use crate::schema::{Kind, Shape};
 
 /// Checks that a value has the keys of a shape and no others, and so on below.
 fn same(value: &Value, shape: &Shape) {
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cornelhitch_types::order::{Order, Outcome, Reply as OrderReply};
 use cornelhitch_types::refusal::Run;
-use http::header::{ACCEPT, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, RETRY_AFTER};
+use http::header::{ACCEPT, CONTENT_TYPE, HOST, HeaderName, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use http_body_util::Full;
 use hyper::Request;
@@ -200,18 +200,3 @@
         detail: String::from_utf8_lossy(start).into_owned(),
     }
 }
-
-/// Whether a header belongs to one connection and is not passed on (RFC 9110, section 7.6.1).
-#[must_use]
-pub fn is_hop_by_hop(name: &HeaderName) -> bool {
-    let names = [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ];
-    names.contains(&name.as_str()) || *name == CONTENT_LENGTH
-}
