--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -28,8 +28,10 @@
 
 mod beats;
 pub mod catalogue;
+mod claim;
 pub mod claims;
 pub mod command;
+pub mod dump;
 pub mod error;
 mod feed;
 pub mod fleet;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -175,14 +175,12 @@
                 unknown,
             } => {
                 let fleet = &self.fleet;
-                let answer = self
-                    .replicas
-                    .release(replica, evidence, unknown, fleet, now);
+                let answer = self.replicas.release(replica, evidence, unknown, fleet);
                 Reply::Replica(answer)
             }
             Command::Strike(strike) => {
                 let quarantine = self.quarantine();
-                self.strikes.expire(quarantine, now);
+                self.strikes.expire(now);
                 Reply::Strike(self.strikes.strike(strike, quarantine, now))
             }
             Command::Pardon { fingerprint } => Reply::Strike(self.strikes.pardon(fingerprint)),
--- a/crates/control/tests/common/world.rs
+++ b/crates/control/tests/common/world.rs
@@ -5,6 +5,7 @@
 
 use cornelhitch_control::prelude::*;
 use cornelhitch_control::replicas::Decide;
+use cornelhitch_planner::Planner;
 use cornelhitch_types::id::ReplicaId;
 use cornelhitch_types::order::{Action, Order, Outcome};
 use cornelhitch_types::target::Heartbeat;
@@ -36,19 +37,14 @@
 
 /// One step of a schedule. Masks have one bit a worker.
 #[derive(Debug, Clone)]
+#[rustfmt::skip]
 pub enum Step {
     /// A second with ticks and heartbeats, some lost, some late, some from paused workers.
     Second { lost: u8, late: u8, paused: u8 },
     /// A late heartbeat arrives, and stays on its way when it is doubled.
     Late { which: usize, doubled: bool },
     /// An entry host reports; an old sequence number makes it a late report.
-    Demand {
-        host: u64,
-        model: usize,
-        waiting: u32,
-        running: u32,
-        old: bool,
-    },
+    Demand { host: u64, model: usize, waiting: u32, running: u32, old: bool },
     /// An order on its way meets its fate.
     Order { which: usize, fate: Fate },
     /// A worker dies and comes back.
@@ -111,10 +107,14 @@
     told: bool,
 }
 
+/// Makes a planner for a new leader.
+pub type Make = fn() -> Box<dyn Planner>;
+
 /// Everything.
 pub struct World {
     state: State,
     leader: Leader,
+    planner: Make,
     now: Duration,
     term: u64,
     log: Vec<(Entry, Command)>,
@@ -134,6 +134,11 @@
 
 impl World {
     pub fn new() -> Self {
+        Self::with(|| Box::new(Trivial))
+    }
+
+    /// A world whose leaders have a planner.
+    pub fn with(planner: Make) -> Self {
         let habit = |fencing, ids| Habit { fencing, ids };
         let mut workers = vec![
             Fake::new("w0", 100, habit(true, true)),
@@ -151,7 +156,8 @@
         }
         let mut world = Self {
             state: State::default(),
-            leader: Leader::new(Box::new(Trivial)),
+            leader: Leader::new(planner()),
+            planner,
             now: super::START,
             term: 0,
             log: Vec::new(),
@@ -244,6 +250,16 @@
             paused: 0,
         };
         self.run(&Step::Stall(false))?;
+        for host in 1..4 {
+            let (model, waiting, running, old) = (0, 0, 0, false);
+            self.run(&Step::Demand {
+                host,
+                model,
+                waiting,
+                running,
+                old,
+            })?;
+        }
         for seconds in 0..90_u32 {
             let waiting = u32::from(seconds < 45);
             for model in 0..NAMES.len() {
@@ -268,6 +284,11 @@
                 return Err(format!("{model} is not ready after the faults"));
             }
         }
+        Ok(())
+    }
+
+    /// After [`World::calm`], with a planner that keeps nothing idle: nothing is left.
+    pub fn empty(&self) -> Result<(), String> {
         match self.state.replicas().iter().next() {
             Some(replica) => Err(format!("{replica:?} is left though nobody asks for it")),
             None => Ok(()),
@@ -366,6 +387,20 @@
         match reply {
             Reply::Replica(Answer::Decided(replica)) => {
                 assert!(self.decided.insert(replica.id), "id {} twice", replica.id);
+                let fleet = self.state.fleet();
+                let heard = |target: &str| fleet.get(target).is_some_and(|it| !it.silent);
+                let standing = self.state.replicas().of(&replica.model);
+                let counted = standing.filter(|it| heard(&it.target)).count();
+                let limit = self
+                    .state
+                    .catalogue()
+                    .fleet()
+                    .rules(&replica.model)
+                    .replicas;
+                assert!(
+                    counted <= limit as usize,
+                    "{counted} of {limit}: {replica:?}"
+                );
             }
             Reply::Replica(Answer::Released(_)) => self.releases += 1,
             _ => {}
@@ -484,7 +519,7 @@
             flight.told = true;
         }
         self.term += 1;
-        self.leader = Leader::new(Box::new(Trivial));
+        self.leader = Leader::new((self.planner)());
         self.give(Input::Elected { term: self.term });
     }
 
@@ -515,21 +550,6 @@
                 }
             }
         }
-        self.check_limits()
-    }
-
-    fn check_limits(&self) -> Result<(), String> {
-        let settings = self.state.catalogue().fleet();
-        let fleet = self.state.fleet();
-        for model in &settings.models {
-            let heard = |target: &str| fleet.get(target).is_some_and(|it| !it.silent);
-            let standing = self.state.replicas().of(&model.name);
-            let new = standing.filter(|it| it.state == Stand::Loading && heard(&it.target));
-            let limit = settings.rules(&model.name).replicas as usize;
-            if new.count() > limit {
-                return Err(format!("{}: more than {limit} loading", model.name));
-            }
-        }
         Ok(())
     }
 }
--- a/crates/control/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -2,8 +2,6 @@
 
 mod common;
 
-use std::time::Duration;
-
 use common::{Bench, MODELS, worker};
 use cornelhitch_control::fleet;
 use cornelhitch_control::prelude::*;
@@ -50,53 +48,22 @@
 );
 
 /// Each refusal of a decision; the pairs are further decisions of a model on a worker before it.
+#[rustfmt::skip]
 const DECISIONS: &[Row] = &[
     (Refusal::Target, |it| it.target = "w9".into(), &[]),
     (Refusal::Service, |it| it.target = "s1".into(), &[]),
-    (
-        Refusal::Incarnation,
-        |it| (it.target, it.incarnation) = ("w2".into(), 1),
-        &[],
-    ),
-    (
-        Refusal::Incarnation,
-        |it| (it.target, it.incarnation) = ("w2".into(), 3),
-        &[],
-    ),
+    (Refusal::Incarnation, |it| (it.target, it.incarnation) = ("w2".into(), 1), &[]),
+    (Refusal::Incarnation, |it| (it.target, it.incarnation) = ("w2".into(), 3), &[]),
     (Refusal::Silent, |it| it.target = "w3".into(), &[]),
     (Refusal::Model, |it| it.model = "unheard".into(), &[]),
     (Refusal::Unmanaged, |it| it.model = "script".into(), &[]),
-    (
-        Refusal::Bytes,
-        |it| (it.target, it.bytes) = ("w2".into(), 39),
-        &[],
-    ),
-    (
-        Refusal::Bytes,
-        |it| (it.target, it.bytes) = ("w2".into(), 0),
-        &[],
-    ),
-    (
-        Refusal::Memory,
-        |it| (it.model, it.bytes) = ("lane".into(), 61),
-        &[],
-    ),
-    (
-        Refusal::Memory,
-        |it| (it.model, it.bytes) = ("lane".into(), 50),
-        &[("preview", "w1")],
-    ),
-    (
-        Refusal::Memory,
-        |it| (it.target, it.bytes) = ("w2".into(), u64::MAX),
-        &[],
-    ),
+    (Refusal::Bytes, |it| (it.target, it.bytes) = ("w2".into(), 39), &[]),
+    (Refusal::Bytes, |it| (it.target, it.bytes) = ("w2".into(), 0), &[]),
+    (Refusal::Memory, |it| (it.model, it.bytes) = ("lane".into(), 61), &[]),
+    (Refusal::Memory, |it| (it.model, it.bytes) = ("lane".into(), 50), &[("preview", "w1")]),
+    (Refusal::Memory, |it| (it.target, it.bytes) = ("w2".into(), u64::MAX), &[]),
     (Refusal::Present, |_| {}, &[]),
-    (
-        Refusal::Limit,
-        |it| it.target = "w4".into(),
-        &[("report", "w2")],
-    ),
+    (Refusal::Limit, |it| it.target = "w4".into(), &[("report", "w2")]),
 ];
 
 #[test]
@@ -176,9 +143,9 @@
         if releases {
             let again = bench.apply(&Command::Decide(decide()));
             assert_eq!(again, Reply::Replica(Answer::Refused(Refusal::Quiet)));
-            bench.now += Duration::from_secs(10);
-            let Reply::Replica(Answer::Decided(again)) = bench.apply(&Command::Decide(decide()))
-            else {
+            let after = 31;
+            let later = Command::Decide(Decide { after, ..decide() });
+            let Reply::Replica(Answer::Decided(again)) = bench.apply(&later) else {
                 panic!("{evidence:?}: it stays quiet for ever");
             };
             assert_eq!((again.id, again.state), (2, Stand::Loading));
@@ -201,41 +168,18 @@
         Command::Register(worker("w1", incarnation, memory, fencing))
     };
     // A command, its answer, and the memory that is reserved on the worker then.
+    #[rustfmt::skip]
     let rows: [(Vec<Command>, fleet::Answer, u64); 10] = [
         (vec![register(2, 100, false)], fleet::Answer::Unchanged, 40),
         (vec![Command::Register(moved)], fleet::Answer::Changed, 40),
-        (
-            vec![register(1, 100, false)],
-            fleet::Answer::Ended { next: 2 },
-            40,
-        ),
-        (
-            vec![register(2, 30, false)],
-            fleet::Answer::Inconsistent,
-            40,
-        ),
-        (
-            vec![register(2, 100, true)],
-            fleet::Answer::Inconsistent,
-            40,
-        ),
+        (vec![register(1, 100, false)], fleet::Answer::Ended { next: 2 }, 40),
+        (vec![register(2, 30, false)], fleet::Answer::Inconsistent, 40),
+        (vec![register(2, 100, true)], fleet::Answer::Inconsistent, 40),
         (vec![register(3, 30, true)], fleet::Answer::Registered, 0),
         (vec![dismiss("w1", 2, false)], fleet::Answer::Reserved, 40),
-        (
-            vec![dismiss("w1", 1, true)],
-            fleet::Answer::Ended { next: 2 },
-            40,
-        ),
-        (
-            vec![dismiss("w1", 2, true), register(2, 100, false)],
-            fleet::Answer::Ended { next: 3 },
-            0,
-        ),
-        (
-            vec![dismiss("w1", 2, true), register(3, 100, false)],
-            fleet::Answer::Registered,
-            0,
-        ),
+        (vec![dismiss("w1", 1, true)], fleet::Answer::Ended { next: 2 }, 40),
+        (vec![dismiss("w1", 2, true), register(2, 100, false)], fleet::Answer::Ended { next: 3 }, 0),
+        (vec![dismiss("w1", 2, true), register(3, 100, false)], fleet::Answer::Registered, 0),
     ];
     for (commands, answer, reserved) in rows {
         let mut bench = bench();
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -7,12 +7,13 @@
 
 use crate::action::Action;
 use crate::claim::Outcome;
+use crate::config::Guard;
 use crate::core::Core;
 use crate::event::{Attempt, CallId, Failure, What};
 use crate::fault::Fault;
 use crate::finish::End;
 use crate::quarantine;
-use crate::queue::Key;
+use crate::queue::{FIRST, Key};
 use crate::request::{Call, Reach, Run as Flight, Stage};
 use crate::route::Candidate;
 use crate::rule::{self, Next};
@@ -162,7 +163,6 @@
 
     /// The attempt failed.
     pub(crate) fn failed(&mut self, id: CallId, attempt: Attempt, failure: Failure) {
-        let attempt = self.taken(id, attempt);
         if let Some(suspect) = self.stopped.take((id, attempt)) {
             if rule::effect(failure).strike {
                 self.strike(suspect);
@@ -208,7 +208,7 @@
         let target = run.place.target.clone();
         let incarnation = run.incarnation;
         let current = self.picture.open(&target, incarnation);
-        let eject = effect.eject && self.config.ejecting && current;
+        let eject = effect.eject && self.config.uses(Guard::Ejection) && current;
         if eject && self.ejections.eject(&target, self.now) {
             let target = target.clone();
             self.actions.push(Action::Suspect {
@@ -274,7 +274,7 @@
         }
         call.stage = Stage::Waiting;
         if call.reach == Reach::Begun {
-            call.rank = Time::ZERO;
+            call.rank.weight = FIRST;
         }
         if !pause.is_zero() {
             call.pause = now + pause;
@@ -311,7 +311,7 @@
     fn resume(&mut self, id: CallId, run: &Flight, failure: Failure) {
         let stands = failure != Failure::Connect && failure != Failure::Refused;
         let same = self.same_place(id, run);
-        let afford = self.budget.has(self.now);
+        let afford = self.affords();
         match same {
             Some(candidate) if stands && afford => {
                 if let Some(call) = self.calls.get_mut(&id) {
