The stand-ins' tests depend on no time that a busy machine may miss

Cause: a test allowed a stream 200 ms of silence and another server 500 ms, and the test of announcements counted exactly and across lives, so a busy machine could have failed sound code. Change: 2 s where a stall is the point of the test, 20 s where nothing stalls; announcements are counted at least, heartbeats by their life, and a target that announces itself at each beat now fails the test.

--- a/crates/standin/tests/announce.rs
+++ b/crates/standin/tests/announce.rs
@@ -69,9 +69,15 @@
     move |message| matches!(message, Message::Announcement(a) if a.incarnation == life)
 }
 
-/// Whether a message is a heartbeat that lists a ready copy.
-fn lists_ready(message: &Message) -> bool {
-    matches!(message, Message::Heartbeat(h) if h.inventory.iter().any(|c| c.stage == Stage::Ready))
+/// Whether a message is a heartbeat of a life that lists a ready copy.
+fn lists_ready(life: u64) -> impl Fn(&Message) -> bool {
+    move |message| {
+        let Message::Heartbeat(heartbeat) = message else {
+            return false;
+        };
+        let mut copies = heartbeat.inventory.iter();
+        heartbeat.incarnation == life && copies.any(|copy| copy.stage == Stage::Ready)
+    }
 }
 
 /// Whether a message says that the target leaves.
@@ -89,23 +95,23 @@
     let entries = vec![entry.start().await];
     let beat = Duration::from_millis(5);
     let engine = engine(|builder| builder.entries(entries).heartbeat(beat)).await;
-    until(|| entry.count(announces(1)) == 1).await;
+    until(|| entry.count(announces(1)) >= 1).await;
     send(engine.address(), &order(&engine, 1, 1, load(1 << 20))).await;
-    until(|| entry.count(lists_ready) > 0).await;
+    until(|| entry.count(lists_ready(1)) > 0).await;
+    let beats = entry.count(|message| matches!(message, Message::Heartbeat(_)));
+    assert!(
+        entry.count(announces(1)) < beats,
+        "it is known after the first"
+    );
 
     *entry.says.lock().expect("no panic") = Some(Receipt::Announce);
-    until(|| entry.count(announces(1)) == 2).await;
+    until(|| entry.count(announces(1)) >= 2).await;
 
     engine.crash();
-    until(|| entry.count(announces(2)) == 1).await;
-    let before = entry.count(lists_ready);
+    until(|| entry.count(announces(2)) >= 1).await;
     engine.leave(beat * 4).await;
     assert!(entry.count(leaves) >= 2, "the farewell and a heartbeat");
-    assert_eq!(
-        entry.count(lists_ready),
-        before,
-        "the new life holds nothing"
-    );
+    assert_eq!(entry.count(lists_ready(2)), 0, "the new life holds nothing");
 }
 
 #[tokio::test]
@@ -117,8 +123,8 @@
         .start(CancellationToken::new())
         .await
         .expect("a port");
-    until(|| entry.count(announces(1)) == 1).await;
+    until(|| entry.count(announces(1)) >= 1).await;
     service.leave();
-    until(|| entry.count(leaves) == 1).await;
+    until(|| entry.count(leaves) >= 1).await;
     service.stop();
 }
--- a/crates/standin/tests/fault.rs
+++ b/crates/standin/tests/fault.rs
@@ -86,7 +86,7 @@
     let engine = engine(|builder| builder).await;
     ready(&engine).await;
     engine.fault(Fault::Stall);
-    let silence = std::time::Duration::from_millis(200);
+    let silence = std::time::Duration::from_secs(2);
     let http = cornelhitch_target::http::Http::builder()
         .silence(silence)
         .build();
--- a/crates/target/tests/odd.rs
+++ b/crates/target/tests/odd.rs
@@ -32,8 +32,8 @@
 
 /// The client of these tests.
 fn http() -> Http {
-    let short = Duration::from_millis(500);
-    Http::builder().silence(short).limit(1_000).build()
+    let long = Duration::from_secs(20);
+    Http::builder().silence(long).limit(1_000).build()
 }
 
 /// What comes of a plain service's answer: its body, or whether it ran and the error.
