--- a/crates/trial/examples/faults/main.rs
+++ b/crates/trial/examples/faults/main.rs
@@ -136,7 +136,10 @@
     let runtime = tokio::runtime::Runtime::new()?;
     let stop = CancellationToken::new();
     let hosts = cluster.callers();
-    let store = Store::builder().gib(Duration::from_millis(100)).build();
+    let store = Store::builder()
+        .starts(4.0)
+        .gib(Duration::from_millis(100))
+        .build();
     let plan = workers::Plan {
         regions,
         workers: WORKERS,
--- a/crates/trial/examples/quickstart.rs
+++ b/crates/trial/examples/quickstart.rs
@@ -92,7 +92,10 @@
         workers: 4,
         memory: 8 << 30,
         token: Duration::from_millis(2),
-        store: Store::builder().gib(Duration::from_millis(100)).build(),
+        store: Store::builder()
+            .starts(4.0)
+            .gib(Duration::from_millis(100))
+            .build(),
     };
     let hosts = cluster.callers();
     let broken = runtime.block_on(async {
