--- a/crates/trial/examples/faults/main.rs
+++ b/crates/trial/examples/faults/main.rs
@@ -40,15 +40,15 @@
 const SETTLE: Duration = Duration::from_secs(6);
 
 /// The fleet's settings, with a number that operators change.
+#[must_use]
 pub fn fleet(queue: u32) -> String {
-    let models: String = (1..=8_u64)
+    let models: Vec<String> = (1..=8_u64)
         .map(|n| {
-            format!(
-                "  - {{ name: model-{n}, bytes: {}, class: lane }}\n",
-                (n % 4 + 2) << 30
-            )
+            let bytes = (n % 4 + 2) << 30;
+            format!("  - {{ name: model-{n}, bytes: {bytes}, class: lane }}")
         })
         .collect();
+    let models = models.join("\n");
     format!(
         "loading: {{ starts-per-second: 4.0, concurrency: 4, remote-ms-per-gib: 100 }}
 placing: {{ replicas: 3 }}
@@ -56,7 +56,8 @@
 regions: [{{ name: perth-a }}, {{ name: bunbury-a }}, {{ name: kalgoorlie-a }}]
 classes: [{{ name: lane, weight: 10, deadline-ms: 8000 }}, {{ name: bid, weight: 12, deadline-ms: 5000 }}]
 models:
-{models}services: [{{ name: auction, class: bid }}]
+{models}
+services: [{{ name: auction, class: bid }}]
 "
     )
 }
--- a/crates/trial/examples/faults/verdict.rs
+++ b/crates/trial/examples/faults/verdict.rs
@@ -97,8 +97,8 @@
             };
             let before = seen.insert((host, life), version).unwrap_or_default();
             if version < before {
-                let line = format!("settings went back from {before} to {version} at {host}");
-                trial.log().broken.push(line);
+                let fault = format!("settings went back from {before} to {version} at {host}");
+                trial.log().broken.push(fault);
             }
         }
     }
--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -19,6 +19,10 @@
 /// Ports that a host's first one is taken from.
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
+/// How often the ports of a host that ended are tried, and the pause between.
+const REBIND_TRIES: usize = 100;
+const REBIND_PAUSE: Duration = Duration::from_millis(50);
+
 /// The token of operators.
 pub const TOKEN: &str = "a token for operators";
 
@@ -175,7 +179,7 @@
             return Ok(());
         }
         let runtime = runtime()?;
-        let sockets = runtime.block_on(Sockets::bind(&host.process))?;
+        let sockets = runtime.block_on(rebind(&host.process))?;
         host.running = Some(run(runtime, &host.process, sockets)?);
         Ok(())
     }
@@ -261,6 +265,18 @@
     }
 }
 
+/// Binds the ports of a host that ended, once its runtime has let go of them.
+async fn rebind(process: &Process) -> Result<Sockets, Error> {
+    let mut tries = REBIND_TRIES;
+    loop {
+        match Sockets::bind(process).await {
+            Err(error) if error.is_taken() && tries > 0 => tries -= 1,
+            bound => return Ok(bound?),
+        }
+        tokio::time::sleep(REBIND_PAUSE).await;
+    }
+}
+
 /// A runtime for one host.
 fn runtime() -> std::io::Result<Runtime> {
     Builder::new_multi_thread()
--- a/crates/trial/tests/input.rs
+++ b/crates/trial/tests/input.rs
@@ -84,10 +84,8 @@
         Port::Operators => format!("authorization: Bearer {TOKEN}\r\n"),
     };
     let (line, headers) = row.head.split_once('\n').unwrap_or((row.head, ""));
-    let headers: String = headers
-        .lines()
-        .map(|header| format!("{header}\r\n"))
-        .collect();
+    let headers: Vec<&str> = headers.lines().chain([""]).collect();
+    let headers = headers.join("\r\n");
     let request = format!(
         "{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{token}{headers}content-length: {}\r\n\r\n{}",
         row.body.len(),
