--- a/crates/control/src/claims/tests.rs
+++ b/crates/control/src/claims/tests.rs
@@ -55,6 +55,14 @@
     ]
 }
 
+/// The only life of an entry host.
+fn holder(host: HostId) -> Holder {
+    Holder {
+        host,
+        incarnation: 1,
+    }
+}
+
 /// What a key was last granted for.
 #[derive(Debug, Clone)]
 struct Grant {
@@ -126,10 +134,7 @@
     /// Who asks, under a new number or the one that was granted.
     fn caller(&mut self, key: u8, host: u64, repeated: bool) -> (Holder, u64) {
         let grant = self.grants.get(&key).filter(|_| repeated);
-        let holder = Holder {
-            host: grant.map_or(host, |it| it.holder.host),
-            incarnation: 1,
-        };
+        let holder = holder(grant.map_or(host, |it| it.holder.host));
         self.calls += 2;
         (holder, grant.map_or(self.calls, |it| it.call))
     }
@@ -197,10 +202,7 @@
     fn finish(&mut self, key: u8, host: u64, body: u8) {
         let granted = self.grants.get(&key);
         let call = granted.map_or(0, |it| it.call);
-        let holder = Holder {
-            host,
-            incarnation: 1,
-        };
+        let holder = holder(host);
         let outcome = Outcome::Answered {
             status: 200,
             content: "text/plain".into(),
