A pending load no longer calls for a second replica

Cause: a load that the picture did not show yet had no expected time, so the deadlines seemed to need another replica at each call. Change: a pending load is expected after a load from the store.

--- a/crates/planner/src/load.rs
+++ b/crates/planner/src/load.rs
@@ -82,10 +82,16 @@
     /// The replicas that a model has.
     fn supply(&self, need: &Need, entry: &Entry) -> Supply {
         let store = &self.policy.store;
+        let loads = self.scene.loads(&need.key);
+        let pending = if loads > 0 {
+            store.load(entry.model.bytes, Stage::Remote)
+        } else {
+            Duration::MAX
+        };
         let mut supply = Supply {
             ready: 0,
-            loading: self.scene.loads(&need.key),
-            next: Duration::MAX,
+            loading: loads,
+            next: pending,
             more: store.load(entry.model.bytes, Stage::Remote),
             concurrency: entry.rules.concurrency,
             service: self.history(&need.key.model).and_then(|h| h.service),
--- /dev/null
+++ b/crates/planner/tests/sequence.rs
@@ -0,0 +1,199 @@
+//! Decisions over several calls of the planner.
+
+mod sketch;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelhitch_planner::Planner;
+use cornelhitch_planner::decision::{Action, Decision, Reason};
+use cornelhitch_planner::pending::Pending;
+use cornelhitch_planner::picture::Picture;
+use cornelhitch_planner::policy::Policy;
+use cornelhitch_planner::store::Store;
+use cornelhitch_types::id::Time;
+use cornelhitch_types::target::Stage;
+use cornelhitch_types::view::State;
+
+use crate::sketch::{DECIDED, GIB, NOW, demand, picture, replica, texts, worker};
+
+#[test]
+fn a_lost_load_is_decided_again_but_not_at_once() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 16)]);
+    picture.demand = vec![demand("report", 1)];
+    assert_eq!(texts(&policy.plan(&picture, NOW)), ["load report a"]);
+    let soon = NOW + Duration::from_millis(500);
+    assert!(policy.plan(&picture, soon).is_empty());
+    let later = NOW + Duration::from_secs(3);
+    assert_eq!(texts(&policy.plan(&picture, later)), ["load report a"]);
+}
+
+#[test]
+fn an_adapter_is_not_ordered_again_while_it_loads() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 6)]);
+    picture.replicas = vec![replica(1, "report", "a", State::Ready)];
+    picture.demand = vec![demand("report", 1)];
+    picture.demand[0].adapters = vec!["dealer-1".into()];
+    let first = policy.plan(&picture, NOW);
+    assert_eq!(texts(&first), ["adapter dealer-1 1"]);
+    let soon = NOW + Duration::from_millis(500);
+    assert!(policy.plan(&picture, soon).is_empty());
+    let later = NOW + Duration::from_secs(3);
+    assert_eq!(texts(&policy.plan(&picture, later)), ["adapter dealer-1 1"]);
+}
+
+#[test]
+fn the_most_urgent_for_their_weight_load_first() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 16), worker("b", 16), worker("c", 16)]);
+    picture.demand = ["report", "review", "single"].map(|m| demand(m, 1)).into();
+    picture.demand[1].deadline = NOW + Duration::from_secs(10);
+    picture.demand[2].weight = 10;
+    let decisions = policy.plan(&picture, NOW);
+    assert_eq!(texts(&decisions), ["load single a", "load review b"]);
+}
+
+#[test]
+fn what_fits_nowhere_does_not_hold_up_the_rest() {
+    let mut policy = Policy::default();
+    let names: Vec<String> = (0..500).map(|index| format!("w{index:03}")).collect();
+    let workers = names.iter().map(|name| worker(name, 16)).collect();
+    let mut picture = picture(workers);
+    let mut fleet = (*picture.settings).clone();
+    for index in 0..20 {
+        let mut large = fleet.models[0].clone();
+        large.name = format!("large-{index}").into();
+        large.bytes = 100 * GIB;
+        picture.demand.push(demand(&large.name, 1));
+        picture.demand[index].weight = 9;
+        fleet.models.push(large);
+    }
+    picture.demand.push(demand("report", 1));
+    picture.settings = Arc::new(fleet);
+    let mut loads = Vec::new();
+    for call in 0..4 {
+        let now = NOW + Duration::from_millis(500) * call;
+        loads.extend(texts(&policy.plan(&picture, now)));
+    }
+    assert_eq!(loads, ["load report w000"]);
+}
+
+/// Carries decisions out at once, and counts the loads.
+fn carry(picture: &mut Picture, decisions: &[Decision], now: Time) -> u32 {
+    let mut loads = 0;
+    for decision in decisions {
+        match &decision.action {
+            Action::Load { model, target, .. } => {
+                let mut new = replica(u64::from(loads) + 1, model, target, State::Ready);
+                new.decided = now;
+                new.ready = Some(now);
+                new.used = now;
+                picture.replicas.push(new);
+                loads += 1;
+            }
+            Action::Unload { .. } => picture.replicas.clear(),
+            Action::Adapter { .. } | Action::Warm { .. } => {}
+        }
+    }
+    loads
+}
+
+#[test]
+fn a_call_that_stays_away_is_loaded_ahead_for_once() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 16)]);
+    let mut fleet = (*picture.settings).clone();
+    fleet.keeping.cold_start_weight = 0.8;
+    fleet.keeping.idle_weight = 0.2;
+    picture.settings = Arc::new(fleet);
+    // Calls now five minutes apart, now fifty, while no worker may be loaded.
+    picture.workers[0].open = false;
+    picture.demand = vec![demand("report", 1)];
+    let mut start = NOW;
+    for call in 0..12 {
+        start += Duration::from_mins(if call % 2 == 0 { 5 } else { 50 });
+        policy.plan(&picture, start);
+    }
+    picture.workers[0].open = true;
+    picture.demand.clear();
+    let mut loads = Vec::new();
+    for second in 1..7_200 {
+        let now = start + Duration::from_secs(second);
+        let decisions = policy.plan(&picture, now);
+        if carry(&mut picture, &decisions, now) > 0 {
+            assert_eq!(decisions[0].reason, Reason::Expected);
+            loads.push(second);
+        }
+    }
+    assert_eq!(loads.len(), 1, "loaded after {loads:?} s");
+    assert!(picture.replicas.is_empty(), "unloaded when no call came");
+}
+
+#[test]
+fn starts_from_the_store_are_paced() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 16), worker("b", 16), worker("c", 16)]);
+    picture.demand = ["report", "review", "single"].map(|m| demand(m, 1)).into();
+    let decisions = policy.plan(&picture, NOW);
+    assert_eq!(decisions.len(), 2, "two starts a second");
+    assert!(decisions.iter().all(|d| d.reason == Reason::Waiting));
+    let soon = NOW + Duration::from_millis(999);
+    assert!(policy.plan(&picture, soon).is_empty());
+    let second = NOW + Duration::from_secs(1);
+    assert_eq!(texts(&policy.plan(&picture, second)).len(), 1);
+}
+
+#[test]
+fn explain_names_the_decision_and_its_figures() {
+    let mut policy = Policy::default();
+    let mut picture = picture(vec![worker("a", 16)]);
+    picture.demand = vec![demand("report", 3)];
+    policy.plan(&picture, NOW);
+    let lines = policy.explain("report", NOW + Duration::from_secs(4));
+    expect_test::expect![[r"
+        report was last called 4 s ago; 0.0 gaps seen, 1.0 requests a call
+        4 s ago: load on a (waiting): 3 requests wait, the nearest deadline is in 30.0 s; ready from remote in 10.0 s"]]
+    .assert_eq(&lines.join("\n"));
+    picture.workers[0].open = false;
+    let later = NOW + Duration::from_secs(5);
+    policy.plan(&picture, later);
+    let last = policy.explain("report", later).pop();
+    let expected = "0 s ago: not loaded: it fits on no worker that may be loaded now";
+    assert_eq!(last.as_deref(), Some(expected));
+    let unknown = policy.explain("other", NOW);
+    assert_eq!(unknown, ["other is not in the settings"]);
+}
+
+/// One load from the store of ten gibibytes that took some time.
+fn observe(store: &mut Store, id: u64, took: Duration) {
+    let mut picture = picture(vec![worker("a", 16)]);
+    picture.replicas = vec![replica(id, "report", "a", State::Loading)];
+    store.observe(&picture, &Pending::default(), NOW);
+    picture.replicas[0].state = State::Ready;
+    picture.replicas[0].ready = Some(DECIDED + took);
+    store.observe(&picture, &Pending::default(), NOW);
+}
+
+#[test]
+fn a_slow_store_is_followed_and_its_recovery_too() {
+    let mut store = Store::default();
+    // How long a load took, the limit after it, and what the next is expected to take.
+    let steps = [
+        (10, 4, 10),
+        (40, 2, 19),
+        (40, 2, 25),
+        (10, 2, 20),
+        (10, 2, 17),
+        (10, 2, 15),
+        (10, 3, 13),
+        (10, 3, 12),
+    ];
+    for (id, (took_s, limit, expected_s)) in (1..).zip(steps) {
+        observe(&mut store, id, Duration::from_secs(took_s));
+        assert_eq!(store.limit(), limit, "after load {id}");
+        let expected = store.load(10 * GIB, Stage::Remote);
+        assert_eq!(expected.as_secs(), expected_s, "after load {id}");
+    }
+}
