--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -226,13 +226,17 @@
     }
 
     /// Takes out the reservations on which nothing runs and that are not `kept`.
-    pub fn release(&mut self, kept: impl Fn(&Life) -> bool) -> Vec<Life> {
+    ///
+    /// They are not asked for again at once: a new request that overtook the release would be
+    /// granted, and then be released by it.
+    pub fn release(&mut self, kept: impl Fn(&Life) -> bool, now: Time) -> Vec<Life> {
         let idle = |slot: &Slot| matches!(slot, Slot::Held { running: 0 });
         let slots = self.slots.iter();
         let slots = slots.filter(|(life, slot)| idle(slot) && !kept(life));
         let lives: Vec<Life> = slots.map(|(life, _)| life.clone()).collect();
         for life in &lives {
-            self.slots.remove(life);
+            let until = now + PAUSE;
+            self.slots.insert(life.clone(), Slot::Denied { until });
         }
         lives
     }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -183,7 +183,7 @@
         };
         let wanted = self.calls.values().any(suspect);
         let kept = |life: &Life| wanted && self.picture.open(&life.0, life.1);
-        for (target, incarnation) in self.quarantine.release(kept) {
+        for (target, incarnation) in self.quarantine.release(kept, self.now) {
             self.actions.push(Action::Unreserve {
                 target,
                 incarnation,
