--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -269,7 +269,7 @@
             last: self.log.last(),
             durable: self.disk.durable,
             snapshot: self.log.snapshot_index(),
-            members: self.membership(),
+            members: self.membership().clone(),
             matched,
             disk_sick: self.disk.sick(),
             dropped: self.dropped,
@@ -291,7 +291,7 @@
         self.identity.peer
     }
 
-    fn membership(&self) -> Membership {
+    fn membership(&self) -> &Membership {
         self.members.latest()
     }
 
--- a/crates/quorum/src/core/change.rs
+++ b/crates/quorum/src/core/change.rs
@@ -118,7 +118,7 @@
         }
         let Some(pending) = &self.change else { return };
         let (id, since) = (pending.id, pending.since);
-        match pending.change.step(&self.membership()) {
+        match pending.change.step(self.membership()) {
             Step::Done => {
                 self.change = None;
                 self.actions.push(Action::Changed { id });
--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -249,11 +249,11 @@
     }
 
     pub(super) fn on_join(&mut self, from: Peer) {
-        let members = self.membership();
-        if self.role == Role::Leader && !members.admits(from) {
+        let outside = self.membership().is_empty();
+        if self.role == Role::Leader && !self.membership().admits(from) {
             self.actions.push(Action::Joining(from));
         }
-        self.send(from, Message::Outside(members.is_empty()));
+        self.send(from, Message::Outside(outside));
     }
 
     pub(super) fn on_outside(&mut self, from: Peer, outside: bool) {
--- a/crates/quorum/src/core/replicate.rs
+++ b/crates/quorum/src/core/replicate.rs
@@ -57,7 +57,7 @@
     /// Sets up what a leader keeps for each other member; what is known of them stays.
     pub(super) fn track_members(&mut self) {
         let me = self.me().id;
-        let members = self.membership();
+        let members = self.membership().clone();
         let next = self.log.last() + 1;
         let now = self.now;
         self.progress.retain(|id, p| {
--- a/crates/quorum/src/member.rs
+++ b/crates/quorum/src/member.rs
@@ -126,28 +126,36 @@
 
 /// The memberships that the log sets, each in force from the entry that holds it.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct History(Vec<(Index, Membership)>);
+pub(crate) struct History {
+    set: Vec<(Index, Membership)>,
+    /// In force before any is set.
+    none: Membership,
+}
 
 impl History {
     /// Adds the membership that the entry at `index` sets.
     pub(crate) fn push(&mut self, index: Index, membership: Membership) {
-        self.0.push((index, membership));
+        self.set.push((index, membership));
     }
 
     /// Forgets memberships at and after `index`.
     pub(crate) fn truncate(&mut self, index: Index) {
-        self.0.retain(|(at, _)| *at < index);
+        self.set.retain(|(at, _)| *at < index);
     }
 
     /// Forgets memberships that none of the entries from `index` on needs.
     pub(crate) fn compact(&mut self, index: Index) {
-        let keep = self.0.iter().rposition(|(at, _)| *at <= index).unwrap_or(0);
-        self.0.drain(..keep);
+        let keep = self
+            .set
+            .iter()
+            .rposition(|(at, _)| *at <= index)
+            .unwrap_or(0);
+        self.set.drain(..keep);
     }
 
     /// The membership in force after the entry at `index`.
     pub(crate) fn at(&self, index: Index) -> Membership {
-        let found = self.0.iter().rfind(|(at, _)| *at <= index);
+        let found = self.set.iter().rfind(|(at, _)| *at <= index);
         found
             .map(|(_, membership)| membership.clone())
             .unwrap_or_default()
@@ -155,14 +163,13 @@
 
     /// The index of the latest membership.
     pub(crate) fn latest_index(&self) -> Index {
-        self.0.last().map_or(0, |(at, _)| *at)
+        self.set.last().map_or(0, |(at, _)| *at)
     }
 
     /// The membership in force.
-    pub(crate) fn latest(&self) -> Membership {
-        self.0
+    pub(crate) fn latest(&self) -> &Membership {
+        self.set
             .last()
-            .map(|(_, membership)| membership.clone())
-            .unwrap_or_default()
+            .map_or(&self.none, |(_, membership)| membership)
     }
 }
--- a/crates/quorum/tests/schedule/ledger.rs
+++ b/crates/quorum/tests/schedule/ledger.rs
@@ -98,7 +98,8 @@
         let Some(core) = &node.core else {
             return Ok(());
         };
-        let commit = core.status().commit;
+        let status = core.status();
+        let commit = status.commit;
         for index in node.checked + 1..=commit {
             let Some(entry) = core.entry(index) else {
                 continue;
@@ -109,17 +110,16 @@
             })?;
         }
         node.checked = node.checked.max(commit);
-        self.count_changes(core)?;
+        self.count_changes(core, &status)?;
         if core.is_leader() {
-            self.complete(core)
+            self.complete(core, &status)
         } else {
             Ok(())
         }
     }
 
     /// A leader holds all that is committed.
-    fn complete(&self, core: &Core) -> Check {
-        let status = core.status();
+    fn complete(&self, core: &Core, status: &Status) -> Check {
         let newer = self
             .leaders
             .last_key_value()
@@ -137,8 +137,7 @@
     }
 
     /// No log holds two changes of members that are not committed anywhere.
-    fn count_changes(&self, core: &Core) -> Check {
-        let status = core.status();
+    fn count_changes(&self, core: &Core, status: &Status) -> Check {
         let entries =
             (self.last_committed() + 1..=status.last).filter_map(|index| core.entry(index));
         let changes = entries
--- a/crates/quorum/tests/schedule/node.rs
+++ b/crates/quorum/tests/schedule/node.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cornelhitch_quorum::action::Entry;
 use cornelhitch_quorum::config::{Config, DRIFT_PPM, Fault};
+use cornelhitch_quorum::log::Payload;
 use cornelhitch_quorum::memory::Memory;
 use cornelhitch_quorum::prelude::*;
 
@@ -193,14 +194,23 @@
         self.started + scale(local, MILLION, self.rate()) + Duration::from_nanos(1)
     }
 
-    /// The latest members that this one knows, in memory or on disk.
+    /// The latest members that this one knows, in memory and on disk.
     pub fn memberships(&self) -> Vec<Membership> {
-        let recovered = self.disk.memory.recovered();
-        let disk = Core::new(Config::default(), recovered, 0, Time::ZERO)
-            .status()
-            .members;
+        let disk = self.disk.memory.synced();
+        let in_log = disk
+            .entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                Payload::Membership(members) => Some(members.clone()),
+                _ => None,
+            });
+        let in_snapshot = disk
+            .snapshot
+            .as_ref()
+            .map(|snapshot| snapshot.membership.clone());
         let memory = self.core.as_ref().map(|core| core.status().members);
-        memory.into_iter().chain([disk]).collect()
+        in_log.or(in_snapshot).into_iter().chain(memory).collect()
     }
 }
 
