A host without settings says that it is isolated; a node lets go of its folder before it ends

Change: the core alone says what there is, after the lease; the end of a node waits for the control task; leaving has a message of its own; operators can dismiss a target whose machine no longer runs.

--- a/crates/cornelhitch/src/operator.rs
+++ b/crates/cornelhitch/src/operator.rs
@@ -132,6 +132,7 @@
     Row { name: "promote", arguments: &["HOST"], help: "make a learner a voter", job: Job::Page(Verb::Post, "/members?change=promote&host={}") },
     Row { name: "remove", arguments: &["HOST"], help: "remove a voter or learner", job: Job::Page(Verb::Post, "/members?change=remove&host={}") },
     Row { name: "replace", arguments: &["OLD", "HOST", "INCARNATION"], help: "replace a voter by a host and the life of its disk", job: Job::Page(Verb::Post, "/members?change=replace&old={}&host={}&incarnation={}") },
+    Row { name: "dismiss", arguments: &["TARGET", "INCARNATION"], help: "attest that a target's machine no longer runs, which frees its memory", job: Job::Page(Verb::Post, "/dismiss?target={}&incarnation={}") },
     Row { name: "pardon", arguments: &["FINGERPRINT"], help: "let a quarantined request run again", job: Job::Page(Verb::Post, "/pardon?fingerprint={}") },
 ];
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -99,10 +99,10 @@
         from: SocketAddr,
     ) -> Result<Response<Body>, Refusal> {
         self.metrics.one(Count::Requests);
-        let fleet = self.fleet.borrow().clone();
-        let body = collect(body, fleet.refusing.body).await?;
+        let limit = self.fleet.borrow().refusing.body;
+        let body = collect(body, limit).await?;
         let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let (request, payload) = request::read(id, way, &parts, body, from, &fleet)?;
+        let (request, payload) = request::read(id, way, &parts, body, from)?;
         let streaming = request.streaming;
         let (reply, mut answer) = mpsc::channel(PARTS);
         let intake = Intake {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -300,7 +300,7 @@
                 }
                 Upward::Heartbeat(heartbeat)
             }
-            Told::Leaving(leaving) => Upward::Lost {
+            Told::Leaving(leaving) => Upward::Leaving {
                 target: leaving.target,
                 incarnation: leaving.incarnation,
             },
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -36,6 +36,13 @@
     Announce(Announcement),
     /// A target's heartbeat came to an entry host.
     Heartbeat(Heartbeat),
+    /// A target leaves and wants no new work.
+    Leaving {
+        /// The target.
+        target: TargetId,
+        /// Its life.
+        incarnation: Incarnation,
+    },
     /// A target failed in a way that suggests it is gone.
     Lost {
         /// The target.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -90,7 +90,10 @@
     pub metrics: Metrics,
     drain: Option<mpsc::UnboundedSender<Input>>,
     stop: CancellationToken,
+    /// Tasks that end by themselves once everything in progress has.
     serving: Vec<JoinHandle<()>>,
+    /// The control task, which ends when it is stopped and then lets go of its folder.
+    control: Option<JoinHandle<()>>,
 }
 
 /// What the tasks of one process share while they are started.
@@ -125,9 +128,11 @@
         let what = "the addresses are not known";
         let addresses = addresses.context(SystemSnafu { what })?;
         let parts = Parts::connect(process, addresses, links, datagrams, inbox, cuts)?;
-        let control = match control_inbox {
-            Some(inbox) => Some(parts.control(inbox)?),
-            None => None,
+        let (control, control_task) = match control_inbox {
+            Some(inbox) => parts
+                .control(inbox)
+                .map(|(tell, task)| (Some(tell), Some(task)))?,
+            None => (None, None),
         };
         let (shown, host) = watch::channel(parts.host());
         let (events, heard) = mpsc::unbounded_channel();
@@ -157,6 +162,7 @@
             drain,
             stop: parts.stop,
             serving,
+            control: control_task,
         })
     }
 
@@ -176,6 +182,9 @@
             let _ = task.await;
         }
         self.stop.cancel();
+        if let Some(task) = self.control {
+            let _ = task.await;
+        }
     }
 
     /// Stops without any grace.
@@ -272,7 +281,7 @@
     fn control(
         &self,
         incoming: mpsc::UnboundedReceiver<Incoming>,
-    ) -> Result<mpsc::UnboundedSender<Told>, Error> {
+    ) -> Result<(mpsc::UnboundedSender<Told>, JoinHandle<()>), Error> {
         let folder = self.process.data.clone().context(DataSnafu)?;
         let disk = Disk::open(
             folder,
@@ -318,8 +327,7 @@
             epoch: self.epoch,
             started: since_unix_epoch(),
         };
-        tokio::spawn(control::run(setup));
-        Ok(tell)
+        Ok((tell, tokio::spawn(control::run(setup))))
     }
 
     /// The command that brings the first fleet settings in.
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -117,6 +117,7 @@
     Members,
     Drain,
     Pardon,
+    Dismiss,
 }
 
 /// One path and what it serves.
@@ -138,6 +139,7 @@
     Row { method: Method::POST, path: "/members", way: Way::Members },
     Row { method: Method::POST, path: "/drain", way: Way::Drain },
     Row { method: Method::POST, path: "/pardon", way: Way::Pardon },
+    Row { method: Method::POST, path: "/dismiss", way: Way::Dismiss },
 ];
 
 impl Service for Operators {
@@ -194,9 +196,16 @@
             Way::Drain => Ok(self.drain()),
             Way::Pardon => {
                 let fingerprint = query(parts, "fingerprint")?;
-                let command = Command::Pardon { fingerprint };
-                let reply = self.propose(&command).await?;
-                Ok(json(StatusCode::OK, &reply))
+                self.commit(Command::Pardon { fingerprint }).await
+            }
+            Way::Dismiss => {
+                let target: String = query(parts, "target")?;
+                self.commit(Command::Dismiss {
+                    target: target.into(),
+                    incarnation: query(parts, "incarnation")?,
+                    attested: true,
+                })
+                .await
             }
         }
     }
@@ -216,6 +225,12 @@
         postcard::from_bytes(&bytes).map_err(|error| unavailable(&error))
     }
 
+    /// Commits a command and answers with its reply.
+    async fn commit(&self, command: Command) -> Result<Response<Body>, Refusal> {
+        let reply = self.propose(&command).await?;
+        Ok(json(StatusCode::OK, &reply))
+    }
+
     /// Brings a settings text in force.
     async fn apply(&self, body: Bytes) -> Result<Response<Body>, Refusal> {
         let proposal: Proposal = serde_json::from_slice(&body)
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use cornelhitch_entry::event::{CallId, Request, What};
 use cornelhitch_entry::fingerprint;
-use cornelhitch_settings::fleet::Fleet;
 use cornelhitch_target::client::Form;
 use cornelhitch_types::id::Name;
 use cornelhitch_types::model::Reference;
@@ -86,6 +85,9 @@
 
 /// Reads a request whose body is there whole.
 ///
+/// Whether its class, model and service exist is for the core to say, which
+/// knows whether this host has settings at all.
+///
 /// # Errors
 /// The refusal names the header or the field that is wrong.
 pub fn read(
@@ -94,11 +96,10 @@
     parts: &Parts,
     body: Bytes,
     from: SocketAddr,
-    fleet: &Fleet,
 ) -> Result<(Request, Payload), Refusal> {
     let (mut request, payload) = match way {
         Way::Model(form) => model(id, form, body)?,
-        Way::Service { name, path } => service(id, name, path, parts, body, fleet)?,
+        Way::Service { name, path } => service(id, name, path, parts, body),
     };
     let headers = &parts.headers;
     if let Some(caller) = name(headers, header::CALLER)? {
@@ -107,12 +108,6 @@
         request.caller = from.ip().to_string().into();
     }
     request.class = name(headers, header::CLASS)?;
-    if let Some(class) = &request.class
-        && fleet.class(class).is_none()
-    {
-        let detail = format!("{}: there is no class {class:?}", header::CLASS);
-        return Err(not_run(Reason::Malformed, detail));
-    }
     request.key = name(headers, header::KEY)?;
     request.deadline = deadline(headers)?;
     Ok((request, payload))
@@ -144,18 +139,7 @@
 }
 
 /// Reads a request to a plain service.
-fn service(
-    id: CallId,
-    name: Name,
-    path: String,
-    parts: &Parts,
-    body: Bytes,
-    fleet: &Fleet,
-) -> Result<(Request, Payload), Refusal> {
-    if fleet.service(&name).is_none() {
-        let detail = format!("there is no service {name:?}");
-        return Err(not_run(Reason::Unknown, detail));
-    }
+fn service(id: CallId, name: Name, path: String, parts: &Parts, body: Bytes) -> (Request, Payload) {
     let method = parts.method.as_str().into();
     let mut request = Request::new(id, "", What::Service { name, method });
     // The path is part of what is asked, so it is part of the digest.
@@ -174,7 +158,7 @@
         headers,
         body,
     };
-    Ok((request, payload))
+    (request, payload)
 }
 
 /// A header that holds a name.
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -46,6 +46,13 @@
             Upward::Report(report) => self.lead(Input::Report(report)),
             Upward::Announce(announcement) => self.lead(Input::Announcement(announcement)),
             Upward::Heartbeat(heartbeat) => self.lead(Input::Heartbeat(heartbeat)),
+            Upward::Leaving {
+                target,
+                incarnation,
+            } => self.lead(Input::Leaving {
+                target,
+                incarnation,
+            }),
             Upward::Lost {
                 target,
                 incarnation,
@@ -119,7 +126,7 @@
             "in_force": self.in_force,
             "digest": hex(&self.state.digest()),
             "state": self.state.dump(),
-            "leader": self.leading.then(|| self.setup.leader.view(&self.state, self.unix())),
+            "leader": self.setup.leader.dump(&self.state, self.unix()),
         })
     }
 }
--- a/crates/trial/examples/faults/verdict.rs
+++ b/crates/trial/examples/faults/verdict.rs
@@ -143,6 +143,12 @@
                 request.host, request.end
             ));
         }
+        if request.end.is_status(http::StatusCode::NOT_FOUND) {
+            return Some(format!(
+                "a name that there is was refused: {:?}",
+                request.end
+            ));
+        }
         if let End::Refused {
             run: None,
             status,
