Quorum: messages with impossible numbers are refused

Cause: the transport authenticates peers, but a faulty peer could send an index, term or stamp near the largest number, and sums with it overflow.

--- a/crates/quorum/src/core/follow.rs
+++ b/crates/quorum/src/core/follow.rs
@@ -56,6 +56,10 @@
             mut entries,
             ..
         } = append;
+        if !follows(prev_index, &entries) {
+            self.dropped += 1;
+            return;
+        }
         let offset = self.log.offset();
         let known = prev_index < offset || self.log.term(prev_index) == Some(prev_term);
         if !known {
@@ -116,3 +120,12 @@
         self.disk.cut(index - 1);
     }
 }
+
+/// Whether the entries follow the index and one another without a gap.
+fn follows(prev_index: Index, entries: &[Entry]) -> bool {
+    let expected = (0..).map(|at| prev_index.checked_add(1 + at));
+    entries
+        .iter()
+        .zip(expected)
+        .all(|(entry, index)| Some(entry.index) == index)
+}
--- a/crates/quorum/src/core/replicate.rs
+++ b/crates/quorum/src/core/replicate.rs
@@ -181,7 +181,7 @@
         if progress.incarnation != from.incarnation && !any {
             return false;
         }
-        progress.stamp = progress.stamp.max(Some(stamp));
+        progress.stamp = progress.stamp.max(Some(stamp.min(self.stamp)));
         true
     }
 
@@ -189,7 +189,7 @@
         if !self.is_answer(from, term, answer.stamp) {
             return;
         }
-        let now = self.now;
+        let (now, last) = (self.now, self.log.last());
         let Some(progress) = self.progress.get_mut(&from.id) else {
             return;
         };
@@ -198,13 +198,14 @@
         {
             return;
         }
-        progress.advance(answer.durable, answer.held, now);
+        progress.advance(answer.durable.min(last), answer.held.min(last), now);
     }
 
     pub(super) fn on_refused(&mut self, from: Peer, term: Term, answer: Refused) {
         if !self.is_answer(from, term, answer.stamp) {
             return;
         }
+        let last = self.log.last();
         let Some(progress) = self.progress.get_mut(&from.id) else {
             return;
         };
@@ -212,7 +213,7 @@
         if stale || matches!(progress.mode, Mode::Transfer(_)) {
             return;
         }
-        progress.probe(answer.hint);
+        progress.probe(answer.hint.min(last));
     }
 
     /// Commits what a quorum has synced, once an entry of this term is among it (Raft §3.6.2).
--- a/crates/quorum/src/core/route.rs
+++ b/crates/quorum/src/core/route.rs
@@ -7,6 +7,9 @@
 use crate::message::{Envelope, Message};
 use crate::store::Identity;
 
+/// No term or index gets this far: at a million a second that takes 146,000 years.
+pub(super) const LIMIT: u64 = 1 << 62;
+
 impl Core {
     pub(super) fn send(&mut self, to: Peer, message: Message) {
         self.send_in_term(to.id, Some(to.incarnation), self.ballot.term, message);
@@ -58,6 +61,7 @@
             && envelope.group == self.identity.group
             && envelope.from.id == from
             && envelope.to == self.me().id
+            && envelope.term < LIMIT
             && (addressed || self.faulty(Fault::AnyIncarnation))
             && (lineages.contains(&0) || lineages[0] == lineages[1])
     }
--- a/crates/quorum/src/core/transfer.rs
+++ b/crates/quorum/src/core/transfer.rs
@@ -4,6 +4,7 @@
 
 use super::Core;
 use super::progress::Mode;
+use super::route::LIMIT;
 use crate::action::{Action, Reason};
 use crate::config::Fault;
 use crate::id::{Index, MemberId, Peer, Term, Time};
@@ -164,7 +165,8 @@
             self.held = self.held.max(self.commit);
             return self.acknowledge();
         }
-        if id.total > self.config.snapshot_bytes || self.is_backed_up() {
+        let possible = id.index < LIMIT && id.total <= self.config.snapshot_bytes;
+        if !possible || self.is_backed_up() {
             self.dropped += 1;
             return;
         }
