Quorum: batches for the disk come first among the actions

The batch of the inner event then reached the writer before the batch of the outer one, and its report counted both as synced: an acknowledgement could leave early. Change: each list of actions starts with its batches, so they stay in order however the owner nests; the schedules' owner now nests in the same way. Conclusion: owners may nest events.

--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -160,7 +160,8 @@
         }
     }
 
-    /// Takes an event and returns what to do, in order.
+    /// Takes an event and returns what to do, in order. Batches for the disk come first, so that
+    /// they stay in order when an owner gives the next event while it carries out the rest.
     pub fn handle(&mut self, event: Event, now: Time) -> Vec<Action> {
         self.handle_all([event], now)
     }
@@ -178,7 +179,9 @@
             self.take(event);
         }
         self.flush();
-        std::mem::take(&mut self.actions)
+        let mut actions = std::mem::take(&mut self.actions);
+        actions.sort_by_key(|action| !matches!(action, Action::Persist(_)));
+        actions
     }
 
     fn take(&mut self, event: Event) {
--- a/crates/quorum/tests/schedule/world.rs
+++ b/crates/quorum/tests/schedule/world.rs
@@ -183,16 +183,15 @@
             return Ok(());
         };
         let actions = core.handle(event, local);
-        let mut answers = Vec::new();
         for action in actions {
-            answers.extend(self.carry_out(at, action)?);
+            if let Some(event) = self.carry_out(at, action)? {
+                self.handle(at, event)?;
+            }
         }
         self.ledger.compare(&mut self.nodes[at])?;
         self.check_leases()?;
         self.wake(at);
-        answers
-            .into_iter()
-            .try_for_each(|event| self.handle(at, event))
+        Ok(())
     }
 
     fn check_leases(&mut self) -> Check {
