--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -111,7 +111,7 @@
         std::fs::write(folder.path().join("fleet.yaml"), &plan.fleet)?;
         let mut bound = Vec::new();
         for index in 0..plan.hosts {
-            let runtime = runtime()?;
+            let runtime = runtime(index as HostId + 1)?;
             let mut process = process(&folder, plan, index);
             let sockets = runtime.block_on(bind(&mut process))?;
             let addresses = sockets.addresses()?;
@@ -174,7 +174,7 @@
         if host.running.is_some() {
             return Ok(());
         }
-        let runtime = runtime()?;
+        let runtime = runtime(host.process.host)?;
         let sockets = runtime.block_on(Sockets::bind(&host.process))?;
         host.running = Some(run(runtime, &host.process, sockets)?);
         Ok(())
@@ -213,6 +213,12 @@
     }
 }
 
+/// The name of a host's threads, for [`crate::meter::processor`].
+#[must_use]
+pub fn threads(host: HostId) -> String {
+    format!("host-{host}")
+}
+
 /// The data folder of a host.
 fn data(folder: &TempDir, index: usize) -> PathBuf {
     folder.path().join(format!("data-{}", index + 1))
@@ -261,10 +267,11 @@
     }
 }
 
-/// A runtime for one host.
-fn runtime() -> std::io::Result<Runtime> {
+/// A runtime for one host, whose threads bear its name.
+fn runtime(host: HostId) -> std::io::Result<Runtime> {
     Builder::new_multi_thread()
         .worker_threads(THREADS)
+        .thread_name(threads(host))
         .enable_all()
         .build()
 }
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod meter;
 pub mod operator;
 pub mod workers;
