Suspects take any reserved target; the fake control numbers its views from 1

Cause: a suspect that had failed on the target its host held waited for another host's reservation, and that host's suspects for this one: both waited until their deadlines (1 plan in about 20,000). The fake control's first change had the number 0, which means a whole view, and emptied the cores' pictures, so the random plans had tested less than they should. Change: the reserved targets are looked at before those that failed are left out; the fake's first view is number 1.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -232,18 +232,17 @@
         let mut fit: Vec<usize> = (0..options.len())
             .filter(|index| options[*index].free() && self.fits(call, &options[*index]))
             .collect();
-        let fresh = |index: &usize| {
-            !call
-                .failed
-                .contains(&options[*index].candidate.place.target)
-        };
-        if fit.iter().any(fresh) {
-            fit.retain(fresh);
-        }
+        // A suspect takes any target that is reserved: hosts that hold out for one another's
+        // reservations would wait for ever.
         if self.quarantine.strikes(call.request.fingerprint) > 0 {
             fit = self.isolated(id, fit, options);
         }
         let call = self.calls.get(&id)?;
+        let target = |index: &usize| &options[*index].candidate.place.target;
+        let fresh = |index: &usize| !call.failed.contains(target(index));
+        if fit.iter().any(fresh) {
+            fit.retain(fresh);
+        }
         let whole = self.paces.get(&call.key).whole().unwrap_or_default();
         let candidates: Vec<Candidate> = fit
             .iter()
--- a/crates/entry/src/tests/control.rs
+++ b/crates/entry/src/tests/control.rs
@@ -58,6 +58,7 @@
     claims: BTreeMap<(CallerId, Name), Held>,
     strikes: BTreeMap<u64, BTreeSet<Life>>,
     reserved: BTreeMap<Life, usize>,
+    /// Views published after the first whole one, whose number is 1: 0 stands for a whole.
     sequence: u64,
 }
 
@@ -116,12 +117,12 @@
 
     /// The next view, with these changes.
     pub fn changes(&mut self, changes: Vec<Change>) -> View {
-        let from = self.sequence;
+        let from = self.sequence + 1;
         self.sequence += 1;
         View {
             term: 1,
             from,
-            to: self.sequence,
+            to: from + 1,
             changes,
         }
     }
@@ -136,7 +137,7 @@
         View {
             term: 1,
             from: 0,
-            to: self.sequence,
+            to: self.sequence + 1,
             changes,
         }
     }
