--- a/crates/trial/examples/quickstart.rs
+++ b/crates/trial/examples/quickstart.rs
@@ -24,6 +24,9 @@
 /// Tokens of an answer.
 const TOKENS: u64 = 12;
 
+/// The longest time to a first token that is told apart, in milliseconds.
+const LONGEST_MS: u64 = 60_000;
+
 /// Time that the cluster may take to be ready.
 const READY: Duration = Duration::from_secs(8);
 
@@ -191,7 +194,7 @@
 impl Row {
     /// Prints the row.
     fn print(&self) {
-        let mut times = Histogram::<u64>::new(3).expect("three digits are allowed");
+        let mut times = Histogram::<u64>::new_with_bounds(1, LONGEST_MS, 3).expect("bounds");
         for end in &self.ends {
             if let End::Answered { first, .. } = end {
                 times.saturating_record(u64::try_from(first.as_millis()).unwrap_or(u64::MAX));
