A request that nothing will answer is refused at once

Cause: a model of an unmanaged group that no worker holds, or a version that is not in force, waited until near its deadline (seen by hand: 19.5 s of 20 s) and was then told that it could not start in time; the demand for such a version also reached the planner. Change: such requests are refused on arrival, as unavailable with a time to come back, or as unknown. Conclusion: what is given up gets its final answer at once.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -26,6 +26,9 @@
 /// The longest wait that is ever promised or asked for.
 const LONGEST: Duration = Duration::from_hours(720);
 
+/// When to come back for a model that only operators load.
+const UNMANAGED: Duration = Duration::from_secs(10);
+
 /// Room that an expected answer needs beyond its mean time.
 const ROOM: f64 = 2.0;
 
@@ -83,6 +86,9 @@
         {
             return refuse(Reason::Malformed, &format!("there is no class {class}"));
         }
+        if let Some(end) = self.unservable(&request.what) {
+            return Some(end);
+        }
         if self.quarantine.strikes(request.fingerprint) >= quarantine::LIMIT {
             return Some(self.quarantined(request.fingerprint));
         }
@@ -100,6 +106,33 @@
         None
     }
 
+    /// Why nothing will come that could answer, however long the request waits.
+    fn unservable(&self, what: &What) -> Option<End> {
+        let What::Model(reference) = what else {
+            return None;
+        };
+        let model = self.catalogue.models.get(&reference.model)?;
+        let named = reference.version.as_ref();
+        let other = named.is_some() && named != model.version.as_ref();
+        let held = self.picture.of_model(&reference.model).any(|replica| {
+            let version = replica.view.version.as_ref();
+            named.is_none() || version == named
+        });
+        if held {
+            return None;
+        }
+        if other {
+            let detail = format!("{what}: this version is not in force and nothing holds it");
+            return Some(End::not_run(Reason::Unknown, &detail));
+        }
+        if !model.managed {
+            let detail = format!("{what}: its group is unmanaged and no worker holds it");
+            let end = End::not_run(Reason::Unavailable, &detail);
+            return Some(end.after(UNMANAGED));
+        }
+        None
+    }
+
     /// The refusal of a fingerprint that took down as many targets as it may.
     pub(crate) fn quarantined(&self, fingerprint: u64) -> End {
         let kept = Duration::from_secs(self.catalogue.fleet.refusing.quarantine_s);
--- a/crates/entry/src/catalogue.rs
+++ b/crates/entry/src/catalogue.rs
@@ -18,6 +18,8 @@
     pub version: Option<Name>,
     /// Class of its requests that name none.
     pub class: Option<ClassId>,
+    /// Whether cornelhitch loads it; else it is only routed to where it is.
+    pub managed: bool,
     /// Its adapters.
     pub adapters: BTreeSet<Name>,
     /// Its rules, with the exceptions counted in.
@@ -62,6 +64,7 @@
             let known = Model {
                 version: model.version.clone(),
                 class: model.class.clone(),
+                managed: fleet.managed(model),
                 adapters: model.adapters.iter().cloned().collect(),
                 rules: fleet.rules(&model.name),
                 load: Duration::from_secs_f64(gib * ms / 1_000.0),
