Find a leader that stands in no host's settings

Cause: a host looked for the leader only among the voters of its own file, so after a replacement by another host no call found it while it led.

Change: the hello carries the address of its sender under the session key (frames version 2). The switch learns addresses and dials on demand. A voter that does not lead names the leader with its address; the leader tells its subscribers the voters on each subscription and when they change. A session's candidates are the voters of its settings and those that it learned.

--- /dev/null
+++ b/crates/node/src/candidates.rs
@@ -0,0 +1,97 @@
+//! Who may lead, as a host's session knows it.
+
+use cornelhitch_settings::process::Peer;
+use cornelhitch_types::id::{HostId, Term};
+
+/// The voters of the host's own settings and those that a leader told of.
+///
+/// Those of the settings stay, whatever is told: they are what a host has when
+/// all it learned is out of date.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Candidates {
+    settings: Vec<Peer>,
+    learned: Vec<Peer>,
+    /// The one that is taken for the leader.
+    leader: Option<HostId>,
+    /// The term of the leader that told the voters.
+    term: Term,
+}
+
+impl Candidates {
+    /// The voters of the settings.
+    ///
+    /// This host comes first where it is one of them: asking it costs no message.
+    #[must_use]
+    pub fn new(settings: Vec<Peer>, me: HostId) -> Self {
+        let own = settings.iter().find(|voter| voter.host == me);
+        let leader = own.or(settings.first()).map(|voter| voter.host);
+        Self {
+            settings,
+            leader,
+            ..Self::default()
+        }
+    }
+
+    /// The one that is taken for the leader.
+    #[must_use]
+    pub fn leader(&self) -> Option<&Peer> {
+        self.find(self.leader?)
+    }
+
+    /// Adds a leader that a voter named.
+    pub fn name(&mut self, peer: Peer) {
+        if self.settings.iter().any(|known| known.host == peer.host) {
+            return;
+        }
+        self.learned.retain(|known| known.host != peer.host);
+        self.learned.push(peer);
+    }
+
+    /// Takes the voters that the leader of a term tells, and drops what was learned before.
+    ///
+    /// What a leader of an earlier term tells is passed over. The one that is
+    /// taken for the leader stays until another is turned to.
+    pub fn tell(&mut self, term: Term, voters: Vec<Peer>) {
+        if term < self.term {
+            return;
+        }
+        self.term = term;
+        let leader = self.leader;
+        self.learned
+            .retain(|known| Some(known.host) == leader && !is_in(&voters, known.host));
+        for voter in voters {
+            self.name(voter);
+        }
+    }
+
+    /// Turns to a host that was named, or else to the next.
+    pub fn turn(&mut self, named: Option<HostId>) {
+        let named = named.filter(|host| self.find(*host).is_some());
+        self.leader = named.or_else(|| self.next());
+    }
+
+    /// The one after the one that is taken for the leader.
+    fn next(&self) -> Option<HostId> {
+        let mut after = self
+            .iter()
+            .skip_while(|known| Some(known.host) != self.leader)
+            .skip(1);
+        let next = after.next().or_else(|| self.iter().next());
+        next.map(|known| known.host)
+    }
+
+    /// A candidate by its number.
+    fn find(&self, host: HostId) -> Option<&Peer> {
+        self.iter().find(|known| known.host == host)
+    }
+
+    /// All of them, those of the settings first.
+    fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.settings.iter().chain(&self.learned)
+    }
+}
+
+/// Whether a host is among some.
+fn is_in(peers: &[Peer], host: HostId) -> bool {
+    peers.iter().any(|peer| peer.host == host)
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -18,6 +18,7 @@
 use cornelhitch_quorum::id::RequestId;
 use cornelhitch_quorum::log::Snapshot;
 use cornelhitch_quorum::status::Role;
+use cornelhitch_settings::process;
 use cornelhitch_target::client::Client;
 use cornelhitch_types::id::{HostId, Incarnation, TargetId, Term, Time, Version};
 use cornelhitch_types::order::{Order, Outcome};
@@ -129,6 +130,8 @@
     pub(crate) leading: bool,
     /// Hosts that follow the view.
     pub(crate) subscribers: HashSet<HostId>,
+    /// The voters that subscribers were told of.
+    voters: Vec<process::Peer>,
     /// Where the renewals of hosts come from.
     pub(crate) renewals: HashMap<HostId, Renewal>,
     pub(crate) reservations: Reservations,
@@ -158,6 +161,7 @@
         following: None,
         leading: false,
         subscribers: HashSet::new(),
+        voters: Vec::new(),
         renewals: HashMap::new(),
         reservations: Reservations::default(),
         in_force: 0,
@@ -209,9 +213,43 @@
     fn tick(&mut self) {
         if self.leading {
             self.lead(Input::Tick);
+            self.tell_changed_voters();
         }
     }
 
+    /// Tells all subscribers who votes, when that or an address has changed.
+    fn tell_changed_voters(&mut self) {
+        let voters = self.reached_voters();
+        if voters != self.voters {
+            self.voters = voters;
+            for host in &self.subscribers {
+                self.tell_voters(*host);
+            }
+        }
+    }
+
+    /// Tells a host who votes, so that it knows whom to ask when this host is gone.
+    pub(crate) fn tell_voters(&self, host: HostId) {
+        let downward = Downward::Voters {
+            term: self.term,
+            voters: self.reached_voters(),
+        };
+        self.setup.switch.send(host, Message::Downward(downward));
+    }
+
+    /// The voters whose addresses are known.
+    fn reached_voters(&self) -> Vec<process::Peer> {
+        let members = self.setup.core.status().members;
+        let voters = members.voters();
+        voters.filter_map(|host| self.reached(host)).collect()
+    }
+
+    /// A host and its address, if that is known.
+    fn reached(&self, host: HostId) -> Option<process::Peer> {
+        let address = self.setup.switch.address(host)?;
+        Some(process::Peer { host, address })
+    }
+
     /// Shows the lease to the gates of orders.
     fn renew_lease(&mut self) {
         let lease = self.setup.core.lease(self.now());
@@ -413,6 +451,7 @@
 
     /// Admits a voter of the settings that has no group yet.
     ///
+    /// A host that is none takes a vote only where an operator names it to replace another.
     /// One that is known under another life of its disk is not admitted: an
     /// operator has to replace it, since its votes are lost.
     fn joining(&mut self, peer: cornelhitch_quorum::id::Peer) {
@@ -529,6 +568,7 @@
 
     /// Sends a host to the leader.
     pub(crate) fn not_leader(&self, host: HostId, call: Option<u64>, leader: Option<HostId>) {
+        let leader = leader.and_then(|leader| self.reached(leader));
         let downward = Downward::NotLeader { leader, call };
         self.setup.switch.send(host, Message::Downward(downward));
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod beacon;
 pub mod body;
 pub mod callers;
+pub mod candidates;
 pub mod control;
 pub mod entry;
 pub mod exchange;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,6 +1,7 @@
 //! What cornelhitch processes say to each other.
 
 use bytes::Bytes;
+use cornelhitch_settings::process;
 use cornelhitch_types::demand::Report;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Incarnation, TargetId, Term, Time, Version};
@@ -111,11 +112,18 @@
 pub enum Downward {
     /// Ask another voter.
     NotLeader {
-        /// The leader, where it is known.
-        leader: Option<HostId>,
+        /// The leader and its address, where they are known.
+        leader: Option<process::Peer>,
         /// The call that was not done, if it was one.
         call: Option<u64>,
     },
+    /// Who may lead from now on, and where each is reached.
+    Voters {
+        /// The term of the leader that tells it.
+        term: Term,
+        /// The voters whose addresses are known.
+        voters: Vec<process::Peer>,
+    },
     /// The view changed.
     View(View),
     /// A command was committed.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -199,6 +199,7 @@
             cluster: cluster(&process.cluster),
             host: process.host,
             incarnation,
+            address: addresses.peers,
             keys: secret::keys(&process.keys)?,
         });
         let metrics = Metrics::default();
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::beacon::Beacon;
+use crate::candidates::Candidates;
 use crate::message::{Datagram, Downward, Incoming, Message, Question, Said, Upward};
 use crate::switch::Switch;
 
@@ -142,7 +143,7 @@
 pub struct Setup {
     /// This host's number.
     pub me: HostId,
-    /// The voters.
+    /// The voters of the settings; others are learned.
     pub voters: Vec<process::Peer>,
     /// Links.
     pub switch: Switch,
@@ -170,7 +171,7 @@
 /// The session itself, owned by its task.
 struct Session {
     setup: Setup,
-    leader: usize,
+    candidates: Candidates,
     heard: Instant,
     followed: Instant,
     term: Term,
@@ -190,11 +191,8 @@
 pub fn start(setup: Setup) -> Handle {
     let (commands, asked) = mpsc::unbounded_channel();
     let (status, shown) = watch::channel(Status::default());
-    // Voters of the own number come first: they cost no message.
-    let own = |voter: &process::Peer| voter.host == setup.me;
-    let leader = setup.voters.iter().position(own).unwrap_or_default();
     let session = Session {
-        leader,
+        candidates: Candidates::new(setup.voters.clone(), setup.me),
         heard: Instant::now(),
         followed: Instant::now(),
         term: 0,
@@ -298,9 +296,15 @@
         match downward {
             Downward::NotLeader { leader, .. } => {
                 if self.leader() == Some(from.host) {
-                    self.turn(leader.filter(|leader| *leader != from.host));
+                    self.turn(leader.filter(|leader| leader.host != from.host));
                 }
             }
+            Downward::Voters { term, voters } => {
+                self.hear(from);
+                let known = voters.iter().map(|voter| self.learn(voter));
+                let known = known.collect();
+                self.candidates.tell(term, known);
+            }
             Downward::View(view) => {
                 self.hear(from);
                 if view.term >= self.term {
@@ -373,9 +377,11 @@
             .filter(|call| call.sent + RESEND <= now)
         {
             call.sent = now;
-            let voter = &self.setup.voters[self.leader];
+            let Some(leader) = self.candidates.leader() else {
+                break;
+            };
             let message = Message::Upward(call.upward.clone());
-            self.setup.switch.send(voter.host, message);
+            self.setup.switch.send(leader.host, message);
         }
         self.show();
     }
@@ -419,7 +425,7 @@
 
     /// The leader with its life and address, once they are known.
     fn known_leader(&self) -> Option<(Peer, SocketAddr)> {
-        let voter = self.setup.voters.get(self.leader)?;
+        let voter = self.candidates.leader()?;
         if voter.host == self.setup.me {
             let incarnation = self.setup.beacon.incarnation();
             let host = voter.host;
@@ -431,29 +437,33 @@
 
     /// The voter that is taken for the leader.
     fn leader(&self) -> Option<HostId> {
-        self.setup.voters.get(self.leader).map(|voter| voter.host)
+        self.candidates.leader().map(|voter| voter.host)
     }
 
     /// Turns to the leader that a voter named, or soon to the next voter.
-    fn turn(&mut self, leader: Option<HostId>) {
-        if leader.is_some() && self.followed.elapsed() > PAUSE {
-            self.follow(leader);
+    fn turn(&mut self, leader: Option<process::Peer>) {
+        let leader = leader.map(|leader| self.learn(&leader));
+        if let Some(leader) = leader
+            && self.followed.elapsed() > PAUSE
+        {
+            let host = leader.host;
+            self.candidates.name(leader);
+            self.follow(Some(host));
         } else {
             self.heard = Instant::now() - SILENCE + PAUSE;
         }
     }
 
+    /// Takes over where a voter is reached, and returns it with the address that counts here.
+    fn learn(&self, voter: &process::Peer) -> process::Peer {
+        let host = voter.host;
+        let address = self.setup.switch.learn(voter);
+        process::Peer { host, address }
+    }
+
     /// Turns to another voter: the one named, or else the next.
     fn follow(&mut self, leader: Option<HostId>) {
-        let named = |host| {
-            self.setup
-                .voters
-                .iter()
-                .position(|voter| voter.host == host)
-        };
-        let next = (self.leader + 1) % self.setup.voters.len().max(1);
-        let found = leader.and_then(named);
-        self.leader = found.unwrap_or(next);
+        self.candidates.turn(leader);
         self.heard = Instant::now();
         self.followed = self.heard;
         self.subscribe();
--- a/crates/node/src/switch.rs
+++ b/crates/node/src/switch.rs
@@ -1,12 +1,13 @@
 //! The links of one process: who sends to a host needs no address.
 //!
 //! Voters are in the settings, so links to them are dialled when the first
-//! message is sent. Other hosts dial here, and are answered on their link.
+//! message is sent. Other hosts dial here, and are answered on their link; where
+//! there is none, they are dialled at the address that they or a leader told.
 //! Delivery is best effort and in order within a link: who needs more repeats.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -64,6 +65,13 @@
     life: u64,
 }
 
+/// The queue of a link that is dialled from here.
+#[derive(Debug, Clone)]
+struct Dialled {
+    queue: mpsc::Sender<Bytes>,
+    address: SocketAddr,
+}
+
 /// The links of one process.
 #[derive(Debug, Clone)]
 pub struct Switch {
@@ -78,8 +86,12 @@
     identity: watch::Receiver<Identity>,
     metrics: Metrics,
     stop: CancellationToken,
-    /// Lanes of dialled links, by host; fixed from the settings.
-    dialled: HashMap<HostId, mpsc::Sender<Bytes>>,
+    /// Where the hosts of the settings are reached; nothing that is told changes it.
+    settings: HashMap<HostId, SocketAddr>,
+    /// Where other hosts are reached.
+    learned: Mutex<HashMap<HostId, SocketAddr>>,
+    /// Lanes of dialled links, by host.
+    dialled: Mutex<HashMap<HostId, Dialled>>,
     /// Lanes of accepted links, by host; the newest link wins.
     accepted: Mutex<HashMap<HostId, Lane>>,
     /// Peers that are cut off on purpose, for tests of partitions.
@@ -93,7 +105,7 @@
     pub identity: watch::Receiver<Identity>,
     /// Where peers connect.
     pub listener: TcpListener,
-    /// Hosts that are dialled.
+    /// Hosts that are dialled, at addresses that stay.
     pub voters: Vec<process::Peer>,
     /// Where incoming messages go.
     pub inbox: Inbox,
@@ -116,30 +128,47 @@
                 incarnation: identity.incarnation,
             }
         };
-        let mut dialled = HashMap::new();
-        let mut lanes = Vec::new();
-        for voter in setup.voters.iter().filter(|voter| voter.host != me.host) {
-            let (queue, waiting) = mpsc::channel(QUEUE);
-            dialled.insert(voter.host, queue);
-            lanes.push((voter.address, waiting));
-        }
+        let others = setup.voters.iter().filter(|voter| voter.host != me.host);
+        let settings = others.map(|voter| (voter.host, voter.address));
         let shared = Arc::new(Shared {
             me,
             inbox: setup.inbox,
             identity: setup.identity,
             metrics: setup.metrics,
             stop: setup.stop,
-            dialled,
+            settings: settings.collect(),
+            learned: Mutex::default(),
+            dialled: Mutex::default(),
             accepted: Mutex::default(),
             cut: setup.cut,
         });
-        for (address, waiting) in lanes {
-            tokio::spawn(dialling(shared.clone(), address, waiting));
-        }
         tokio::spawn(accepting(shared.clone(), setup.listener));
         Self { shared }
     }
 
+    /// Where a host is reached, if that is known.
+    #[must_use]
+    pub fn address(&self, host: HostId) -> Option<SocketAddr> {
+        if host == self.shared.me.host {
+            return Some(self.shared.identity.borrow().address);
+        }
+        self.shared.address(host)
+    }
+
+    /// Takes over where a host is reached, as another tells, and returns where it is from here.
+    ///
+    /// The settings and the word of the host itself on a link that stands count for more.
+    #[must_use]
+    pub fn learn(&self, told: &process::Peer) -> SocketAddr {
+        let host = told.host;
+        let linked = locked(&self.shared.accepted).contains_key(&host);
+        let usable = !told.address.ip().is_unspecified();
+        if !linked && usable && host != self.shared.me.host {
+            self.shared.learn(host, told.address);
+        }
+        self.address(host).unwrap_or(told.address)
+    }
+
     /// Sends a message to a host, if there is or can be a link to it.
     pub fn send(&self, to: HostId, message: Message) {
         let shared = &self.shared;
@@ -171,13 +200,39 @@
 }
 
 impl Shared {
-    /// The queue of the link to a host.
-    fn queue(&self, to: HostId) -> Option<mpsc::Sender<Bytes>> {
-        if let Some(queue) = self.dialled.get(&to) {
-            return Some(queue.clone());
+    /// The queue of the link to a host, which is dialled where there is none.
+    fn queue(self: &Arc<Self>, to: HostId) -> Option<mpsc::Sender<Bytes>> {
+        if !self.settings.contains_key(&to)
+            && let Some(lane) = locked(&self.accepted).get(&to)
+        {
+            return Some(lane.queue.clone());
+        }
+        let address = self.address(to)?;
+        let mut dialled = locked(&self.dialled);
+        if let Some(lane) = dialled.get(&to).filter(|lane| lane.address == address) {
+            return Some(lane.queue.clone());
+        }
+        // The task of a lane to an earlier address ends with its queue.
+        let (queue, waiting) = mpsc::channel(QUEUE);
+        let host = to;
+        let peer = process::Peer { host, address };
+        tokio::spawn(dialling(self.clone(), peer, waiting));
+        let lane = Dialled { queue, address };
+        dialled.insert(to, lane.clone());
+        Some(lane.queue)
+    }
+
+    /// Where another host is reached, if that is known.
+    fn address(&self, host: HostId) -> Option<SocketAddr> {
+        let settings = self.settings.get(&host).copied();
+        settings.or_else(|| locked(&self.learned).get(&host).copied())
+    }
+
+    /// Takes over where a host is reached.
+    fn learn(&self, host: HostId, address: SocketAddr) {
+        if !self.settings.contains_key(&host) {
+            locked(&self.learned).insert(host, address);
         }
-        let accepted = self.accepted.lock().unwrap_or_else(PoisonError::into_inner);
-        accepted.get(&to).map(|lane| lane.queue.clone())
     }
 
     /// Hands on what a peer said.
@@ -201,8 +256,14 @@
     }
 }
 
-/// Keeps a link to one voter while there is something to send.
-async fn dialling(shared: Arc<Shared>, address: SocketAddr, mut waiting: mpsc::Receiver<Bytes>) {
+/// What a lock guards; no holder of it leaves it half changed.
+fn locked<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Keeps a link to one address while there is something to send.
+async fn dialling(shared: Arc<Shared>, to: process::Peer, mut waiting: mpsc::Receiver<Bytes>) {
+    let address = to.address;
     loop {
         let first = tokio::select! {
             () = shared.stop.cancelled() => return,
@@ -210,6 +271,10 @@
         };
         let Some(first) = first else { return };
         match link::dial(address, &shared.identity()).await {
+            Ok(link) if link.peer.host != to.host => {
+                let found = link.peer.host;
+                tracing::warn!(host = to.host, %address, found, "another host is there");
+            }
             Ok(link) => {
                 shared.inbox.deliver(Incoming {
                     from: link.peer,
@@ -257,20 +322,15 @@
 async fn serve(shared: &Arc<Shared>, link: Link) {
     let peer = link.peer;
     let (queue, mut waiting) = mpsc::channel(QUEUE);
+    shared.learn(peer.host, link.address);
     let life = {
-        let mut accepted = shared
-            .accepted
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut accepted = locked(&shared.accepted);
         let life = accepted.get(&peer.host).map_or(0, |lane| lane.life + 1);
         accepted.insert(peer.host, Lane { queue, life });
         life
     };
     run(shared, link, None, &mut waiting).await;
-    let mut accepted = shared
-        .accepted
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
+    let mut accepted = locked(&shared.accepted);
     if accepted
         .get(&peer.host)
         .is_some_and(|lane| lane.life == life)
@@ -290,6 +350,7 @@
         peer,
         mut sender,
         mut receiver,
+        ..
     } = link;
     let sending = async {
         let mut next = first;
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -37,6 +37,7 @@
         match upward {
             Upward::Subscribe { term, sequence } => {
                 self.subscribers.insert(from.host);
+                self.tell_voters(from.host);
                 self.lead(Input::Subscribe {
                     host: from.host,
                     term,
--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -138,6 +138,30 @@
         Ok(Self { hosts, folder })
     }
 
+    /// Starts one more host, which could vote and is no voter of any host's settings.
+    ///
+    /// Returns its place among the hosts.
+    ///
+    /// # Errors
+    /// A port, a file or the host cannot be had.
+    pub fn spare(&mut self) -> Result<usize, Error> {
+        let index = self.hosts.len();
+        let mut process = self.hosts[0].process.clone();
+        process.host = index as HostId + 1;
+        process.roles = vec![Role::Entry, Role::Control];
+        process.data = Some(self.data(index));
+        let runtime = runtime()?;
+        let sockets = runtime.block_on(bind(&mut process))?;
+        let addresses = sockets.addresses()?;
+        let running = run(runtime, &process, sockets)?;
+        self.hosts.push(Host {
+            process,
+            addresses,
+            running: Some(running),
+        });
+        Ok(index)
+    }
+
     /// Where callers and targets connect, for the hosts that run.
     #[must_use]
     pub fn callers(&self) -> Vec<SocketAddr> {
--- a/crates/wire/src/hello.rs
+++ b/crates/wire/src/hello.rs
@@ -1,12 +1,14 @@
 //! The first message of each side of a link.
 
+use std::net::SocketAddr;
+
 use cornelhitch_types::id::{HostId, Incarnation};
 use serde::{Deserialize, Serialize};
 
 use crate::key::Keyring;
 
 /// The version of the frames; both sides must have the same.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// Who a process is towards its peers.
 #[derive(Debug, Clone)]
@@ -17,6 +19,8 @@
     pub host: HostId,
     /// The life of the process.
     pub incarnation: Incarnation,
+    /// Where peers reach it, over UDP and TCP.
+    pub address: SocketAddr,
     /// The keys it accepts.
     pub keys: Keyring,
 }
@@ -54,6 +58,8 @@
     pub cluster: u64,
     /// Who it is.
     pub peer: Peer,
+    /// Where peers reach it; the host part may be unspecified.
+    pub address: SocketAddr,
     /// The key it sends with.
     pub key: u32,
     /// Fresh for each link, so that no old link can be played again.
@@ -71,8 +77,22 @@
                 host: identity.host,
                 incarnation: identity.incarnation,
             },
+            address: identity.address,
             key,
             nonce: rand::random(),
         }
     }
+
+    /// Where to reach the sender, whose connection comes from `remote`.
+    ///
+    /// A process that listens on all addresses of its machine cannot tell which
+    /// of them is reached from here: then it is the one that it connects from.
+    #[must_use]
+    pub fn reached(&self, remote: SocketAddr) -> SocketAddr {
+        if self.address.ip().is_unspecified() {
+            SocketAddr::new(remote.ip(), self.address.port())
+        } else {
+            self.address
+        }
+    }
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -89,6 +89,8 @@
 pub struct Link {
     /// The other side.
     pub peer: Peer,
+    /// Where peers reach it, as it told under its key.
+    pub address: SocketAddr,
     /// For sending.
     pub sender: Sender,
     /// For receiving.
@@ -211,6 +213,7 @@
     let peer = theirs.peer;
     let key = identity.keys.find(theirs.key).context(KeySnafu { peer })?;
     let other = DIALLED + ACCEPTED - side;
+    let address = theirs.reached(stream.peer_addr().context(IoSnafu)?);
     let (read, write) = stream.into_split();
     let incoming = Codec::from(key.session(transcript, other));
     let outgoing = Codec::from(key.session(transcript, side));
@@ -221,6 +224,7 @@
     ensure!(proof.as_deref() == Some(PROOF), ProofSnafu { peer });
     Ok(Link {
         peer,
+        address,
         sender,
         receiver,
     })
--- a/crates/wire/tests/datagram.rs
+++ b/crates/wire/tests/datagram.rs
@@ -1,5 +1,7 @@
 //! Datagrams: what is accepted, and what is dropped for which reason.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use cornelhitch_wire::datagram::{Error, Opener, Sealer};
 use cornelhitch_wire::hello::{Identity, Peer, cluster};
@@ -11,6 +13,7 @@
         cluster: cluster(name),
         host,
         incarnation,
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
         keys: keys.parse().expect("keys"),
     }
 }
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -1,5 +1,7 @@
 //! Links: who gets one, and what is refused on it.
 
+use std::net::SocketAddr;
+
 use bytes::{Bytes, BytesMut};
 use cornelhitch_wire::frame::Codec;
 use cornelhitch_wire::hello::{Identity, cluster};
@@ -16,6 +18,7 @@
         cluster: cluster(name),
         host,
         incarnation: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
         keys: keys.parse().expect("keys"),
     }
 }
