An operator's drain ends the process

Cause: 'cornelhitch drain' ended the entry role only; the process went on, against its help. Change: the daemon ends on an operator's word as on SIGTERM; the operators' listener is awaited, so that the answer arrives. Conclusion: one way down for signals and operators.

--- a/crates/cornelhitch/src/daemon.rs
+++ b/crates/cornelhitch/src/daemon.rs
@@ -222,6 +222,7 @@
     tokio::select! {
         _ = terminate.recv() => tracing::info!("SIGTERM: shutting down"),
         _ = interrupt.recv() => tracing::info!("SIGINT: shutting down"),
+        () = node.asked() => tracing::info!("an operator asked: shutting down"),
     }
     node.drain();
     node.ended().await;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cornelhitch_control::catalogue::Apply;
 use cornelhitch_control::command::Command;
@@ -43,6 +43,9 @@
 use crate::socket::{Addresses, Sockets};
 use crate::switch::{self, Inbox, Switch};
 
+/// Time that operators' last answers may take at the end.
+const GOODBYE: Duration = Duration::from_secs(2);
+
 /// Why a process cannot start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -94,6 +97,10 @@
     serving: Vec<JoinHandle<()>>,
     /// The control task, which ends when it is stopped and then lets go of its folder.
     control: Option<JoinHandle<()>>,
+    /// The operators' listener, which answers until it is stopped.
+    operators: JoinHandle<()>,
+    /// Cancelled when an operator asks for the graceful shutdown.
+    asked: CancellationToken,
 }
 
 /// What the tasks of one process share while they are started.
@@ -144,6 +151,7 @@
             drain = Some(input);
             serving.extend(tasks);
         }
+        let asked = CancellationToken::new();
         let service = Operators {
             token,
             host: parts.process.host,
@@ -152,9 +160,10 @@
             entry: drain.clone(),
             control,
             metrics: parts.metrics.clone(),
+            asked: asked.clone(),
         };
         let serve = server::run(operators, Arc::new(service), parts.stop.clone());
-        tokio::spawn(serve);
+        let operators = tokio::spawn(serve);
         Ok(Self {
             addresses,
             cut,
@@ -163,6 +172,8 @@
             stop: parts.stop,
             serving,
             control: control_task,
+            operators,
+            asked,
         })
     }
 
@@ -176,6 +187,11 @@
         }
     }
 
+    /// Waits until an operator asks for the graceful shutdown.
+    pub async fn asked(&self) {
+        self.asked.cancelled().await;
+    }
+
     /// Waits until everything in progress has ended, then stops what is left.
     pub async fn ended(self) {
         for task in self.serving {
@@ -185,6 +201,8 @@
         if let Some(task) = self.control {
             let _ = task.await;
         }
+        // An operator who holds a connection open does not hold the end up.
+        let _ = tokio::time::timeout(GOODBYE, self.operators).await;
     }
 
     /// Stops without any grace.
@@ -415,7 +433,7 @@
 }
 
 /// The time of now, since the Unix epoch.
-fn since_unix_epoch() -> std::time::Duration {
+fn since_unix_epoch() -> Duration {
     let now = SystemTime::now();
     now.duration_since(UNIX_EPOCH).unwrap_or_default()
 }
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
 use crate::callers::{collect, json};
@@ -53,6 +54,8 @@
     pub control: Option<mpsc::UnboundedSender<control::Told>>,
     /// Counters.
     pub metrics: Metrics,
+    /// Cancelled when an operator asks for the graceful shutdown.
+    pub asked: CancellationToken,
 }
 
 /// A settings text that is to be in force, as operators send it.
@@ -252,9 +255,7 @@
 
     /// Starts the graceful shutdown of this host.
     fn drain(&self) -> Response<Body> {
-        if let Some(entry) = &self.entry {
-            let _ = entry.send(entry::Input::Drain);
-        }
+        self.asked.cancel();
         json(StatusCode::ACCEPTED, &"draining")
     }
 
--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -154,7 +154,7 @@
         process.host = index as HostId + 1;
         process.roles = vec![Role::Entry, Role::Control];
         process.data = Some(self.data(index));
-        let runtime = runtime()?;
+        let runtime = runtime(process.host)?;
         let sockets = runtime.block_on(bind(&mut process))?;
         let addresses = sockets.addresses()?;
         let running = run(runtime, &process, sockets)?;
