--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -277,6 +277,17 @@
     }
 }
 
+/// A port that is free now, below those that the system gives to outgoing connections.
+#[must_use]
+pub fn free_port() -> u16 {
+    loop {
+        let port = rand::rng().random_range(PORTS);
+        if std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+}
+
 /// Binds free ports below those that the system gives to outgoing connections.
 ///
 /// A port that the system chose could be taken by such a connection while its
