An answer that stops coming is continued after 5 s instead of broken off after 20

A worker had sent two tokens and then nothing, with its connection open; the entry host waited 20 s and then broke the stream off, though the answer could be continued from the caller's offset. Ruled out: a lost timer (the trace shows the stream's own timer), a slow caller. Change: after 5 s without a part the attempt is cancelled and the answer resumed, once; attempts tell of progress by time too, also while the caller is slow, so that neither counts as a stalled target.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -194,6 +194,7 @@
             failed: Vec::new(),
             pause: Time::ZERO,
             answered: false,
+            stalled: false,
             request,
         }
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -21,9 +21,9 @@
 
 /// The longest time without a part of a streamed answer that has begun.
 ///
-/// Owners report `Progress` well within it, also where tokens come slowly; a caller that takes
-/// nothing for so long is cut off too.
-pub const STALL: Duration = Duration::from_secs(20);
+/// Owners report `Progress` well within it, also where tokens come slowly or the caller takes them
+/// slowly; it is more than a hundred times the 37 ms between tokens that users expect.
+pub const STALL: Duration = Duration::from_secs(5);
 
 /// How far past its deadline an answer may go on that is not streamed and had begun before.
 pub const REST: Duration = Duration::from_secs(5);
@@ -117,7 +117,7 @@
     }
 
     /// Sets the timer of an answer that has begun.
-    fn touch(&mut self, id: CallId) {
+    pub(crate) fn touch(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -131,6 +131,8 @@
     Truncated,
     /// The target answered with a server error.
     Status,
+    /// No part of an answer that had begun came for [`crate::attempt::STALL`].
+    Stalled,
 }
 
 /// What a core is told.
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -9,7 +9,7 @@
 use crate::action::Action;
 use crate::claim::Outcome;
 use crate::core::Core;
-use crate::event::CallId;
+use crate::event::{CallId, Failure};
 use crate::fault::Fault;
 use crate::quarantine::Life;
 use crate::queue::Key;
@@ -292,6 +292,12 @@
             self.abandon(id);
             return;
         }
+        if self.unstall(id) {
+            return;
+        }
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
         let (run, detail) = match call.reach {
             Reach::Unsent => (Run::NotRun, "the deadline came while it waited"),
             Reach::Sent => (Run::Unknown, "the deadline came before the answer"),
@@ -314,6 +320,32 @@
         }
     }
 
+    /// Takes an answer that stopped coming from its target, once, and continues it.
+    fn unstall(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return false;
+        };
+        let begun = call.reach == Reach::Begun && call.request.streaming;
+        let Some((attempt, target)) = call
+            .running()
+            .map(|run| (run.attempt, run.place.target.clone()))
+        else {
+            return false;
+        };
+        if !begun || !call.repeatable || call.stalled {
+            return false;
+        }
+        call.stalled = true;
+        self.actions.push(Action::Cancel {
+            id,
+            attempt,
+            target,
+        });
+        self.touch(id);
+        self.failed(id, attempt, Failure::Stalled);
+        true
+    }
+
     /// Gives up what went on after its caller had been answered.
     fn abandon(&mut self, id: CallId) {
         let known = self.calls.get(&id);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -96,6 +96,8 @@
     pub pause: Time,
     /// Whether the caller has its end, or left.
     pub answered: bool,
+    /// Whether its answer stopped coming once and was taken from the target.
+    pub stalled: bool,
 }
 
 impl Call {
--- a/crates/entry/src/rule.rs
+++ b/crates/entry/src/rule.rs
@@ -52,13 +52,14 @@
 
 /// What each failure says of the target.
 #[rustfmt::skip]
-pub const EFFECTS: [Effect; 6] = [
+pub const EFFECTS: [Effect; 7] = [
     Effect { failure: Failure::Connect,   eject: true,  strike: false },
     Effect { failure: Failure::Refused,   eject: false, strike: false },
     Effect { failure: Failure::Broken,    eject: true,  strike: true },
     Effect { failure: Failure::Crossed,   eject: false, strike: false },
     Effect { failure: Failure::Truncated, eject: true,  strike: true },
     Effect { failure: Failure::Status,    eject: false, strike: false },
+    Effect { failure: Failure::Stalled,   eject: false, strike: false },
 ];
 
 /// What follows a failed attempt.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -19,6 +20,7 @@
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout};
 
 use crate::entry::Input;
 use crate::exchange::{Exchange, Head, Part, Payload, Recorded};
@@ -27,6 +29,12 @@
 /// Tokens between two reports of progress to the core.
 const PROGRESS: u64 = 64;
 
+/// Time between two reports of progress, where tokens come slowly.
+const PROGRESS_TIME: Duration = Duration::from_secs(1);
+
+/// Reports of progress for a caller that takes nothing, before it counts as gone.
+const CALLER_WAITS: u32 = 20;
+
 /// The core's words that an attempt waits for.
 #[derive(Debug)]
 pub struct Signals {
@@ -130,9 +138,10 @@
     }
 }
 
-/// What is collected of an answer for resends.
-#[derive(Default)]
+/// What is kept of an answer while it is passed on.
 struct Record {
+    /// When the core was last told of progress.
+    told: Instant,
     media_type: Option<String>,
     status: u16,
     body: Vec<u8>,
@@ -186,6 +195,7 @@
         let answer = self.client.generate(self.address(), generate, gate);
         let mut answer = answer.await.map_err(|error| self.failed(error))?;
         let mut record = Record {
+            told: Instant::now(),
             status: answer.status.as_u16(),
             media_type: media_type(&answer.headers),
             body: Vec::new(),
@@ -238,6 +248,7 @@
         let reply = reply.await.map_err(|error| self.failed(error))?;
         self.begin(&mut Some(waits.deliver)).await?;
         let mut record = Record {
+            told: Instant::now(),
             status: reply.status.as_u16(),
             media_type: media_type(&reply.headers),
             body: Vec::new(),
@@ -283,7 +294,8 @@
         self.reply(Part::Data(bytes)).await?;
         let before = self.exchange.delivered.swap(to, Ordering::Relaxed);
         self.metrics.many(Count::Tokens, to.saturating_sub(before));
-        if to / PROGRESS != before / PROGRESS {
+        if to / PROGRESS != before / PROGRESS || record.told.elapsed() >= PROGRESS_TIME {
+            record.told = Instant::now();
             self.progress();
         }
         Ok(())
@@ -321,12 +333,22 @@
     }
 
     /// Hands a part to the caller; waits while the caller is slow.
+    ///
+    /// The core is told meanwhile, since the target is not at fault.
     async fn reply(&self, part: Part) -> Result<(), End> {
-        let handed = self.exchange.reply.send(part).await;
-        handed.map_err(|_| {
-            self.tell(Event::CallerLeft { id: self.id });
-            End::Withdrawn
-        })
+        for _ in 0..CALLER_WAITS {
+            let room = timeout(PROGRESS_TIME, self.exchange.reply.reserve()).await;
+            match room {
+                Ok(Ok(place)) => {
+                    place.send(part);
+                    return Ok(());
+                }
+                Ok(Err(_)) => break,
+                Err(_) => self.progress(),
+            }
+        }
+        self.tell(Event::CallerLeft { id: self.id });
+        Err(End::Withdrawn)
     }
 
     /// Tells the core how far the answer is.
--- a/crates/trial/examples/faults/load.rs
+++ b/crates/trial/examples/faults/load.rs
@@ -78,6 +78,7 @@
         host,
         started,
         ended: Instant::now(),
+        stream: ask.stream,
         end,
     };
     trial.log().requests.push(request);
@@ -103,6 +104,7 @@
             host,
             started,
             ended: Instant::now(),
+            stream: false,
             end,
         });
         // A quarter of the callers send again although they were answered.
