--- a/crates/entry/tests/share.rs
+++ b/crates/entry/tests/share.rs
@@ -61,7 +61,7 @@
                     busy: row.busy,
                     is_near: host < 3,
                 };
-                let mut shares = Shares::default();
+                let mut table = Shares::default();
                 let report = Report {
                     running: row.own * 9,
                     queued: 0,
@@ -69,8 +69,8 @@
                     capacity: CAPACITY,
                     sharers,
                 };
-                shares.report(&place, report);
-                shares.limit(&place, CAPACITY, sharers)
+                table.report(&place, report);
+                table.limit(&place, CAPACITY, sharers)
             })
             .sum();
         assert!(total <= row.most, "{}: {total}", row.name);
