--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use cornelhitch_control::claims::{self, Claim, Finish, Holder, Key};
-use cornelhitch_control::command::{Command, Reply};
+use cornelhitch_control::command::Command;
 use cornelhitch_control::strikes::Strike;
 use cornelhitch_entry::action::{Action, Destination};
 use cornelhitch_entry::claim;
@@ -34,6 +34,7 @@
 use crate::exchange::{Exchange, Head, Intake, Part, Recorded};
 use crate::message::Upward;
 use crate::metrics::Metrics;
+use crate::outcome;
 use crate::problem::Problem;
 use crate::session;
 
@@ -512,7 +513,7 @@
         let inputs = self.setup.input.clone();
         tokio::spawn(async move {
             let reply = session.propose(claim.encode(), CLAIM).await;
-            let reply = reply.map_or(claim::Reply::Unavailable, |bytes| claimed(&bytes));
+            let reply = reply.map_or(claim::Reply::Unavailable, |bytes| outcome::claimed(&bytes));
             let _ = inputs.send(Input::Event(Event::Claimed { id, reply }));
         });
     }
@@ -596,52 +597,3 @@
         }
     }
 }
-
-/// What the state machine's reply to a claim means to the core.
-fn claimed(bytes: &[u8]) -> claim::Reply {
-    let Ok(Reply::Claim(answer)) = postcard::from_bytes(bytes) else {
-        return claim::Reply::Unavailable;
-    };
-    match answer {
-        claims::Answer::Granted => claim::Reply::Granted,
-        claims::Answer::InProgress => claim::Reply::InProgress,
-        claims::Answer::Recorded(outcome) => recorded(outcome),
-        claims::Answer::Mismatch => claim::Reply::Mismatch,
-        claims::Answer::Forgotten => claim::Reply::Forgotten,
-        claims::Answer::Done | claims::Answer::Refused(_) => claim::Reply::Unavailable,
-    }
-}
-
-/// What a recorded outcome means to the core.
-fn recorded(outcome: claims::Outcome) -> claim::Reply {
-    let recorded = match outcome {
-        claims::Outcome::Unknown => return claim::Reply::Unknown,
-        claims::Outcome::Completed { .. } => return claim::Reply::Forgotten,
-        claims::Outcome::Answered {
-            status,
-            content,
-            body,
-        } => Recorded {
-            status,
-            media_type: Some(content.to_string()),
-            body,
-        },
-    };
-    let bytes = postcard::to_stdvec(&recorded).unwrap_or_default();
-    claim::Reply::Recorded(bytes.into())
-}
-
-impl From<Recorded> for claims::Outcome {
-    fn from(recorded: Recorded) -> Self {
-        if recorded.body.len() > claims::BODY {
-            return Self::Completed {
-                status: recorded.status,
-            };
-        }
-        Self::Answered {
-            status: recorded.status,
-            content: recorded.media_type.unwrap_or_default().into(),
-            body: recorded.body,
-        }
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod node;
 pub mod operators;
 pub mod orders;
+pub mod outcome;
 pub mod problem;
 pub mod request;
 pub mod reservation;
--- /dev/null
+++ b/crates/node/src/outcome.rs
@@ -0,0 +1,57 @@
+//! What became of requests with a key, between the replicated state and the core.
+
+use cornelhitch_control::claims;
+use cornelhitch_control::command::Reply;
+use cornelhitch_entry::claim;
+
+use crate::exchange::Recorded;
+
+/// What the state machine's reply to a claim means to the core.
+#[must_use]
+pub fn claimed(bytes: &[u8]) -> claim::Reply {
+    let Ok(Reply::Claim(answer)) = postcard::from_bytes(bytes) else {
+        return claim::Reply::Unavailable;
+    };
+    match answer {
+        claims::Answer::Granted => claim::Reply::Granted,
+        claims::Answer::InProgress => claim::Reply::InProgress,
+        claims::Answer::Recorded(outcome) => recorded(outcome),
+        claims::Answer::Mismatch => claim::Reply::Mismatch,
+        claims::Answer::Forgotten => claim::Reply::Forgotten,
+        claims::Answer::Done | claims::Answer::Refused(_) => claim::Reply::Unavailable,
+    }
+}
+
+/// What a recorded outcome means to the core.
+fn recorded(outcome: claims::Outcome) -> claim::Reply {
+    let recorded = match outcome {
+        claims::Outcome::Unknown => return claim::Reply::Unknown,
+        claims::Outcome::Completed { .. } => return claim::Reply::Forgotten,
+        claims::Outcome::Answered {
+            status,
+            content,
+            body,
+        } => Recorded {
+            status,
+            media_type: Some(content.to_string()),
+            body,
+        },
+    };
+    let bytes = postcard::to_stdvec(&recorded).unwrap_or_default();
+    claim::Reply::Recorded(bytes.into())
+}
+
+impl From<Recorded> for claims::Outcome {
+    fn from(recorded: Recorded) -> Self {
+        if recorded.body.len() > claims::BODY {
+            return Self::Completed {
+                status: recorded.status,
+            };
+        }
+        Self::Answered {
+            status: recorded.status,
+            content: recorded.media_type.unwrap_or_default().into(),
+            body: recorded.body,
+        }
+    }
+}
