--- a/crates/cornelhitch/tests/daemon.rs
+++ b/crates/cornelhitch/tests/daemon.rs
@@ -12,6 +12,10 @@
 /// How often an operator tries to reach the host.
 const TRIES: usize = 200;
 
+/// Time after which the daemon counts as hanging: four times as long as callers keep an answer
+/// of `/v1/entries`. A daemon that hangs would else end, and pass, by a runner's own SIGTERM.
+const HANG: std::time::Duration = std::time::Duration::from_secs(40);
+
 /// Writes a file of the folder.
 fn write(folder: &Path, name: &str, text: &str) -> String {
     let path = folder.join(name);
@@ -124,7 +128,10 @@
             tokio::time::sleep(std::time::Duration::from_millis(50)).await;
         }
         assert_eq!(answer, "draining");
-        let ended = daemon.await.expect("the task ends");
+        let ended = tokio::time::timeout(HANG, daemon).await;
+        let ended = ended
+            .expect("the drain ends the daemon")
+            .expect("the task ends");
         assert!(ended.is_ok(), "{ended:?}");
     });
 }
