An order's outcome settles that order alone; a worker that is asked about its orders is counted on

The late outcome of an order that had been given up was taken for that of the next one, given for the same count, so a drop was believed that had not happened.

Ruled out: adapters of models that a late heartbeat hides (tried before).

Change: an outcome counts for the order that it names. A worker whose count is asked about is expected to take orders soon, unless it left two inspections without an answer.

--- a/crates/control/src/hosting.rs
+++ b/crates/control/src/hosting.rs
@@ -170,7 +170,7 @@
         let Some(station) = station.filter(|it| it.incarnation == order.incarnation) else {
             return;
         };
-        station.done(order.after, outcome, turn.now);
+        station.done(order, outcome, turn.now);
         self.hosting.eager = true;
         self.show_hosted(&order.target, turn.now);
         self.host(turn);
@@ -188,7 +188,7 @@
         let Some(station) = station.filter(|station| station.incarnation == life) else {
             return;
         };
-        station.inspected = None;
+        station.asked(inspection.is_some());
         station.pause = turn.now + BACKOFF;
         if inspection.is_some_and(|inspection| inspection.busy) {
             station.pause = turn.now + BUSY;
@@ -425,10 +425,10 @@
             station.note(&step.action, false, now);
         }
         station.given = Some(Given {
+            order: order.clone(),
             action: step.action,
             due: now + lasts,
             accepted: false,
-            after: station.accepted,
         });
         turn.out.push(Output::Order(order));
         self.show_hosted(&step.target, now);
--- a/crates/control/src/hosting/station.rs
+++ b/crates/control/src/hosting/station.rs
@@ -5,7 +5,7 @@
 
 use cornelhitch_planner::hosting::{Action, Held};
 use cornelhitch_types::id::{Incarnation, ModelId, Name, Time};
-use cornelhitch_types::order::{Outcome, Reply};
+use cornelhitch_types::order::{Order, Outcome, Reply};
 use cornelhitch_types::target::{Holding, Stage};
 
 use crate::workers::Beat;
@@ -16,6 +16,12 @@
 /// How long after its expected end an order is known to be over, mostly.
 const TAIL: Time = Time::from_millis(100);
 
+/// How long it takes to learn what a worker has accepted, mostly.
+const ASKING: Time = Time::from_millis(500);
+
+/// Inspections without an answer after which a worker is not counted on.
+const SILENT: u32 = 2;
+
 /// The shortest time that an order in progress is expected to take yet.
 const LEAST: Time = Time::from_millis(20);
 
@@ -26,14 +32,14 @@
 /// An order that was given.
 #[derive(Debug, Clone)]
 pub(super) struct Given {
-    /// What.
+    /// The order as it was sent.
+    pub(super) order: Order,
+    /// What it does.
     pub(super) action: Action,
     /// When it is expected to have been carried out.
     pub(super) due: Time,
     /// Whether the worker accepted it.
     pub(super) accepted: bool,
-    /// The count that it was given for.
-    pub(super) after: Option<u64>,
 }
 
 /// A model or an adapter that was ordered not long ago.
@@ -73,6 +79,8 @@
     pub(super) near: Arc<BTreeMap<ModelId, Stage>>,
     /// Since when it is asked what it has accepted.
     pub(super) inspected: Option<Time>,
+    /// Inspections that were not answered, since the last one that was.
+    unanswered: u32,
     /// It is given no order before.
     pub(super) pause: Time,
 }
@@ -87,14 +95,17 @@
             ledger: Vec::new(),
             near: Arc::default(),
             inspected: None,
+            unanswered: 0,
             pause: Time::ZERO,
         }
     }
 
-    /// How long until it takes an order, if that is known.
+    /// How long until it takes an order; none where it does not say what it has accepted.
     pub(super) fn free_in(&self, now: Time) -> Option<Time> {
-        self.accepted?;
         let pause = self.pause.saturating_sub(now);
+        if self.accepted.is_none() {
+            return (self.unanswered < SILENT).then_some(ASKING.max(pause));
+        }
         let Some(given) = &self.given else {
             return Some(pause);
         };
@@ -104,6 +115,12 @@
         Some(left.max(pause).max(LEAST))
     }
 
+    /// An inspection has ended, with an answer or without.
+    pub(super) fn asked(&mut self, answered: bool) {
+        self.inspected = None;
+        self.unanswered = if answered { 0 } else { self.unanswered + 1 };
+    }
+
     /// The model that it loads.
     pub(super) fn coming(&self) -> Option<&ModelId> {
         match &self.given.as_ref()?.action {
@@ -217,10 +234,12 @@
     }
 
     /// Takes in what became of an order.
-    pub(super) fn done(&mut self, after: Option<u64>, outcome: &Outcome, now: Time) {
-        // The outcome of an order that an inspection has settled comes too late to count.
+    ///
+    /// Only the order in progress counts: an earlier one that an inspection has settled may have been
+    /// given for the same number of accepted orders.
+    pub(super) fn done(&mut self, order: &Order, outcome: &Outcome, now: Time) {
         let given = self.given.as_mut();
-        let Some(given) = given.filter(|given| given.after == after && !given.accepted) else {
+        let Some(given) = given.filter(|given| given.order == *order && !given.accepted) else {
             return;
         };
         match outcome {
--- a/crates/planner/src/hosting.rs
+++ b/crates/planner/src/hosting.rs
@@ -262,11 +262,13 @@
             return;
         }
         let near = round.scene.nearby();
-        let models = round
-            .scene
-            .models
-            .keys()
-            .filter(|model| !self.is_planned(model));
+        // What is waited for goes where it is served the soonest, even if that worker is busy now.
+        let waited = |model| {
+            let wish = round.scene.wishes.get(model);
+            round.copies(model) == 0 && wish.is_some_and(|wish| wish.waiting > 0)
+        };
+        let models = round.scene.models.keys();
+        let models = models.filter(|model| !self.is_planned(model) && !waited(model));
         let mut models: Vec<(&ModelId, (u32, usize, u64))> = models
             .map(|model| {
                 let copies = round.copies(model).min(1);
