Prompts that share a part go to the same replica from all entry hosts

Each of 54 hosts remembered only its own sends, so that every copy of a busy model read all of its 52 shared parts.

Ruled out: more copies (all workers with the weights near hold them already, the store carries two loads in 10.2 s); uneven copies (33, 42, 47 and 60 requests on the four copies of one model).

Change: where a request tells the parts of its prompt, the replica that rendezvous hashing gives for all but the last part counts as holding it.

--- a/crates/entry/src/affinity.rs
+++ b/crates/entry/src/affinity.rs
@@ -6,6 +6,7 @@
 //! prefix.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use cornelhitch_types::id::{ModelId, TargetId};
 use cornelhitch_types::target::CacheEvent;
@@ -17,6 +18,10 @@
 /// The trust in a prompt that was only sent there.
 const EXPECTED: f64 = 0.7;
 
+/// The trust in the shared part of a prompt at the target that all hosts prefer for it: more than in
+/// what this host sent elsewhere, so that all hosts end up at the same target.
+const PREFERRED: f64 = 0.8;
+
 /// What is left of the trust in old events after a gap.
 const AFTER_GAP: f64 = 0.5;
 
@@ -102,17 +107,52 @@
                 continue;
             };
             if entry.held {
-                let length = match sizes.get(index) {
-                    Some(tokens) => f64::from(*tokens) / BLOCK_TOKENS,
-                    None => f64::from(u32::try_from(index + 1).unwrap_or(u32::MAX)),
-                };
-                blocks = f64::max(blocks, length * entry.trust);
+                blocks = f64::max(blocks, length(index, sizes) * entry.trust);
             }
         }
         blocks
     }
 }
 
+/// The blocks up to the end of a prefix.
+fn length(index: usize, sizes: &[u32]) -> f64 {
+    match sizes.get(index) {
+        Some(tokens) => f64::from(*tokens) / BLOCK_TOKENS,
+        None => f64::from(u32::try_from(index + 1).unwrap_or(u32::MAX)),
+    }
+}
+
+/// Which target all hosts prefer for the prompts that share all but their last part, and how many
+/// blocks of them it is believed to hold.
+///
+/// Hosts tell each other nothing of the prompts that they send, so that each would fill the caches
+/// of all replicas with the same parts. The choice is by rendezvous hashing (Thaler and Ravishankar
+/// 1998): hosts that know the same targets agree, and few prompts move when a target comes or goes.
+///
+/// ```
+/// use cornelhitch_entry::affinity::preferred;
+/// use cornelhitch_types::id::TargetId;
+///
+/// let targets: [TargetId; 2] = ["worker-1".into(), "worker-2".into()];
+/// let (one, _) = preferred(&targets, &[7, 8], &[]).expect("a shared part");
+/// assert_eq!(preferred(&targets, &[7, 9], &[]).map(|(target, _)| target), Some(one));
+/// assert_eq!(preferred(&targets, &[8], &[]), None);
+/// ```
+pub fn preferred<'a>(
+    targets: impl IntoIterator<Item = &'a TargetId>,
+    prefixes: &[u64],
+    sizes: &[u32],
+) -> Option<(&'a TargetId, f64)> {
+    let shared = prefixes.len().checked_sub(2)?;
+    let weight = |target: &&TargetId| {
+        let mut hasher = DefaultHasher::new();
+        (prefixes[shared], &***target).hash(&mut hasher);
+        hasher.finish()
+    };
+    let target = targets.into_iter().max_by_key(weight)?;
+    Some((target, length(shared, sizes) * PREFERRED))
+}
+
 impl Cache {
     /// Takes one event.
     fn take(&mut self, event: CacheEvent) {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -4,6 +4,7 @@
 use cornelhitch_types::view::State;
 
 use crate::action::{Action, Destination};
+use crate::affinity;
 use crate::config::Guard;
 use crate::core::Core;
 use crate::estimate::Supply;
@@ -271,10 +272,11 @@
             fit.retain(fresh);
         }
         let whole = self.paces.get(&call.key).whole().unwrap_or_default();
-        let candidates: Vec<Candidate> = fit
+        let mut candidates: Vec<Candidate> = fit
             .iter()
             .map(|index| self.priced(call, &options[*index].candidate))
             .collect();
+        prefer(call, &mut candidates);
         let whole_ms = whole.as_secs_f64() * 1_000.0;
         let chosen = self.config.router.choose(whole_ms, &candidates)?;
         fit.get(chosen).copied()
@@ -396,3 +398,21 @@
         });
     }
 }
+
+/// Notes which candidate all hosts prefer for the shared part of a prompt, where the request tells
+/// the parts of its prompt.
+fn prefer(call: &Call, candidates: &mut [Candidate]) {
+    let Some(terms) = &call.request.terms else {
+        return;
+    };
+    let targets = candidates.iter().map(|candidate| &candidate.place.target);
+    let preferred = affinity::preferred(targets, &call.request.prefixes, &terms.sizes);
+    let Some((target, blocks)) = preferred.map(|(target, blocks)| (target.clone(), blocks)) else {
+        return;
+    };
+    for candidate in candidates {
+        if candidate.place.target == target {
+            candidate.cached = candidate.cached.max(blocks);
+        }
+    }
+}
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -130,6 +130,14 @@
             terms: None,
         }
     }
+
+    /// Takes off what has passed of the caller's time and of its route's before the request came in.
+    pub fn spend(&mut self, time: Duration) {
+        self.deadline = self.deadline.map(|left| left.saturating_sub(time));
+        if let Some(terms) = &mut self.terms {
+            terms.limit = terms.limit.saturating_sub(time);
+        }
+    }
 }
 
 /// How an attempt failed.
