Latency histograms and refusals by reason on the metrics address

Change: four histograms (start, end and refusal of requests, orders), each with fixed buckets in the text form of Prometheus, and refusals by reason.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -346,7 +346,7 @@
             self.reply(Part::Data(rest)).await?;
         }
         self.reply(Part::End).await?;
-        self.metrics.one(Count::AnswersEnded);
+        self.metrics.ended(self.exchange.arrived.elapsed());
         Ok(())
     }
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 
 use crate::body::{self, Body};
 use crate::entry::Input;
@@ -76,13 +77,14 @@
         if self.protocol.takes(parts.uri.path()) {
             return self.target(&parts, body).await;
         }
+        let since = Instant::now();
         let served = match Way::of(&parts) {
             Some(Ok(way)) => self.request(way, parts, body, from).await,
             Some(Err(refusal)) => Err(refusal),
             None => self.page(&parts).await,
         };
         served.unwrap_or_else(|refusal| {
-            self.metrics.one(Count::Refusals);
+            self.metrics.refused(&refusal, since.elapsed());
             tracing::debug!(reason = %refusal.reason, detail = &*refusal.detail, "refused");
             Problem::from(&refusal).response()
         })
--- a/crates/node/src/exposition.rs
+++ b/crates/node/src/exposition.rs
@@ -1,6 +1,5 @@
-//! Counters as text, one a line.
+//! Counters and latencies as text.
 
-use std::fmt::Write;
 use std::net::SocketAddr;
 
 use http::header::CONTENT_TYPE;
@@ -19,13 +18,7 @@
 
 impl Service for Exposition {
     async fn serve(&self, _: Request<Incoming>, _: SocketAddr) -> Response<Body> {
-        let mut text = String::new();
-        for (name, sum) in &self.metrics.sums().0 {
-            let name = name.replace(['.', '-'], "_");
-            // Writing to a string cannot fail.
-            let _ = writeln!(text, "{name}_total {sum}");
-        }
-        let mut response = Response::new(body::whole(text));
+        let mut response = Response::new(body::whole(self.metrics.text()));
         let media_type = HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(CONTENT_TYPE, media_type);
         response
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -18,6 +18,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 
 use crate::body::{self, Body};
 use crate::callers::{Departure, answered, collect};
@@ -131,9 +132,10 @@
     async fn serve(&self, request: Request<Incoming>, from: SocketAddr) -> Response<Body> {
         let (parts, body) = request.into_parts();
         self.metrics.one(Count::Requests);
+        let since = Instant::now();
         let served = self.request(parts, body, from).await;
         served.unwrap_or_else(|refusal| {
-            self.metrics.one(Count::Refusals);
+            self.metrics.refused(&refusal, since.elapsed());
             self.ingress.refusal(&refusal).map(body::whole)
         })
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod exposition;
 pub mod header;
 pub mod ingress;
+pub mod latency;
 pub mod message;
 pub mod metrics;
 pub mod node;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,14 +1,19 @@
-//! Counters of one process, exported over OpenTelemetry and shown in the dump.
+//! Counters and latencies of one process, exported over OpenTelemetry, shown in the dump and served
+//! as text.
 
 use std::collections::BTreeMap;
+use std::fmt::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use cornelhitch_types::refusal::{Reason, Refusal};
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use serde::Serialize;
 use strum::{EnumIter, IntoEnumIterator, IntoStaticStr};
 
+use crate::latency::Latency;
+
 /// What is counted; a new row here is a new counter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case", prefix = "cornelhitch.")]
@@ -55,6 +60,20 @@
     Applied,
 }
 
+/// What is timed; a new row here is a new histogram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case", prefix = "cornelhitch.")]
+pub enum Timing {
+    /// From a request's arrival to the first byte of its answer.
+    RequestStart,
+    /// From a request's arrival to the end of its answer.
+    RequestWhole,
+    /// From a request's arrival to its refusal.
+    RequestRefused,
+    /// From an order to its outcome.
+    Order,
+}
+
 /// The counters of one process; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -66,7 +85,10 @@
 struct Instruments {
     counters: Vec<Counter<u64>>,
     sums: Vec<AtomicU64>,
-    start: Histogram<f64>,
+    /// Refusals by reason.
+    reasons: Vec<AtomicU64>,
+    histograms: Vec<Histogram<f64>>,
+    latencies: Vec<Latency>,
 }
 
 /// Sums by name, for the dump.
@@ -77,11 +99,16 @@
 impl From<&Meter> for Metrics {
     fn from(meter: &Meter) -> Self {
         let counter = |count: Count| meter.u64_counter(<&str>::from(count)).build();
-        let start = meter.f64_histogram("cornelhitch.request-start");
+        let histogram = |timing: Timing| {
+            let histogram = meter.f64_histogram(<&str>::from(timing));
+            histogram.with_unit("s").build()
+        };
         let instruments = Instruments {
             counters: Count::iter().map(counter).collect(),
             sums: Count::iter().map(|_| AtomicU64::new(0)).collect(),
-            start: start.with_unit("s").build(),
+            reasons: Reason::iter().map(|_| AtomicU64::new(0)).collect(),
+            histograms: Timing::iter().map(histogram).collect(),
+            latencies: Timing::iter().map(|_| Latency::default()).collect(),
         };
         Self {
             instruments: Arc::new(instruments),
@@ -127,12 +154,43 @@
         self.many(Count::BytesReceived, bytes as u64);
     }
 
+    /// Records how long something took.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use cornelhitch_node::metrics::{Metrics, Timing};
+    ///
+    /// let metrics = Metrics::default();
+    /// metrics.took(Timing::Order, Duration::from_millis(3));
+    /// assert!(metrics.text().contains("cornelhitch_order_seconds_count 1\n"));
+    /// ```
+    pub fn took(&self, timing: Timing, latency: Duration) {
+        let instruments = &self.instruments;
+        instruments.histograms[timing as usize].record(latency.as_secs_f64(), &[]);
+        instruments.latencies[timing as usize].record(latency);
+    }
+
     /// An answer began some time after its request.
     pub fn started(&self, after: Duration) {
-        self.instruments.start.record(after.as_secs_f64(), &[]);
+        self.took(Timing::RequestStart, after);
         self.one(Count::AnswersBegun);
     }
 
+    /// An answer ended whole some time after its request.
+    pub fn ended(&self, after: Duration) {
+        self.took(Timing::RequestWhole, after);
+        self.one(Count::AnswersEnded);
+    }
+
+    /// A request was refused some time after it came.
+    pub fn refused(&self, refusal: &Refusal, after: Duration) {
+        self.took(Timing::RequestRefused, after);
+        let reasons = &self.instruments.reasons;
+        reasons[refusal.reason as usize].fetch_add(1, Ordering::Relaxed);
+        self.one(Count::Refusals);
+    }
+
     /// One sum so far.
     #[must_use]
     pub fn sum(&self, count: Count) -> u64 {
@@ -148,4 +206,29 @@
                 .collect(),
         )
     }
+
+    /// All of it in the text form that Prometheus reads.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        for (name, sum) in &self.sums().0 {
+            let _ = writeln!(text, "{}_total {sum}", plain(name));
+        }
+        for reason in Reason::iter() {
+            let count = self.instruments.reasons[reason as usize].load(Ordering::Relaxed);
+            let name = "cornelhitch_refusals_by_reason_total";
+            let _ = writeln!(text, "{name}{{reason=\"{reason}\"}} {count}");
+        }
+        for timing in Timing::iter() {
+            let name = plain(timing.into());
+            self.instruments.latencies[timing as usize].write(&name, &mut text);
+        }
+        text
+    }
+}
+
+/// A name as Prometheus allows it.
+fn plain(name: &str) -> String {
+    name.replace(['.', '-'], "_")
 }
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::control::{Lease, Told};
-use crate::metrics::{Count, Metrics};
+use crate::metrics::{Count, Metrics, Timing};
 
 /// Time that an order and its answer may take.
 const LIMIT: Duration = Duration::from_secs(5);
@@ -53,7 +53,9 @@
             None => LIMIT,
         };
         let sending = self.client.order(self.address, &self.order, limit, gate);
+        let since = Instant::now();
         let outcome = sending.await;
+        self.metrics.took(Timing::Order, since.elapsed());
         if outcome == Outcome::Unknown {
             self.metrics.one(Count::OrdersUnknown);
         }
