Hosts that start are served by a leader sooner, and let requests wait for it

Links were opened only with the first vote (0.2 s between regions), entry hosts asked voters in turn, and meanwhile refused all requests for 0.5 s, most of which came back too early, without another try.

Ruled out: a shorter first election time-out; a voter that has just started may have promised its vote to a leader that still holds its lease.

Change: voters and entry hosts open their links when they start; a voter that was asked before it knew a leader tells when it does; requests to a host that has just started wait up to 1.5 s from its start for the first table of routes, and their time is counted from their arrival.

--- a/crates/node/src/candidates.rs
+++ b/crates/node/src/candidates.rs
@@ -20,6 +20,8 @@
     learned: Vec<Peer>,
     /// The one that is taken for the leader.
     leader: Option<HostId>,
+    /// Whether it has spoken as the leader since it was turned to.
+    heard: bool,
     /// The one that a voter named as the leader since the last turn.
     named: Option<HostId>,
     /// When a named host was last to be turned to at once.
@@ -49,6 +51,20 @@
         self.find(self.leader?)
     }
 
+    /// Notes that a voter spoke as the leader; says whether it is the one that is taken for it.
+    pub fn hear(&mut self, from: HostId) -> bool {
+        let leads = self.leader == Some(from);
+        self.heard |= leads;
+        leads
+    }
+
+    /// Whether to heed a voter that names the leader: the one that is taken for the leader, or, until
+    /// that one has spoken as the leader, any other that was asked before and has learned of it since.
+    #[must_use]
+    pub fn heeds(&self, from: HostId, names_one: bool) -> bool {
+        self.leader == Some(from) || (names_one && !self.heard)
+    }
+
     /// Notes the leader that a voter named: the next turn goes to it, whenever that is.
     ///
     /// Says whether to turn now, which is so unless another name was obeyed less than [`PAUSE`] ago.
@@ -121,6 +137,7 @@
         let named = self.named.take();
         let named = named.filter(|host| self.find(*host).is_some());
         self.leader = named.or_else(|| self.next());
+        self.heard = false;
     }
 
     /// The one after the one that is taken for the leader.
@@ -139,7 +156,7 @@
     }
 
     /// All of them, those of the settings first.
-    fn iter(&self) -> impl Iterator<Item = &Peer> {
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
         self.settings.iter().chain(&self.learned)
     }
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -164,6 +164,8 @@
     pub(crate) leading: bool,
     /// Hosts that follow the view.
     pub(crate) subscribers: HashSet<HostId>,
+    /// Hosts that asked for the leader while none was known here.
+    pub(crate) unled: HashSet<HostId>,
     /// The voters that subscribers were told of.
     voters: Vec<process::Peer>,
     /// Where the renewals of hosts come from.
@@ -199,6 +201,7 @@
         following: None,
         leading: false,
         subscribers: HashSet::new(),
+        unled: HashSet::new(),
         voters: Vec::new(),
         renewals: HashMap::new(),
         reservations: Reservations::default(),
@@ -587,6 +590,7 @@
                 self.leading = true;
                 self.lead(Input::Elected { term });
                 self.begin();
+                self.name_leader(self.setup.me);
             }
             Some(Waiting::Read(answer)) => {
                 let text = self.state.document().text().cloned();
@@ -655,6 +659,15 @@
         if role == Role::Leader {
             let id = self.wait(Waiting::Election(term));
             self.event(Event::Barrier { id });
+        } else if let Some(leader) = leader {
+            self.name_leader(leader);
+        }
+    }
+
+    /// Tells the hosts that asked before there was a leader.
+    fn name_leader(&mut self, leader: HostId) {
+        for host in std::mem::take(&mut self.unled) {
+            self.not_leader(host, None, Some(leader));
         }
     }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -18,7 +18,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::body::{self, Body};
 use crate::callers::{Departure, answered, collect};
@@ -29,6 +29,10 @@
 use crate::problem::not_run;
 use crate::server::Service;
 
+/// How long after the start of a host requests wait for its first table of routes, which takes about
+/// a second when the voters have started too. After that they are refused at once.
+pub const WARM_UP: Duration = Duration::from_millis(1_500);
+
 /// When a caller may come back to a host that does not know any routes yet.
 const UNREADY: Duration = Duration::from_millis(500);
 
@@ -126,6 +130,8 @@
     pub metrics: Metrics,
     /// The number of the next request.
     pub next: AtomicU64,
+    /// Until when requests wait for the first table.
+    pub warm: Instant,
 }
 
 impl Service for Door {
@@ -149,11 +155,9 @@
         body: Incoming,
         from: SocketAddr,
     ) -> Result<Response<Body>, Refusal> {
-        let routes = self.routes.borrow().clone();
-        let routes = routes.ok_or_else(|| Refusal {
-            retry_after: Some(UNREADY),
-            ..not_run(Reason::Unavailable, "this host knows no routes yet")
-        })?;
+        let since = Instant::now();
+        let routes = self.routes().await?;
+        let waited = since.elapsed();
         let route = routes
             .find(&parts)
             .ok_or_else(|| not_run(Reason::Unknown, "no route has this host and path"))?;
@@ -161,7 +165,8 @@
         let body = collect(body, routes.table.limits.body).await?;
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let (reply, answer) = mpsc::channel(PARTS);
-        let (call, payload) = read(id, route, &routes.table, ask, parts, body, from)?;
+        let (mut call, payload) = read(id, route, &routes.table, ask, parts, body, from)?;
+        call.spend(waited);
         let streams = payload.streams;
         let intake = Intake {
             request: call,
@@ -175,6 +180,18 @@
         let _ = self.inputs.send(Input::Intake(Box::new(intake)));
         answered(answer, departure, |status| streams && status.is_success()).await
     }
+
+    /// The routes in force here; a host that has just started waits for its first table.
+    async fn routes(&self) -> Result<Arc<Routes>, Refusal> {
+        let mut routes = self.routes.clone();
+        let first = timeout_at(self.warm, routes.wait_for(Option::is_some)).await;
+        let known = first.ok().and_then(Result::ok);
+        let known = known.and_then(|routes| routes.clone());
+        known.ok_or_else(|| Refusal {
+            retry_after: Some(UNREADY),
+            ..not_run(Reason::Unavailable, "this host knows no routes yet")
+        })
+    }
 }
 
 /// Reads a request into what the core and the target need.
--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -34,7 +34,7 @@
 use crate::entry::{self, Input};
 use crate::error::{DataSnafu, Error, FleetSnafu, SystemSnafu};
 use crate::exposition::Exposition;
-use crate::ingress::{Door, Pages, Routes};
+use crate::ingress::{Door, Pages, Routes, WARM_UP};
 use crate::message::Incoming;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
@@ -199,6 +199,9 @@
         }
         let now = self.epoch.elapsed();
         let core = quorum::core::Core::new(config, recovered, self.incarnation, now);
+        for voter in core.status().members.voters() {
+            self.switch.open(voter);
+        }
         let setup = control::Setup {
             me,
             voters,
@@ -297,6 +300,7 @@
                 ingress,
                 metrics,
                 next,
+                warm: Instant::now() + WARM_UP,
             };
             return tokio::spawn(server::run(listener, Arc::new(door), close));
         }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -226,6 +226,9 @@
     async fn run(mut self, mut asked: mpsc::UnboundedReceiver<Command>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        for candidate in self.candidates.iter() {
+            self.setup.switch.open(candidate.host);
+        }
         self.subscribe();
         loop {
             tokio::select! {
@@ -306,8 +309,8 @@
     fn downward(&mut self, from: Peer, downward: Downward) {
         match downward {
             Downward::NotLeader { leader, .. } => {
-                if self.leader() == Some(from.host) {
-                    self.turn(leader.filter(|leader| leader.host != from.host));
+                if self.candidates.heeds(from.host, leader.is_some()) {
+                    self.turn(leader);
                 }
             }
             Downward::Voters {
@@ -371,7 +374,7 @@
 
     /// Notes that the leader lives.
     fn hear(&mut self, from: Peer) {
-        if self.leader() == Some(from.host) {
+        if self.candidates.hear(from.host) {
             self.heard = Instant::now();
         }
     }
--- a/crates/node/src/switch.rs
+++ b/crates/node/src/switch.rs
@@ -31,6 +31,9 @@
 /// Time after which an end of a link that has nothing to say says so.
 const KEEP_ALIVE: Duration = Duration::from_millis(700);
 
+/// The payload of such a frame, which no message has.
+const KEEP_ALIVE_FRAME: Bytes = Bytes::new();
+
 /// Silence after which a link counts as dead: three times [`KEEP_ALIVE`], so that one late frame does
 /// no harm, and less than hosts may be out of touch. TCP alone would wait for minutes.
 const SILENCE: Duration = Duration::from_millis(2_100);
@@ -189,6 +192,15 @@
         self.address(host).unwrap_or(told.address)
     }
 
+    /// Opens the link to a host ahead of the first message, which would else wait for it.
+    pub fn open(&self, to: HostId) {
+        if to != self.shared.me.host
+            && let Some(queue) = self.shared.queue(to)
+        {
+            let _ = queue.try_send(KEEP_ALIVE_FRAME);
+        }
+    }
+
     /// Sends a message to a host, if there is or can be a link to it.
     pub fn send(&self, to: HostId, message: Message) {
         if to == self.shared.me.host {
@@ -430,7 +442,7 @@
                 None => match timeout(KEEP_ALIVE, waiting.recv()).await {
                     Ok(Some(bytes)) => bytes,
                     Ok(None) => return Ok(()),
-                    Err(_) => Bytes::new(),
+                    Err(_) => KEEP_ALIVE_FRAME,
                 },
             };
             sender.feed(bytes).await?;
@@ -444,8 +456,7 @@
     let receiving = async {
         while let Ok(next) = timeout(SILENCE, receiver.next()).await {
             let Some(bytes) = next? else { return Ok(()) };
-            let is_keep_alive = bytes.is_empty();
-            if !is_keep_alive && !shared.cut.borrow().contains(&peer.host) {
+            if bytes != KEEP_ALIVE_FRAME && !shared.cut.borrow().contains(&peer.host) {
                 shared.deliver(peer, &bytes);
             }
         }
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -32,6 +32,9 @@
             };
             let leader = self.following.filter(|leader| *leader != self.setup.me);
             self.not_leader(from.host, call, leader);
+            if leader.is_none() {
+                self.unled.insert(from.host);
+            }
             return;
         }
         match upward {
--- a/crates/node/tests/candidates.rs
+++ b/crates/node/tests/candidates.rs
@@ -104,3 +104,20 @@
     candidates.turn();
     assert_eq!(leader(&candidates), Some(6));
 }
+
+/// After a loss of power all voters are asked before one leads. The first that learns of the leader
+/// tells, so that nobody has to ask in turns until then.
+#[test]
+fn any_voter_may_name_the_leader_until_one_has_spoken() {
+    let mut candidates = Candidates::new(vec![peer(1), peer(2), peer(3)], 9);
+    assert!(candidates.heeds(1, false), "it is the one that was asked");
+    assert!(!candidates.heeds(2, false), "it knows no more");
+    assert!(candidates.heeds(2, true));
+    assert!(!candidates.hear(2), "it is not taken for the leader");
+    assert!(candidates.name(peer(3), Instant::now()));
+    candidates.turn();
+    assert_eq!(candidates.leader(), Some(&peer(3)));
+    assert!(candidates.hear(3));
+    assert!(!candidates.heeds(2, true), "an old word of another voter");
+    assert!(candidates.heeds(3, true), "it gives up its lead");
+}
