Members that start at the same microsecond draw different time-outs

Change: the seed is a hash of the member's number and its incarnation.

Test: the example of quorum::core::seed, which fails for a seed by the incarnation alone.

--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -198,7 +198,8 @@
             config.heartbeat = HEARTBEAT;
         }
         let now = self.epoch.elapsed();
-        let core = quorum::core::Core::new(config, recovered, self.incarnation, now);
+        let seed = quorum::core::seed(me, self.incarnation);
+        let core = quorum::core::Core::new(config, recovered, seed, now);
         for voter in core.status().members.voters() {
             self.switch.open(voter);
         }
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -17,6 +17,7 @@
 mod transfer;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -24,7 +25,7 @@
 use crate::action::Action;
 use crate::config::{Config, Fault};
 use crate::event::Event;
-use crate::id::{Index, MemberId, Peer, RequestId, Term, Time};
+use crate::id::{Incarnation, Index, MemberId, Peer, RequestId, Term, Time};
 use crate::log::{Log, Payload};
 use crate::member::{History, Membership};
 use crate::message::Envelope;
@@ -84,6 +85,25 @@
     actions: Vec<Action>,
 }
 
+/// The seed of a member's random choices.
+///
+/// Members may start at the same microsecond, when power comes back, and then have the same
+/// incarnation. With equal seeds they would time out together and split every vote.
+///
+/// ```
+/// use cornelhitch_quorum::core::seed;
+///
+/// let incarnation = 1_796_354_402_852_797;
+/// assert_ne!(seed(1, incarnation), seed(2, incarnation));
+/// assert_ne!(seed(1, incarnation), seed(1, incarnation + 1));
+/// ```
+#[must_use]
+pub fn seed(member: MemberId, incarnation: Incarnation) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (member, incarnation).hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Core {
     /// A member that goes on from what its store holds. `seed` spreads elections; give each
     /// member and each start another one.
