Connections to targets wait as long as the target says it keeps them

Change: a connection waits for the target's time less a second, 30 s at most, and 4 s as before where the target does not say.

--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -16,7 +16,7 @@
 use crate::client::{Answer, Cache, Call, Chunks, Client, Gate, Generate, Reply, RequestId};
 use crate::error::Error;
 use crate::message::{
-    REQUEST_ID, REQUESTS, broken, cache_request, check_id, generate_request, is_marked,
+    REQUEST_ID, REQUESTS, broken, cache_request, check_id, generate_request, is_marked, kept,
     order_request, outcome, plain_request, set_deadline, status, success, unsent,
 };
 use crate::parts::{self, Source};
@@ -190,7 +190,7 @@
             None => self.pool.connect(address).await?,
         };
         if !gate.pass().await {
-            self.pool.put(address, sender);
+            self.pool.put(address, sender, None);
             return Err(Error::Withdrawn);
         }
         let arrived = self.hand_over(address, request, sender, stale).await?;
@@ -233,6 +233,7 @@
             address,
             body,
             marked,
+            kept: kept(&head.headers),
             sender: arrived.sender,
             pool: self.pool.clone(),
             silence: self.silence,
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -176,6 +176,36 @@
     .fail()
 }
 
+/// Off what a target says of how long it keeps a connection: a request may be on its way when it
+/// closes it.
+const KEPT_MARGIN: Duration = Duration::from_secs(1);
+
+/// The longest time that a connection waits, whatever its target says.
+const KEPT_LONGEST: Duration = Duration::from_secs(30);
+
+/// How long a connection may wait for its next request by the word of the target: `Keep-Alive:
+/// timeout=15` in whole seconds (RFC 2068, section 19.7.1).
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use cornelhitch_target::message::kept;
+///
+/// let mut headers = http::HeaderMap::new();
+/// assert_eq!(kept(&headers), None);
+/// headers.insert("keep-alive", "timeout=15, max=100".parse()?);
+/// assert_eq!(kept(&headers), Some(Duration::from_secs(14)));
+/// # Ok::<(), http::header::InvalidHeaderValue>(())
+/// ```
+#[must_use]
+pub fn kept(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parameters = text.split(',').filter_map(|it| it.trim().split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
+    let kept = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(kept.saturating_sub(KEPT_MARGIN).min(KEPT_LONGEST))
+}
+
 /// Whether an answer says where its body ends.
 ///
 /// In HTTP/1 a body without a length and without chunks ends with its connection
--- a/crates/target/src/parts.rs
+++ b/crates/target/src/parts.rs
@@ -27,6 +27,8 @@
     pub marked: bool,
     /// The connection.
     pub sender: Sender,
+    /// How long the target keeps the connection for another request, where it said so.
+    pub kept: Option<Duration>,
     /// Where the connection goes once the body is read.
     pub pool: Pool,
     /// How long no byte may come.
@@ -65,7 +67,7 @@
             }
             .fail();
         }
-        self.pool.put(self.address, self.sender);
+        self.pool.put(self.address, self.sender, self.kept);
         Ok(whole.freeze())
     }
 
@@ -74,7 +76,7 @@
         tokio::spawn(async move {
             let end = timeout(TAIL, self.next()).await;
             if matches!(end, Ok(Ok(None))) {
-                self.pool.put(self.address, self.sender);
+                self.pool.put(self.address, self.sender, self.kept);
             }
         });
     }
@@ -90,7 +92,7 @@
             Ok(Some(bytes)) => Some((Ok(bytes), Some(source))),
             Ok(None) => {
                 if source.marked {
-                    source.pool.put(source.address, source.sender);
+                    source.pool.put(source.address, source.sender, source.kept);
                 }
                 None
             }
--- a/crates/target/src/pool.rs
+++ b/crates/target/src/pool.rs
@@ -73,8 +73,8 @@
 struct Idle {
     /// The connection.
     sender: Sender,
-    /// Since when.
-    since: Instant,
+    /// Until when it is used.
+    until: Instant,
 }
 
 /// Connections that wait.
@@ -87,13 +87,14 @@
 
 impl Waiting {
     /// Drops what waited too long, for all targets, once in that time.
-    fn sweep(&mut self, idle: Duration) {
-        if self.swept.elapsed() < idle {
+    fn sweep(&mut self, pause: Duration) {
+        if self.swept.elapsed() < pause {
             return;
         }
-        self.swept = Instant::now();
+        let now = Instant::now();
+        self.swept = now;
         self.targets.retain(|_, waiting| {
-            waiting.retain(|connection| connection.since.elapsed() < idle);
+            waiting.retain(|connection| now < connection.until);
             !waiting.is_empty()
         });
     }
@@ -108,7 +109,7 @@
     version: Version,
     /// How long a connection may take to stand.
     connect: Duration,
-    /// How long one may wait for its next request.
+    /// How long one may wait for its next request, where its target does not say.
     idle: Duration,
     /// How many wait for one target at most.
     most: usize,
@@ -137,7 +138,7 @@
                 continue;
             }
             if let Sender::Two(shared) = &sender {
-                self.put(address, Sender::Two(shared.clone()));
+                self.put(address, Sender::Two(shared.clone()), None);
             }
             return Some(sender);
         }
@@ -151,8 +152,9 @@
         opened.context(ConnectSnafu { address })
     }
 
-    /// Keeps a connection for the next request; of one that is shared, once is enough.
-    pub fn put(&self, address: SocketAddr, sender: Sender) {
+    /// Keeps a connection for the next request, for as long as its target said or else for the pool's
+    /// time; of one that is shared, once is enough.
+    pub fn put(&self, address: SocketAddr, sender: Sender, kept: Option<Duration>) {
         let most = match sender {
             Sender::One(_) => self.most,
             Sender::Two(_) => 1,
@@ -161,8 +163,8 @@
         waiting.sweep(self.idle);
         let idle = waiting.targets.entry(address).or_default();
         if idle.len() < most {
-            let since = Instant::now();
-            idle.push(Idle { sender, since });
+            let until = Instant::now() + kept.unwrap_or(self.idle);
+            idle.push(Idle { sender, until });
         }
     }
 
@@ -170,7 +172,7 @@
     fn pop(&self, address: SocketAddr) -> Option<Sender> {
         let mut waiting = self.waiting();
         let last = waiting.targets.get_mut(&address)?.pop()?;
-        (last.since.elapsed() < self.idle).then_some(last.sender)
+        (Instant::now() < last.until).then_some(last.sender)
     }
 
     /// The connections that wait.
@@ -193,7 +195,7 @@
                 let handshake = http2::handshake(TokioExecutor::new(), io).await;
                 let (sender, driver) = handshake.map_err(io::Error::other)?;
                 tokio::spawn(driver);
-                self.put(address, Sender::Two(sender.clone()));
+                self.put(address, Sender::Two(sender.clone()), None);
                 Ok(Sender::Two(sender))
             }
         }
