Relief of a crowded model looks at all workers

Cause: of the workers that take an order, the one to which a crowded model costs the least was chosen first, and dropped where it would lose too much; no other one was looked at.

Change: the cheapest of the workers that may be taken.

Test: a_swamped_model_goes_elsewhere_where_the_nearest_worker_would_lose_too_much fails without the change.

--- a/crates/planner/src/hosting.rs
+++ b/crates/planner/src/hosting.rs
@@ -28,7 +28,7 @@
 /// the last 20 s.
 const ASKED: f64 = 0.02;
 
-/// The most that another copy of a crowded model may cost.
+/// The most that may be lost for another copy of a crowded model.
 const RELIEF_COST: f64 = 4.0;
 
 /// Loads from the weight store at once for models that nobody waits for.
@@ -240,11 +240,11 @@
             if enough || crowd <= CROWDED || self.is_planned(model) {
                 continue;
             }
-            let offer = round.best_free(model).filter(|offer| {
+            let offers = round.free_offers(model).filter(|offer| {
                 let fetched = crowd > SWAMPED;
                 offer.loss < RELIEF_COST && (offer.from >= Stage::Disk || fetched)
             });
-            if let Some(offer) = offer {
+            if let Some(offer) = cheapest(offers) {
                 let plan = Plan {
                     model: model.clone(),
                     reason: Reason::Overloaded,
--- a/crates/planner/src/hosting/round.rs
+++ b/crates/planner/src/hosting/round.rs
@@ -99,10 +99,10 @@
         cheapest((0..self.free.len()).filter_map(|at| self.offer(at, model)))
     }
 
-    /// The worker that takes an order now to which a model costs the least.
-    pub(super) fn best_free(&self, model: &ModelId) -> Option<Offer> {
+    /// What a model costs on each worker that takes an order now.
+    pub(super) fn free_offers(&self, model: &ModelId) -> impl Iterator<Item = Offer> {
         let free = (0..self.free.len()).filter(|at| self.free[*at]);
-        cheapest(free.filter_map(|at| self.offer(at, model)))
+        free.filter_map(|at| self.offer(at, model))
     }
 
     /// What a model costs on one worker.
--- a/crates/planner/tests/hosting.rs
+++ b/crates/planner/tests/hosting.rs
@@ -318,3 +318,24 @@
     let names = names.map(|reason| reason.to_string());
     assert_eq!(names, ["waiting", "overloaded", "room", "expected"]);
 }
+
+/// Seen as `scale-2` of the grown lsda site: up to 92 requests ran on the only copy of a model for
+/// 15 s, while the store was idle. The one worker with the weights near would have lost too much,
+/// and no other one was looked at.
+#[test]
+fn a_swamped_model_goes_elsewhere_where_the_nearest_worker_would_lose_too_much() {
+    let workers = vec![
+        worker("w1", &["a", "e"], &["a", "e"]),
+        worker("w2", &["b", "c"], &["a", "b", "c"]),
+        worker("w3", &["d"], &["d"]),
+    ];
+    // Requests wait for the only copies on the worker that has the weights near.
+    let wishes = [
+        ("a", wish(0, 9, 10.0)),
+        ("b", wish(2, 1, 0.2)),
+        ("c", wish(2, 1, 0.2)),
+        ("d", wish(0, 0, 0.1)),
+    ];
+    let plan = plan(workers, &wishes, 0);
+    assert_eq!(plan, ["w3 load a Remote overloaded"]);
+}
