Targets whose answers are mostly errors are left out while others are well

Change: each entry host counts answers and errors by target, halved each 10 s, and sends to no target with two errors and more than 3 in 10 while another one can take the request.

Test: a_target_that_answers_with_errors_is_left_out_while_another_is_well fails without the change; two more show that all are used where all fail, and that one error is not enough.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -24,6 +24,7 @@
 use crate::event::{CallId, Event};
 use crate::fault::Fault;
 use crate::finish::End;
+use crate::health::Health;
 use crate::lease::Lease;
 use crate::picture::Picture;
 use crate::quarantine::Quarantine;
@@ -72,6 +73,7 @@
     pub(crate) paces: Paces,
     pub(crate) shares: Shares,
     pub(crate) ejections: Ejections,
+    pub(crate) health: Health,
     pub(crate) caches: Caches,
     pub(crate) quarantine: Quarantine,
     pub(crate) stopped: Stopped,
@@ -114,6 +116,7 @@
             paces: Paces::default(),
             shares: Shares::default(),
             ejections: Ejections::default(),
+            health: Health::default(),
             caches: Caches::default(),
             quarantine: Quarantine::default(),
             stopped: Stopped::default(),
@@ -144,6 +147,11 @@
             Event::Recorded { id } => self.recorded(id),
             Event::Sent { id, attempt } => self.sent(id, attempt),
             Event::Begun { id, attempt } => self.begun(id, attempt),
+            Event::Answered {
+                target,
+                incarnation,
+                error,
+            } => self.answered(&target, incarnation, error),
             Event::Progress {
                 id,
                 attempt,
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -271,6 +271,10 @@
         if fit.iter().any(fresh) {
             fit.retain(fresh);
         }
+        let well = |index: &usize| !self.health.is_failing(target(index), self.now);
+        if fit.iter().any(well) {
+            fit.retain(well);
+        }
         let whole = self.paces.get(&call.key).whole().unwrap_or_default();
         let mut candidates: Vec<Candidate> = fit
             .iter()
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -216,6 +216,15 @@
         /// The attempt.
         attempt: Attempt,
     },
+    /// The head of an answer came.
+    Answered {
+        /// The target.
+        target: TargetId,
+        /// Its life.
+        incarnation: Incarnation,
+        /// Whether it is an error of the target's own.
+        error: bool,
+    },
     /// The owner passed on a part of a streamed answer.
     Progress {
         /// The request.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod estimate;
 pub mod event;
 pub mod fingerprint;
+pub mod health;
 pub mod lease;
 pub mod picture;
 pub mod prelude;
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -85,6 +85,7 @@
         let own = self.own(&id);
         if self.picture.target(target, own, self.now) {
             self.ejections.readmit(&id);
+            self.health.forget(&id);
             self.caches.forget(&id);
         }
         if self
@@ -145,10 +146,19 @@
         }
     }
 
+    /// A target answered a request, with an error of its own or not.
+    pub(crate) fn answered(&mut self, target: &TargetId, life: Incarnation, error: bool) {
+        let known = self.picture.targets.get(target);
+        if known.is_some_and(|known| known.view.incarnation == life) {
+            self.health.answered(target, error, self.now);
+        }
+    }
+
     /// A target is gone.
     fn target_gone(&mut self, target: &TargetId) {
         self.picture.target_gone(target);
         self.ejections.readmit(target);
+        self.health.forget(target);
         self.caches.forget(target);
         let place = Place {
             target: target.clone(),
--- a/crates/entry/tests/routed.rs
+++ b/crates/entry/tests/routed.rs
@@ -233,3 +233,56 @@
         );
     }
 }
+
+/// Sends a number of requests and lets each be answered; returns how many each target got.
+fn answered(core: &mut Core, ids: std::ops::Range<u64>, ms: u64, failing: &str) -> [usize; 2] {
+    let mut got = [0, 0];
+    for id in ids {
+        let mut request = request(false);
+        request.id = id;
+        let actions = core.handle(Event::Arrived(request), at(ms));
+        let (target, attempt) = send(&actions).expect("a send");
+        got[usize::from(target == "w2")] += 1;
+        let error = failing.contains(&target);
+        let incarnation = 1;
+        core.handle(Event::Sent { id, attempt }, at(ms));
+        let target = target.as_str().into();
+        let event = Event::Answered {
+            target,
+            incarnation,
+            error,
+        };
+        core.handle(event, at(ms));
+        core.handle(Event::Begun { id, attempt }, at(ms));
+        core.handle(Event::Ended { id, attempt }, at(ms));
+    }
+    got
+}
+
+/// Seen as incident `inc-4894` of the swancoop site: one of three workers answered 500 all day. It
+/// was as quick as any other and got its share of the requests that may not run again.
+#[test]
+fn a_target_that_answers_with_errors_is_left_out_while_another_is_well() {
+    let mut core = two();
+    let first = answered(&mut core, 100..160, 10, "w1");
+    assert!(first[0] < 6, "{first:?}");
+    // It is tried again when its errors are some time ago, and found well.
+    let later = answered(&mut core, 200..260, 60_000, "");
+    assert!(later[0] > 10, "{later:?}");
+}
+
+#[test]
+fn targets_that_all_answer_with_errors_are_all_used() {
+    let mut core = two();
+    let got = answered(&mut core, 100..160, 10, "w1 w2");
+    assert!(got.iter().all(|requests| *requests > 10), "{got:?}");
+}
+
+/// One request may be the cause of its own error.
+#[test]
+fn a_single_error_leaves_no_target_out() {
+    let mut core = two();
+    answered(&mut core, 100..101, 10, "w1 w2");
+    let got = answered(&mut core, 200..260, 20, "");
+    assert!(got.iter().all(|requests| *requests > 10), "{got:?}");
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -42,6 +42,11 @@
         if let Some(declined) = answer.declined {
             return Err(self.declined(declined, answer.body).await);
         }
+        self.tell(Event::Answered {
+            target: self.to.target.clone(),
+            incarnation: self.to.incarnation,
+            error: answer.status.is_server_error(),
+        });
         if answer.status.is_server_error() && self.may_repeat(routed) {
             return Err(End::Failed(Failure::Status));
         }
