--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,5 +1,9 @@
 //! The task that owns the replicated log, the replicated state, and what leads from it.
 
+mod leading;
+mod members;
+mod requests;
+
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,12 +14,11 @@
 use cornelhitch_control::document::Publish;
 use cornelhitch_control::input::Input;
 use cornelhitch_control::leader::Leader;
-use cornelhitch_control::output::{Audience, Output};
 use cornelhitch_control::state::State;
 use cornelhitch_quorum::action::{self, Action, Reason};
 use cornelhitch_quorum::core::Core;
 use cornelhitch_quorum::disk::{Done, Writer};
-use cornelhitch_quorum::event::{Change, Event};
+use cornelhitch_quorum::event::Event;
 use cornelhitch_quorum::id::RequestId;
 use cornelhitch_quorum::log::Snapshot;
 use cornelhitch_quorum::status::Role;
@@ -34,8 +37,7 @@
 use crate::beacon::Beacon;
 use crate::message::{Datagram, Downward, Incoming, Message, Said};
 use crate::metrics::{Count, Metrics};
-use crate::orders;
-use crate::registry::{Answer, NotLeader};
+use crate::registry::Answer;
 use crate::reservation::Reservations;
 use crate::stamp::Stamped;
 use crate::switch::Switch;
@@ -43,12 +45,6 @@
 /// Time between two ticks of the leader.
 const TICK: Duration = Duration::from_millis(50);
 
-/// How long a worker may take to tell of its orders.
-const INSPECTION: Duration = Duration::from_millis(1_500);
-
-/// Time between two looks at the members.
-const STEWARD: Duration = Duration::from_millis(500);
-
 /// What the control task is told besides messages.
 #[derive(Debug)]
 pub enum Told {
@@ -261,71 +257,6 @@
         }
     }
 
-    /// Changes the members where that is due.
-    fn steward(&mut self) {
-        let Some(steward) = self.setup.steward else {
-            return;
-        };
-        if self.stewarded.elapsed() < STEWARD {
-            return;
-        }
-        self.stewarded = Instant::now();
-        let status = self.setup.core.status();
-        let joined = |id: &HostId, life: &Incarnation| {
-            let member = status.members.get(id);
-            member.is_some_and(|member| member.incarnation == *life)
-        };
-        self.joiners.retain(|id, life| !joined(id, life));
-        if let Some(change) = steward.next(&status, &self.joiners) {
-            tracing::info!(?change, silent = ?status.silent, "the members change");
-            let id = self.wait(Waiting::Leader);
-            self.event(Event::Change { id, change });
-        }
-    }
-
-    /// Tells all subscribers who votes, when that or an address has changed.
-    fn tell_changed_voters(&mut self) {
-        let voters = self.reached_voters();
-        if voters != self.voters {
-            self.voters = voters;
-            for host in &self.subscribers {
-                self.tell_voters(*host);
-            }
-        }
-    }
-
-    /// Tells a host who votes, so that it knows whom to ask when this host is gone.
-    pub(crate) fn tell_voters(&self, host: HostId) {
-        let downward = Downward::Voters {
-            term: self.term,
-            voters: self.reached_voters(),
-            registry: self.setup.registry,
-        };
-        self.setup.switch.send(host, Message::Downward(downward));
-    }
-
-    /// The voters whose addresses are known.
-    fn reached_voters(&self) -> Vec<process::Peer> {
-        let members = self.setup.core.status().members;
-        let voters = members.voters();
-        voters.filter_map(|host| self.reached(host)).collect()
-    }
-
-    /// A host and its address, if that is known.
-    fn reached(&self, host: HostId) -> Option<process::Peer> {
-        let address = self.setup.switch.address(host)?;
-        Some(process::Peer { host, address })
-    }
-
-    /// Shows the lease to the gates of orders.
-    fn renew_lease(&mut self) {
-        let lease = self.setup.core.lease(self.now());
-        self.lease.send_replace(lease.map(|lease| Lease {
-            term: lease.term,
-            until: self.setup.epoch + lease.until,
-        }));
-    }
-
     /// Takes what a peer says.
     fn incoming(&mut self, incoming: Incoming) {
         let from = incoming.from;
@@ -374,84 +305,6 @@
         }
     }
 
-    /// Takes what a target told here.
-    fn target(&mut self, message: inbound::Message, answer: Answer<()>) {
-        if !self.leading {
-            let _ = answer.send(Err(NotLeader));
-            return;
-        }
-        match message {
-            inbound::Message::Announcement(announcement) => {
-                self.lead(Input::Announcement(announcement));
-            }
-            inbound::Message::Heartbeat(heartbeat) => self.lead(Input::Heartbeat(heartbeat)),
-            inbound::Message::Presence(presence) => {
-                let leaving = presence.heartbeat.leaving;
-                let (target, life) = (
-                    presence.heartbeat.target.clone(),
-                    presence.heartbeat.incarnation,
-                );
-                self.lead(Input::Presence(presence));
-                if leaving {
-                    return self.leave(target, Some(life), answer);
-                }
-            }
-            inbound::Message::Leaving(leaving) => {
-                return self.leave(leaving.target, Some(leaving.incarnation), answer);
-            }
-            inbound::Message::Ended(ended) => {
-                return self.leave(ended.target, ended.incarnation, answer);
-            }
-        }
-        let _ = answer.send(Ok(()));
-    }
-
-    /// Commits that a target leaves, and says so once that is sure.
-    fn leave(&mut self, target: TargetId, life: Option<Incarnation>, answer: Answer<()>) {
-        let known = self.state.fleet().get(&target);
-        let current = known.map(|known| known.announcement.incarnation);
-        let noted = known.is_some_and(|known| known.leaving);
-        let Some(incarnation) = current.filter(|current| life.is_none_or(|it| it == *current))
-        else {
-            // Nothing is sent to a life that is not known.
-            let _ = answer.send(Ok(()));
-            return;
-        };
-        if noted {
-            let _ = answer.send(Ok(()));
-            return;
-        }
-        tracing::info!(target = &*target, incarnation, "a target leaves");
-        let command = Command::Leave {
-            target,
-            incarnation,
-        };
-        self.commit(&command, answer);
-    }
-
-    /// Commits a command for somebody here.
-    fn commit(&mut self, command: &Command, answer: Answer<()>) {
-        if !self.leading {
-            let _ = answer.send(Err(NotLeader));
-            return;
-        }
-        let id = self.wait(Waiting::Local(answer));
-        let time = self.unix();
-        let command = command.encode();
-        let payload = Stamped { time, command }.encode();
-        self.event(Event::Propose { id, payload });
-    }
-
-    /// Reads the table of routes once a quorum has confirmed that this host leads.
-    fn read(&mut self, answer: Answer<Option<Bytes>>) {
-        if !self.leading {
-            let _ = answer.send(Err(NotLeader));
-            return;
-        }
-        let id = self.wait(Waiting::Read(answer));
-        self.event(Event::Barrier { id });
-    }
-
     /// Gives the log's core an event and does what it says.
     pub(crate) fn event(&mut self, event: Event) {
         let now = self.now();
@@ -542,12 +395,6 @@
         self.event(Event::Propose { id, payload });
     }
 
-    /// Starts a change of the members.
-    pub(crate) fn change(&mut self, change: Change, host: HostId, call: u64) {
-        let id = self.wait(Waiting::Members { host, call });
-        self.event(Event::Change { id, change });
-    }
-
     /// The number under which the answer to a request is known.
     fn wait(&mut self, waiting: Waiting) -> RequestId {
         let id = self.next;
@@ -581,215 +428,4 @@
             | Waiting::Learner(_) => {}
         }
     }
-
-    /// Takes the end of a read.
-    fn barrier_done(&mut self, id: RequestId) {
-        match self.waiting.remove(&id) {
-            Some(Waiting::Election(term)) if term == self.term && self.role == Role::Leader => {
-                tracing::info!(term, "this host leads");
-                self.leading = true;
-                self.lead(Input::Elected { term });
-                self.begin();
-                self.name_leader(self.setup.me);
-            }
-            Some(Waiting::Read(answer)) => {
-                let text = self.state.document().text().cloned();
-                let _ = answer.send(Ok(text));
-            }
-            _ => {}
-        }
-    }
-
-    /// Brings the first settings into a cluster that has none.
-    fn begin(&mut self) {
-        if self.state.catalogue().version() == 0
-            && let Some(command) = self.setup.first.clone()
-        {
-            self.propose(command, None);
-        }
-    }
-
-    /// Takes the end of a change of the members.
-    fn changed(&mut self, id: RequestId) {
-        match self.waiting.remove(&id) {
-            Some(Waiting::Members { host, call }) => {
-                self.answer(host, call, Bytes::from_static(b"{\"done\":true}"));
-            }
-            Some(Waiting::Learner(member)) => {
-                let id = self.wait(Waiting::Leader);
-                let change = Change::Promote(member);
-                self.event(Event::Change { id, change });
-            }
-            _ => {}
-        }
-    }
-
-    /// Admits a voter of the settings that has no group yet.
-    ///
-    /// A host that is none takes a vote only where an operator names it to replace another.
-    /// One that is known under another life of its disk is not admitted: an
-    /// operator has to replace it, since its votes are lost.
-    fn joining(&mut self, peer: cornelhitch_quorum::id::Peer) {
-        if self.setup.steward.is_some() {
-            self.joiners.insert(peer.id, peer.incarnation);
-            return;
-        }
-        if !self.setup.voters.contains(&peer.id) {
-            tracing::warn!(host = peer.id, "a host that is no voter asks to join");
-            return;
-        }
-        let id = self.wait(Waiting::Learner(peer.id));
-        let change = Change::Add(peer);
-        self.event(Event::Change { id, change });
-    }
-
-    /// Takes a change of the role.
-    fn role(&mut self, role: Role, term: Term, leader: Option<HostId>) {
-        tracing::info!(%role, term, ?leader, "role");
-        let led = self.leading;
-        self.role = role;
-        self.term = term;
-        self.following = leader;
-        self.leading = false;
-        if led {
-            self.lead(Input::Deposed);
-            self.reservations = Reservations::default();
-            self.subscribers.clear();
-        }
-        if role == Role::Leader {
-            let id = self.wait(Waiting::Election(term));
-            self.event(Event::Barrier { id });
-        } else if let Some(leader) = leader {
-            self.name_leader(leader);
-        }
-    }
-
-    /// Tells the hosts that asked before there was a leader.
-    fn name_leader(&mut self, leader: HostId) {
-        for host in std::mem::take(&mut self.unled) {
-            self.not_leader(host, None, Some(leader));
-        }
-    }
-
-    /// Gives the leader an input and does what it says.
-    pub(crate) fn lead(&mut self, input: Input) {
-        let now = self.unix();
-        for output in self.setup.leader.handle(input, &self.state, now) {
-            self.output(output);
-        }
-    }
-
-    /// Does one thing that the leader said.
-    fn output(&mut self, output: Output) {
-        match output {
-            Output::Propose(command) => self.propose(command.encode(), None),
-            Output::Order(order) => self.order(order),
-            Output::Publish { to, view } => {
-                let message = Message::Downward(Downward::View(view));
-                match to {
-                    Audience::All => {
-                        let hosts = self.subscribers.iter().copied();
-                        self.setup.switch.send_all(hosts, &message);
-                    }
-                    Audience::Host(host) => self.setup.switch.send(host, message),
-                }
-            }
-            Output::Lease {
-                host,
-                incarnation,
-                length,
-                version,
-            } => self.grant(host, incarnation, length, version),
-            Output::Decided(step) => tracing::info!(
-                target = &*step.target, action = ?step.action, reason = %step.reason,
-                waiting = step.wish.waiting, running = step.wish.running,
-                rate = step.wish.rate, copies = step.copies, "order decided"
-            ),
-            Output::Inspect {
-                target,
-                incarnation,
-            } => self.inspect(target, incarnation),
-            Output::InForce { version } => self.in_force = version,
-            Output::Ask { target } => tracing::debug!(target = &*target, "not announced"),
-        }
-    }
-
-    /// Sends an order in a task of its own.
-    fn order(&self, order: Order) {
-        let Some(address) = self.address(&order.target, order.incarnation) else {
-            let _ = self.setup.tell.send(Told::Ordered(order, Outcome::Unsent));
-            return;
-        };
-        self.setup.metrics.one(Count::Orders);
-        let sending = orders::Sending {
-            order,
-            address,
-            lease: self.lease.subscribe(),
-            client: self.setup.client.clone(),
-            tell: self.setup.tell.clone(),
-            metrics: self.setup.metrics.clone(),
-        };
-        tokio::spawn(sending.run());
-    }
-
-    /// Asks a worker about its orders, in a task of its own.
-    fn inspect(&self, target: TargetId, incarnation: Incarnation) {
-        let known = self.state.fleet().alive(&target, incarnation);
-        let Some(known) = known.map(|known| &known.announcement) else {
-            return;
-        };
-        let address = known.address;
-        let service = known.services.first().cloned().unwrap_or_default();
-        let client = self.setup.client.clone();
-        let tell = self.setup.tell.clone();
-        tokio::spawn(async move {
-            let asked = client.inspect(address, &target, &service);
-            let inspection = tokio::time::timeout(INSPECTION, asked).await;
-            let inspection = inspection.ok().and_then(Result::ok);
-            tracing::info!(target = &*target, ?inspection, "asked about its orders");
-            let _ = tell.send(Told::Inspected {
-                target,
-                incarnation,
-                inspection,
-            });
-        });
-    }
-
-    /// Where a life of a target takes orders.
-    fn address(&self, target: &TargetId, incarnation: Incarnation) -> Option<SocketAddr> {
-        let target = self.state.fleet().alive(target, incarnation)?;
-        Some(target.announcement.address)
-    }
-
-    /// Answers a renewal, while this host is sure to lead.
-    fn grant(&self, host: HostId, incarnation: Incarnation, length: Duration, version: Version) {
-        let Some(renewal) = self.renewals.get(&host) else {
-            return;
-        };
-        let sure = self.setup.core.lease(self.now()).is_some();
-        if !sure || renewal.peer.incarnation != incarnation {
-            return;
-        }
-        let lease = Datagram::Lease {
-            sequence: renewal.sequence,
-            length,
-            version,
-            term: self.term,
-            view: self.setup.leader.sequence(),
-        };
-        self.setup.beacon.send(renewal.peer, renewal.address, lease);
-    }
-
-    /// Answers a question.
-    pub(crate) fn answer(&self, host: HostId, call: u64, json: Bytes) {
-        let downward = Downward::Answer { call, json };
-        self.setup.switch.send(host, Message::Downward(downward));
-    }
-
-    /// Sends a host to the leader.
-    pub(crate) fn not_leader(&self, host: HostId, call: Option<u64>, leader: Option<HostId>) {
-        let leader = leader.and_then(|leader| self.reached(leader));
-        let downward = Downward::NotLeader { leader, call };
-        self.setup.switch.send(host, Message::Downward(downward));
-    }
 }
--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -187,16 +187,7 @@
         let voters: HashSet<HostId> = self.process.voters.iter().map(|peer| peer.host).collect();
         let me = self.process.host;
         let seeded = !self.process.seeds.is_empty();
-        let mut config = quorum::config::Config {
-            peers: voters.iter().copied().filter(|peer| *peer != me).collect(),
-            founder: voters.iter().min() == Some(&me) && (!seeded || self.process.bootstrap),
-            lease_reads: !seeded,
-            ..quorum::config::Config::default()
-        };
-        if seeded {
-            config.election = ELECTION;
-            config.heartbeat = HEARTBEAT;
-        }
+        let config = self.quorum(&voters);
         let now = self.epoch.elapsed();
         let seed = quorum::core::seed(me, self.incarnation);
         let core = quorum::core::Core::new(config, recovered, seed, now);
@@ -229,6 +220,23 @@
         Ok((tell, tokio::spawn(control::run(setup))))
     }
 
+    /// The settings of this host's member of the log.
+    fn quorum(&self, voters: &HashSet<HostId>) -> quorum::config::Config {
+        let me = self.process.host;
+        let seeded = !self.process.seeds.is_empty();
+        let mut config = quorum::config::Config {
+            peers: voters.iter().copied().filter(|peer| *peer != me).collect(),
+            founder: voters.iter().min() == Some(&me) && (!seeded || self.process.bootstrap),
+            lease_reads: !seeded,
+            ..quorum::config::Config::default()
+        };
+        if seeded {
+            config.election = ELECTION;
+            config.heartbeat = HEARTBEAT;
+        }
+        config
+    }
+
     /// The command that brings the first fleet settings in.
     fn first(&self) -> Result<Option<bytes::Bytes>, Error> {
         let Some(path) = &self.process.fleet else {
