--- a/crates/control/tests/hosting/main.rs
+++ b/crates/control/tests/hosting/main.rs
@@ -274,8 +274,10 @@
     say(&mut bench, &other);
     bench.give(demand(1, &[("g", 2, &[])]));
     step(&mut bench, Duration::from_millis(100));
+    // It may load what it has near, and nothing from the store.
     let ordered = loads(&mut bench);
-    assert!(!ordered.contains(&id("g")), "{ordered:?}");
+    let near = |model: &String| *model == id("a");
+    assert!(ordered.iter().all(near), "{ordered:?}");
     bench.give(Input::Presence(Box::new(worker.presence(false))));
     // What was ordered has not arrived, so that this worker takes orders again.
     say(&mut bench, &other);
