Logs and metrics that tell the incident's hypotheses apart

Cause: nothing told repeats by service, refusals before the core, farewells that were acknowledged, or views that were passed over. Change, no decision touched: counters of requests, repeats and repeats held back by service on the metrics address and in the dump, with the budget; lines for a request that is turned away before the core (host, path, reason, version of the table), for what is no request at all (answered by the HTTP library, counted as connections-unread), for each acknowledged farewell (committed: index and term; an unknown life: what is known), for a view that is passed over; the life of the target with each send. One bounded writer of lines (lines.rs) in place of the one in audit.rs.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -57,6 +57,12 @@
         call.reach = call.reach.max(Reach::Sent);
         call.arrivals += 1;
         call.runs += 1;
+        let tally = self.tallies.of(&call.key.service());
+        if call.arrivals == 1 {
+            tally.requests += 1;
+        } else {
+            tally.repeats += 1;
+        }
         let (begun, deadline) = (call.reach == Reach::Begun, call.deadline);
         if let Some(run) = call.run_mut(attempt) {
             run.reach = run.reach.max(Reach::Sent);
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -67,7 +67,7 @@
 }
 
 /// A token bucket of retries.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Budget {
     /// How retries are earned.
     rule: Rule,
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -33,6 +33,7 @@
 use crate::route::Place;
 use crate::share::Shares;
 use crate::stopped::Stopped;
+use crate::tally::Tallies;
 
 /// How often requests that can no longer be met are looked for.
 const SWEEP: Time = Time::from_millis(100);
@@ -78,6 +79,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) stopped: Stopped,
     pub(crate) budget: Budget,
+    pub(crate) tallies: Tallies,
     pub(crate) orphans: Orphans,
     /// Requests in progress by place.
     pub(crate) flights: BTreeMap<Place, u32>,
@@ -121,6 +123,7 @@
             quarantine: Quarantine::default(),
             stopped: Stopped::default(),
             budget: Budget::new(Rule::alone(), now),
+            tallies: Tallies::default(),
             orphans: Orphans::default(),
             flights: BTreeMap::new(),
             prints: HashMap::new(),
@@ -304,6 +307,12 @@
         self.catalogue.version
     }
 
+    /// Requests and repeats by service.
+    #[must_use]
+    pub fn tallies(&self) -> &Tallies {
+        &self.tallies
+    }
+
     /// The state, for operators.
     #[must_use]
     pub fn dump(&self) -> Dump {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -253,6 +253,9 @@
         }
         if call.arrivals > 0 && !self.affords() {
             self.starved = Some(self.now + BUDGET_PAUSE);
+            if let Some(call) = self.calls.get(&id) {
+                self.tallies.of(&call.key.service()).held_back += 1;
+            }
             return None;
         }
         let call = self.calls.get(&id)?;
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -5,12 +5,14 @@
 use cornelhitch_types::id::{CallerId, HostId, TargetId, Time, Version};
 use serde::Serialize;
 
+use crate::budget::Budget;
 use crate::core::Core;
 use crate::drain::Drain;
 use crate::event::{Attempt, CallId};
 use crate::queue::Key;
 use crate::request::{Call, Claim, Reach};
 use crate::route::Place;
+use crate::tally::Tallies;
 
 /// The state of a core.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -35,6 +37,10 @@
     pub ejected: Vec<TargetId>,
     /// Fingerprints with strikes.
     pub strikes: Vec<Strike>,
+    /// Requests and repeats by service.
+    pub services: Tallies,
+    /// What retries may be made.
+    pub budget: Budget,
     /// Every request.
     pub calls: Vec<Row>,
 }
@@ -117,6 +123,8 @@
             places: places.collect(),
             ejected: core.ejections.names(),
             strikes: core.quarantine.list(),
+            services: core.tallies.clone(),
+            budget: core.budget.clone(),
             calls,
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod rule;
 pub mod share;
 pub mod stopped;
+pub mod tally;
 
 mod admit;
 mod attempt;
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use cornelhitch_types::id::{CallerId, ModelId, Name, Time};
+use cornelhitch_types::route;
 use serde::{Deserialize, Serialize};
 
 use crate::event::{CallId, What};
@@ -23,6 +24,26 @@
     Service(Name),
 }
 
+impl Key {
+    /// The service that the requests are for; models that belong to no service count as one, which
+    /// has an empty name.
+    ///
+    /// ```
+    /// use cornelhitch_entry::queue::Key;
+    ///
+    /// assert_eq!(&*Key::Service("auction".into()).service(), "auction");
+    /// assert_eq!(&*Key::Model("engines/report".into(), None).service(), "engines");
+    /// assert_eq!(&*Key::Model("report".into(), None).service(), "");
+    /// ```
+    #[must_use]
+    pub fn service(&self) -> Name {
+        match self {
+            Self::Model(model, _) => route::service_name(model).unwrap_or_default().into(),
+            Self::Service(name) => name.clone(),
+        }
+    }
+}
+
 impl From<&What> for Key {
     fn from(what: &What) -> Self {
         match what {
--- a/crates/node/src/audit.rs
+++ b/crates/node/src/audit.rs
@@ -1,19 +1,11 @@
-//! The log's lines about single requests, bounded in number so that a burst does not drown the host.
-
-use std::time::Duration;
+//! The log's lines about single requests, bounded in number.
 
 use cornelhitch_entry::action::Destination;
 use cornelhitch_types::id::Name;
 use cornelhitch_types::refusal::Refusal;
-use tokio::time::Instant;
 
 use crate::exchange::{Exchange, Payload};
-
-/// Lines that may be written in one second.
-const RATE: u32 = 400;
-
-/// The time over which lines are counted.
-const WINDOW: Duration = Duration::from_secs(1);
+use crate::lines::Lines;
 
 /// What the entry task was acting on when it decided.
 #[derive(Debug, Clone, Copy)]
@@ -27,48 +19,19 @@
 }
 
 /// Writes lines about requests.
-#[derive(Debug)]
-pub struct Audit {
-    since: Instant,
-    written: u32,
-    dropped: u64,
-}
-
-impl Default for Audit {
-    fn default() -> Self {
-        Self {
-            since: Instant::now(),
-            written: 0,
-            dropped: 0,
-        }
-    }
-}
+#[derive(Debug, Default)]
+pub struct Audit(Lines);
 
 impl Audit {
-    /// Whether another line may be written now; tells how many were dropped before.
-    fn admits(&mut self) -> bool {
-        if self.since.elapsed() >= WINDOW {
-            if self.dropped > 0 {
-                tracing::warn!(dropped = self.dropped, "lines about requests were dropped");
-            }
-            *self = Self::default();
-        }
-        if self.written < RATE {
-            self.written += 1;
-            return true;
-        }
-        self.dropped += 1;
-        false
-    }
-
     /// A request goes to a target.
     pub fn sent(&mut self, exchange: &Exchange, attempt: u32, to: &Destination, basis: Basis) {
-        if self.admits() {
+        if self.0.admits() {
             tracing::info!(
                 request = &*name(exchange),
                 what = &*what(exchange),
                 attempt,
                 target = &*to.target,
+                life = to.incarnation,
                 replica = to.replica,
                 after_ms = millis(exchange),
                 left_ms = left(exchange),
@@ -82,7 +45,7 @@
 
     /// A request was answered in full.
     pub fn answered(&mut self, exchange: &Exchange, attempt: u32) {
-        if self.admits() {
+        if self.0.admits() {
             let begun = exchange.begun.map(|begun| begun - exchange.arrived);
             tracing::info!(
                 request = &*name(exchange),
@@ -96,7 +59,7 @@
 
     /// A request was refused, or its answer cut.
     pub fn refused(&mut self, exchange: &Exchange, refusal: &Refusal, basis: Basis) {
-        if self.admits() {
+        if self.0.admits() {
             let retry_ms = refusal.retry_after.map(|after| after.as_millis());
             tracing::info!(
                 request = &*name(exchange), what = &*what(exchange), reason = %refusal.reason,
@@ -109,7 +72,7 @@
 
     /// A request's caller left before its end.
     pub fn left(&mut self, exchange: &Exchange) {
-        if self.admits() {
+        if self.0.admits() {
             tracing::info!(
                 request = &*name(exchange),
                 what = &*what(exchange),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -356,6 +356,15 @@
         match waiting {
             Some(Waiting::Host { host, call }) => self.committed(host, call, &reply),
             Some(Waiting::Local(answer)) => {
+                let (index, term) = (entry.index, entry.term);
+                if let Command::Leave { target, .. } = &command {
+                    tracing::info!(
+                        target = &**target,
+                        index,
+                        term,
+                        "a farewell is acknowledged"
+                    );
+                }
                 let _ = answer.send(Ok(()));
             }
             _ => {}
--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -57,6 +57,14 @@
         let Some(incarnation) = current.filter(|current| life.is_none_or(|it| it == *current))
         else {
             // Nothing is sent to a life that is not known.
+            let target = &*target;
+            tracing::info!(
+                target,
+                ?life,
+                ?current,
+                term = self.term,
+                "an unknown life leaves"
+            );
             let _ = answer.send(Ok(()));
             return;
         };
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -202,6 +202,7 @@
         let report = self.setup.core.report();
         self.setup.session.tell(Upward::Report(report));
         let core = &self.setup.core;
+        self.setup.metrics.show_services(core.tallies());
         let (load, draining, settings) = (core.load(), core.draining(), core.settings());
         self.setup.shown.send_modify(|host| {
             host.load = load;
@@ -215,7 +216,12 @@
         match event {
             session::Event::View(view) => {
                 self.settings(&view);
+                let (term, from, to) = (view.term, view.from, view.to);
                 self.handle(Event::View(view));
+                let seen = self.setup.core.seen();
+                if seen < (term, to) {
+                    tracing::info!(term, from, to, ?seen, "a view was passed over");
+                }
                 self.routes();
                 let settings = self.setup.core.settings();
                 self.setup
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,8 +1,8 @@
 //! Requests that come by routes: what is read of them, and how they are answered.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,12 +10,13 @@
 use cornelhitch_entry::event::{Request as Call, Terms, What};
 use cornelhitch_entry::fingerprint;
 use cornelhitch_target::client::RequestId;
-use cornelhitch_types::id::Name;
+use cornelhitch_types::id::{Name, Version};
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::refusal::{Reason, Refusal};
 use cornelhitch_types::route::{self, Index, Repeat, Route, Table};
+use http::header::HOST;
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Response, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout_at};
@@ -25,6 +26,7 @@
 use crate::entry::Input;
 use crate::exchange::{Intake, PARTS, Payload, Routed};
 use crate::header;
+use crate::lines::Lines;
 use crate::metrics::{Count, Metrics};
 use crate::problem::not_run;
 use crate::server::Service;
@@ -111,7 +113,7 @@
 
     /// The route of a request.
     fn find(&self, parts: &Parts) -> Option<&Route> {
-        let host = parts.headers.get(http::header::HOST)?.to_str().ok()?;
+        let host = parts.headers.get(HOST)?.to_str().ok()?;
         let host = host.split(':').next().unwrap_or(host);
         let at = self.index.find(host, parts.uri.path())?;
         self.table.routes.get(at)
@@ -132,6 +134,8 @@
     pub next: AtomicU64,
     /// Until when requests wait for the first table.
     pub warm: Instant,
+    /// Bounds the lines about requests that are refused before the core sees them.
+    pub lines: Mutex<Lines>,
 }
 
 impl Service for Door {
@@ -145,6 +149,31 @@
             self.ingress.refusal(&refusal).map(body::whole)
         })
     }
+
+    fn unread(&self, from: SocketAddr, error: &hyper::Error) {
+        self.metrics.one(Count::ConnectionsUnread);
+        if self.lock_lines().admits() {
+            tracing::info!(%from, %error, "what came over a connection is no request");
+        }
+    }
+}
+
+/// What a request was for, for the log.
+#[derive(Debug)]
+struct Asked {
+    /// The host that the caller names.
+    host: Option<HeaderValue>,
+    /// The path.
+    uri: Uri,
+}
+
+impl From<&Parts> for Asked {
+    fn from(parts: &Parts) -> Self {
+        Self {
+            host: parts.headers.get(HOST).cloned(),
+            uri: parts.uri.clone(),
+        }
+    }
 }
 
 impl Door {
@@ -158,14 +187,12 @@
         let since = Instant::now();
         let routes = self.routes().await?;
         let waited = since.elapsed();
-        let route = routes
-            .find(&parts)
-            .ok_or_else(|| not_run(Reason::Unknown, "no route has this host and path"))?;
-        let ask = self.ingress.read(&parts.headers)?;
-        let body = collect(body, routes.table.limits.body).await?;
+        let asked = Asked::from(&parts);
         let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let read = self.read(id, &routes, parts, body, from).await;
+        let (mut call, payload) =
+            read.inspect_err(|refusal| self.turned_away(&asked, refusal, routes.table.version))?;
         let (reply, answer) = mpsc::channel(PARTS);
-        let (mut call, payload) = read(id, route, &routes.table, ask, parts, body, from)?;
         call.spend(waited);
         let streams = payload.streams;
         let intake = Intake {
@@ -181,6 +208,39 @@
         answered(answer, departure, |status| streams && status.is_success()).await
     }
 
+    /// Reads a request whose route is in force here.
+    async fn read(
+        &self,
+        id: u64,
+        routes: &Routes,
+        parts: Parts,
+        body: Incoming,
+        from: SocketAddr,
+    ) -> Result<(Call, Routed), Refusal> {
+        let route = routes
+            .find(&parts)
+            .ok_or_else(|| not_run(Reason::Unknown, "no route has this host and path"))?;
+        let ask = self.ingress.read(&parts.headers)?;
+        let body = collect(body, routes.table.limits.body).await?;
+        read(id, route, &routes.table, ask, parts, body, from)
+    }
+
+    /// Writes a line about a request that is refused before the core sees it.
+    fn turned_away(&self, asked: &Asked, refusal: &Refusal, table: Version) {
+        if self.lock_lines().admits() {
+            let (host, path) = (&asked.host, asked.uri.path());
+            tracing::info!(
+                ?host, path, reason = %refusal.reason, detail = &*refusal.detail, table,
+                "request turned away"
+            );
+        }
+    }
+
+    /// The count of lines.
+    fn lock_lines(&self) -> MutexGuard<'_, Lines> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The routes in force here; a host that has just started waits for its first table.
     async fn routes(&self) -> Result<Arc<Routes>, Refusal> {
         let mut routes = self.routes.clone();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod header;
 pub mod ingress;
 pub mod latency;
+pub mod lines;
 pub mod message;
 pub mod metrics;
 pub mod node;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -3,10 +3,11 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use cornelhitch_entry::tally::{Tallies, Tally};
 use cornelhitch_types::refusal::{Reason, Refusal};
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use serde::Serialize;
@@ -46,6 +47,8 @@
     DroppedQueueFull,
     /// Frames that hold no message.
     DroppedMalformed,
+    /// Callers' connections that ended because what came over them is no request.
+    ConnectionsUnread,
     /// Links that were refused: another cluster, no key, garbage.
     LinksRefused,
     /// Datagrams that were refused: another cluster, no key, replayed, garbage.
@@ -74,6 +77,28 @@
     Order,
 }
 
+/// What is counted of each service.
+struct ServiceCount {
+    name: &'static str,
+    read: fn(&Tally) -> u64,
+}
+
+/// The counters of each service, a row each.
+const SERVICE_COUNTS: [ServiceCount; 3] = [
+    ServiceCount {
+        name: "cornelhitch_service_requests_total",
+        read: |tally| tally.requests,
+    },
+    ServiceCount {
+        name: "cornelhitch_repeats_total",
+        read: |tally| tally.repeats,
+    },
+    ServiceCount {
+        name: "cornelhitch_repeats_held_back_total",
+        read: |tally| tally.held_back,
+    },
+];
+
 /// The counters of one process; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -87,6 +112,8 @@
     sums: Vec<AtomicU64>,
     /// Refusals by reason.
     reasons: Vec<AtomicU64>,
+    /// Requests and repeats by service, as the entry task last showed them.
+    services: Mutex<Tallies>,
     histograms: Vec<Histogram<f64>>,
     latencies: Vec<Latency>,
 }
@@ -107,6 +134,7 @@
             counters: Count::iter().map(counter).collect(),
             sums: Count::iter().map(|_| AtomicU64::new(0)).collect(),
             reasons: Reason::iter().map(|_| AtomicU64::new(0)).collect(),
+            services: Mutex::default(),
             histograms: Timing::iter().map(histogram).collect(),
             latencies: Timing::iter().map(|_| Latency::default()).collect(),
         };
@@ -191,6 +219,25 @@
         self.one(Count::Refusals);
     }
 
+    /// Shows the requests and repeats of each service.
+    ///
+    /// ```
+    /// use cornelhitch_entry::tally::Tallies;
+    /// use cornelhitch_node::metrics::Metrics;
+    ///
+    /// let (metrics, mut tallies) = (Metrics::default(), Tallies::default());
+    /// tallies.of(&"auction".into()).repeats = 3;
+    /// metrics.show_services(&tallies);
+    /// assert!(metrics.text().contains("cornelhitch_repeats_total{service=\"auction\"} 3\n"));
+    /// ```
+    pub fn show_services(&self, tallies: &Tallies) {
+        let services = &self.instruments.services;
+        let mut shown = services.lock().unwrap_or_else(PoisonError::into_inner);
+        if *shown != *tallies {
+            shown.clone_from(tallies);
+        }
+    }
+
     /// One sum so far.
     #[must_use]
     pub fn sum(&self, count: Count) -> u64 {
@@ -220,6 +267,15 @@
             let name = "cornelhitch_refusals_by_reason_total";
             let _ = writeln!(text, "{name}{{reason=\"{reason}\"}} {count}");
         }
+        let services = &self.instruments.services;
+        let services = services.lock().unwrap_or_else(PoisonError::into_inner);
+        for ServiceCount { name, read } in SERVICE_COUNTS {
+            for (service, tally) in services.iter() {
+                let count = read(tally);
+                let _ = writeln!(text, "{name}{{service=\"{service}\"}} {count}");
+            }
+        }
+        drop(services);
         for timing in Timing::iter() {
             let name = plain(timing.into());
             self.instruments.latencies[timing as usize].write(&name, &mut text);
--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -1,8 +1,8 @@
 //! What the tasks of one process share, and how each of them is started.
 
 use std::collections::HashSet;
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cornelhitch_control::catalogue::Apply;
@@ -310,6 +310,7 @@
                 metrics,
                 next,
                 warm: Instant::now() + WARM_UP,
+                lines: Mutex::default(),
             };
             return tokio::spawn(server::run(listener, Arc::new(door), close));
         }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -31,6 +31,12 @@
         request: Request<Incoming>,
         from: SocketAddr,
     ) -> impl Future<Output = Response<Body>> + Send;
+
+    /// What came over a connection is no request; the connection was ended, with an answer of the HTTP
+    /// library where it has one.
+    fn unread(&self, from: SocketAddr, error: &hyper::Error) {
+        tracing::debug!(%from, %error, "what came over a connection is no request");
+    }
 }
 
 /// Accepts connections until `close`, then lets those that are open finish their requests.
@@ -71,8 +77,9 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD);
     builder.http2().timer(TokioTimer::new());
+    let requests = service.clone();
     let answer = service_fn(move |request| {
-        let service = service.clone();
+        let service = requests.clone();
         async move { Ok::<_, Infallible>(service.serve(request, from).await) }
     });
     let serving = builder.serve_connection(TokioIo::new(stream), answer);
@@ -84,7 +91,11 @@
             serving.await
         }
     };
-    if let Err(error) = served {
-        tracing::debug!(%from, %error, "a connection ended");
+    let Err(error) = served else {
+        return;
+    };
+    match error.downcast_ref::<hyper::Error>() {
+        Some(error) if error.is_parse() => service.unread(from, error),
+        _ => tracing::debug!(%from, %error, "a connection ended"),
     }
 }
--- /dev/null
+++ b/crates/node/tests/lines.rs
@@ -0,0 +1,32 @@
+//! What the metrics and the log tell of requests that no core ever saw, and of repeats by service.
+
+use cornelhitch_entry::tally::Tallies;
+use cornelhitch_node::lines::Lines;
+use cornelhitch_node::metrics::Metrics;
+
+#[test]
+fn repeats_are_shown_for_each_service_alone() {
+    let metrics = Metrics::default();
+    let mut tallies = Tallies::default();
+    tallies.of(&"engines".into()).repeats = 40;
+    tallies.of(&"booking".into()).repeats = 2;
+    tallies.of(&"booking".into()).held_back = 7;
+    metrics.show_services(&tallies);
+    let text = metrics.text();
+    let lines = [
+        "cornelhitch_repeats_total{service=\"booking\"} 2",
+        "cornelhitch_repeats_total{service=\"engines\"} 40",
+        "cornelhitch_repeats_held_back_total{service=\"booking\"} 7",
+        "cornelhitch_service_requests_total{service=\"engines\"} 0",
+    ];
+    for line in lines {
+        assert!(text.lines().any(|it| it == line), "{line} is not in\n{text}");
+    }
+}
+
+#[test]
+fn a_burst_of_lines_is_bounded() {
+    let mut lines = Lines::default();
+    let written = (0..10_000).filter(|_| lines.admits()).count();
+    assert!(written > 0 && written < 10_000, "{written}");
+}
--- a/crates/types/src/route.rs
+++ b/crates/types/src/route.rs
@@ -271,6 +271,20 @@
     id.split_once(SEPARATOR).map_or(id, |(_, name)| name)
 }
 
+/// The service of a model that was named by [`model_id`]; none for a model of no service.
+///
+/// ```
+/// use cornelhitch_types::route;
+///
+/// let id = route::model_id("summaries", "report");
+/// assert_eq!(route::service_name(&id), Some("summaries"));
+/// assert_eq!(route::service_name("report"), None);
+/// ```
+#[must_use]
+pub fn service_name(id: &str) -> Option<&str> {
+    id.split_once(SEPARATOR).map(|(service, _)| service)
+}
+
 /// A fault at a place.
 fn fault(place: &Name, reason: &'static str) -> Fault {
     Fault {
