--- a/crates/node/tests/lines.rs
+++ b/crates/node/tests/lines.rs
@@ -20,7 +20,10 @@
         "cornelhitch_service_requests_total{service=\"engines\"} 0",
     ];
     for line in lines {
-        assert!(text.lines().any(|it| it == line), "{line} is not in\n{text}");
+        assert!(
+            text.lines().any(|it| it == line),
+            "{line} is not in\n{text}"
+        );
     }
 }
 
