A farewell of a life that the leader does not know is committed before it is acknowledged

What targets saw: requests after their farewell was acknowledged (DRAIN). Cause: one path of the acknowledgement had nothing behind it. For a life that is not in its state the leader answered at once, since nothing is sent to an unknown life; but a leader that has been cut off still believes that it leads for a while, the others know the life, and nobody told them. And a heartbeat from before the farewell, delayed, took such a life in afterwards, open. Class: an answer that promises what only the log can promise. Change: every farewell is committed; fleet::leave bars the life (and closes an older one that stands), so it is never taken in; a life that is over by the log is acknowledged without another entry and proposed no more (Fleet::is_over). Evidence: platform/tests/farewell.rs: a leader that is cut off answered 200 before (also with this commit's product code taken out), and does not now; control/tests/hosting: a life that left before it was known was taken in before (life 1500), and is not now. Ruled out: the known life's farewell was committed already; an order in which entry hosts hear of it before the acknowledgement was not needed, since views are pushed in the same step.

--- a/crates/control/src/beats.rs
+++ b/crates/control/src/beats.rs
@@ -23,7 +23,11 @@
         if old == Some(&announcement) {
             return;
         }
-        if old.is_none_or(|old| old.incarnation <= announcement.incarnation) {
+        let over = turn
+            .state
+            .fleet()
+            .is_over(&announcement.target, announcement.incarnation);
+        if !over {
             self.pending.propose(Command::Register(announcement), turn);
         }
     }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -7,7 +7,7 @@
 use cornelhitch_types::target::Announcement;
 use serde::{Deserialize, Serialize};
 
-/// Targets that are remembered after they were dismissed.
+/// Targets that are remembered after they were dismissed, or left before they were known.
 pub const DISMISSED: usize = 16_384;
 
 /// A target.
@@ -50,7 +50,7 @@
     Unknown,
 }
 
-/// A target that was let go.
+/// A target that was let go, or that left before it was known.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Dismissed {
     target: TargetId,
@@ -95,6 +95,15 @@
             .filter(|known| known.announcement.incarnation == incarnation)
     }
 
+    /// Whether a life of a target has ended or left, and gets nothing ever more.
+    #[must_use]
+    pub fn is_over(&self, target: &str, life: Incarnation) -> bool {
+        let newer = self
+            .get(target)
+            .is_some_and(|known| life < known.announcement.incarnation);
+        newer || self.first(target).is_some_and(|next| life < next)
+    }
+
     /// Takes a target in; on [`Answer::Registered`] the caller ends the earlier life's reservations.
     pub(crate) fn register(&mut self, announcement: Announcement, now: Time) -> Answer {
         if let Some(known) = self.targets.get_mut(&announcement.target) {
@@ -146,7 +155,13 @@
             return Answer::Reserved;
         }
         self.targets.remove(target);
-        let next = current.saturating_add(u64::from(attested));
+        self.bar(target, current.saturating_add(u64::from(attested)));
+        Answer::Done
+    }
+
+    /// Takes no life of a target in before one.
+    fn bar(&mut self, target: &TargetId, next: Incarnation) {
+        let next = self.first(target).map_or(next, |known| known.max(next));
         self.dismissed.retain(|gone| gone.target != *target);
         self.dismissed.push_back(Dismissed {
             target: target.clone(),
@@ -155,7 +170,6 @@
         if self.dismissed.len() > DISMISSED {
             self.dismissed.pop_front();
         }
-        Answer::Done
     }
 
     /// The first incarnation that could take an address which a newer life of another target has.
@@ -204,16 +218,22 @@
         Answer::Done
     }
 
-    /// Notes that a target leaves.
-    pub(crate) fn leave(&mut self, target: &str, life: Incarnation) -> Answer {
-        let Some(known) = self.targets.get_mut(target) else {
-            return Answer::Unknown;
-        };
-        let current = known.announcement.incarnation;
-        if life != current {
-            return Answer::Ended { next: current };
+    /// Notes that a life of a target leaves.
+    ///
+    /// A life that is not known is never taken in, since what it said before may still come; an
+    /// older one that is known has ended.
+    pub(crate) fn leave(&mut self, target: &TargetId, life: Incarnation) -> Answer {
+        let known = self.targets.get_mut(target);
+        let current = known.as_ref().map(|known| known.announcement.incarnation);
+        if let Some(next) = current.filter(|current| life < *current) {
+            return Answer::Ended { next };
+        }
+        if let Some(known) = known {
+            known.leaving = true;
+        }
+        if current != Some(life) {
+            self.bar(target, life.saturating_add(1));
         }
-        known.leaving = true;
         Answer::Done
     }
 
--- a/crates/control/tests/hosting/main.rs
+++ b/crates/control/tests/hosting/main.rs
@@ -237,6 +237,42 @@
     assert!(bench.state.fleet().get("x1").is_some());
 }
 
+/// A heartbeat that was delayed may come after the worker's farewell, which the leader heard first.
+#[test]
+fn a_life_that_left_before_it_was_known_is_never_taken_in() {
+    let (mut bench, _) = bench();
+    for (name, left, again) in [("x1", 1_500, 1_501), ("w1", 2_000, 2_001)] {
+        bench.commit(&Command::Leave {
+            target: name.into(),
+            incarnation: left,
+        });
+        let life = |bench: &Bench| {
+            let known = bench.state.fleet().get(name);
+            known.map(|known| known.announcement.incarnation)
+        };
+        let mut late = Worker::new("w9", left, &[]);
+        late.name = name.into();
+        bench.give(Input::Presence(Box::new(late.presence(false))));
+        assert_ne!(life(&bench), Some(left), "{name}");
+        let mut next = Worker::new("w9", again, &[]);
+        next.name = name.into();
+        bench.give(Input::Presence(Box::new(next.presence(false))));
+        assert_eq!(life(&bench), Some(again), "{name}");
+    }
+}
+
+/// A newer life of a worker says that it leaves, so the one that is known has ended.
+#[test]
+fn a_worker_whose_newer_life_leaves_gets_nothing_new() {
+    let (mut bench, _) = bench();
+    bench.commit(&Command::Leave {
+        target: "w1".into(),
+        incarnation: 2_000,
+    });
+    let known = bench.state.fleet().get("w1").expect("the older life");
+    assert!(known.leaving);
+}
+
 /// A second worker that holds nothing, with one model on its disk.
 fn second(disk: &str) -> Worker {
     Worker::new("w2", 1_000, &[&id(disk)])
--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -44,34 +44,28 @@
         let _ = answer.send(Ok(()));
     }
 
-    /// Commits that a target leaves, and says so once that is sure.
+    /// Commits that a target leaves, and says so once that is sure: also of a life that is not known
+    /// here, since this host may lead no more.
     pub(super) fn leave(
         &mut self,
         target: TargetId,
         life: Option<Incarnation>,
         answer: Answer<()>,
     ) {
-        let known = self.state.fleet().get(&target);
+        let fleet = self.state.fleet();
+        let known = fleet.get(&target);
         let current = known.map(|known| known.announcement.incarnation);
-        let noted = known.is_some_and(|known| known.leaving);
-        let Some(incarnation) = current.filter(|current| life.is_none_or(|it| it == *current))
-        else {
-            // Nothing is sent to a life that is not known.
-            let target = &*target;
-            tracing::info!(
-                target,
-                ?life,
-                ?current,
-                term = self.term,
-                "an unknown life leaves"
-            );
-            let _ = answer.send(Ok(()));
-            return;
-        };
-        if noted {
+        let over = life.is_some_and(|life| fleet.is_over(&target, life));
+        let left = known.is_some_and(|known| known.leaving);
+        if over || left && life.is_none_or(|life| Some(life) == current) {
+            // The log says so, and so does every later leader.
             let _ = answer.send(Ok(()));
             return;
         }
+        let Some(incarnation) = life.or(current) else {
+            // Nothing can be noted; that this host still leads shows that no other knows it.
+            return self.commit(&Command::Nothing, answer);
+        };
         tracing::info!(target = &*target, incarnation, "a target leaves");
         let command = Command::Leave {
             target,
