What a route let in is not judged by the settings when these change

Cause: a request of a routed service is let in by its route, and judged once more, by another rule, when other settings come into force: by the settings' list of services, which does not hold it. All that waited for a place was refused as unknown. Class: two rules for one question. Now one function, Core::lists, answers it at the arrival and later. Evidence: what_a_route_let_in_stays_when_other_settings_come_into_force fails without the change with 'the settings no longer have it', and passes. That settings' own services still go is a test beside it.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -78,9 +78,7 @@
             let detail = "this host has no lease on the settings";
             return refuse(Reason::Isolated, detail).map(|end| self.name(end));
         }
-        let routed = request.terms.is_some();
-        let service = matches!(request.what, What::Service { .. });
-        if !(routed && service || self.catalogue.has(&request.what)) {
+        if !self.lists(request) {
             let detail = format!("there is no {}", request.what);
             return refuse(Reason::Unknown, &detail);
         }
@@ -109,6 +107,15 @@
         None
     }
 
+    /// Whether what a request asks for exists, when it arrives and for as long as it waits.
+    ///
+    /// A service that a route leads to is known by the route, whatever the settings list.
+    pub(crate) fn lists(&self, request: &Request) -> bool {
+        let routed = request.terms.is_some();
+        let service = matches!(request.what, What::Service { .. });
+        routed && service || self.catalogue.has(&request.what)
+    }
+
     /// Why nothing will come that could answer, however long the request waits.
     fn unservable(&self, what: &What) -> Option<End> {
         let What::Model(reference) = what else {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -192,7 +192,7 @@
     fn drop_unknown(&mut self) {
         let gone = self.calls.values().filter(|call| {
             let waits = call.waits() && call.attempts == 0;
-            waits && !self.catalogue.has(&call.request.what)
+            waits && !self.lists(&call.request)
         });
         let mut gone: Vec<CallId> = gone.map(|call| call.request.id).collect();
         gone.sort_unstable();
--- a/crates/entry/tests/routed.rs
+++ b/crates/entry/tests/routed.rs
@@ -1,12 +1,15 @@
 //! Requests that a table of routes leads to a service: where they go, and what may run again.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cornelhitch_entry::event::{Failure, Terms};
 use cornelhitch_entry::prelude::*;
 use cornelhitch_settings::process::Serving;
 use cornelhitch_types::id::Time;
+use cornelhitch_types::model::Reference;
 use cornelhitch_types::refusal::{Reason, Refusal, Run};
+use cornelhitch_types::route;
 use cornelhitch_types::target::{Kind, Load};
 use cornelhitch_types::view::{Change, Target, View};
 
@@ -286,3 +289,88 @@
     let got = answered(&mut core, 200..260, 20, "");
     assert!(got.iter().all(|requests| *requests > 10), "{got:?}");
 }
+
+/// A table with a service that runs models.
+fn table(version: u64) -> Change {
+    let model = route::Model {
+        name: "report".into(),
+        bytes: 1 << 30,
+        from_store: Duration::from_secs(6),
+        from_disk: Duration::from_millis(500),
+        from_memory: Duration::from_millis(300),
+        adapters: vec!["a1".into()],
+        adapter_bytes: 1 << 20,
+    };
+    let engine = route::Engine {
+        slots: 8,
+        tokens: 1_000,
+        memory: 4 << 30,
+        host: 0,
+        disk: 0,
+        adapters: 2,
+        start_interval: Duration::from_millis(500),
+        models: vec![model],
+    };
+    let service = |name: &str, engine| route::Service {
+        name: name.into(),
+        connections: 10,
+        engine,
+    };
+    Change::Table(Arc::new(route::Table {
+        version,
+        services: vec![service("auction", None), service("engines", Some(engine))],
+        ..route::Table::default()
+    }))
+}
+
+/// A request of a route that leads to a model with an adapter.
+fn model_request(id: u64) -> Request {
+    let mut request = request(false);
+    request.id = id;
+    request.what = What::Model(Reference {
+        adapter: Some("a1".into()),
+        ..Reference::base(route::model_id("engines", "report"))
+    });
+    request
+}
+
+#[test]
+fn what_a_route_let_in_stays_when_other_settings_come_into_force() {
+    let mut core = core(vec![table(1), target("w1", "a", false)]);
+    let mut actions = core.handle(Event::Arrived(request(true)), at(10));
+    actions.extend(core.handle(Event::Arrived(model_request(8)), at(10)));
+    assert_eq!(refusal(&actions), None);
+    let view = View {
+        term: 1,
+        from: 1,
+        to: 2,
+        changes: vec![Change::Settings(2, SETTINGS.into())],
+    };
+    let actions = core.handle(Event::View(view), at(20));
+    assert_eq!(refusal(&actions), None);
+    assert_eq!(core.load(), 2, "both still wait");
+}
+
+/// What the settings list is theirs to take away.
+#[test]
+fn what_the_settings_let_in_goes_when_they_no_longer_have_it() {
+    let mut core = core(vec![]);
+    let view = |from, version, text: &str| {
+        Event::View(View {
+            term: 1,
+            from,
+            to: from + 1,
+            changes: vec![Change::Settings(version, text.into())],
+        })
+    };
+    core.handle(
+        view(1, 2, "models: []\nservices: [{ name: auction }]"),
+        at(5),
+    );
+    let mut request = request(true);
+    request.terms = None;
+    assert_eq!(refusal(&core.handle(Event::Arrived(request), at(10))), None);
+    let actions = core.handle(view(2, 3, SETTINGS), at(20));
+    let refusal = refusal(&actions).expect("a refusal");
+    assert_eq!(refusal.reason, Reason::Unknown);
+}
