Requests of many header lines are read

What callers see: 431 for a proper request of more than 100 header lines (a suspected cause of DENIED). Cause: the HTTP library's own bound, which no setting of ours names; the operators' limit is 16 KiB of headers. Class: refusals that are decided outside our code. The others of the library: a head that cannot be parsed (400), a URI over its length (414, above the 16 KiB), a method or version that it does not know; they need requests that are not proper. Change: 1,024 header lines.

--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -20,6 +20,9 @@
 /// Time that a caller may take to send the head of a request.
 const HEAD: Duration = Duration::from_secs(10);
 
+/// Header lines of one request; a head of 16 KiB holds so many of 16 bytes each.
+const HEADERS: usize = 1_024;
+
 /// Pause after a connection could not be accepted, when descriptors have run out.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -75,6 +78,7 @@
     builder
         .http1()
         .timer(TokioTimer::new())
+        .max_headers(HEADERS)
         .header_read_timeout(HEAD);
     builder.http2().timer(TokioTimer::new());
     let requests = service.clone();
