Callers' connections may stay idle for as long as the table allows

What callers saw: a connection that had been idle for over 10 s was closed as their next request came; the table of routes allows 15 s. Cause: the time for a request's head also runs while a connection is idle, and the table's limit was read and never used.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -29,7 +29,7 @@
 use crate::lines::Lines;
 use crate::metrics::{Count, Metrics};
 use crate::problem::not_run;
-use crate::server::Service;
+use crate::server::{HEAD, Service};
 
 /// How long after the start of a host requests wait for its first table of routes, which takes about
 /// a second when the voters have started too. After that they are refused at once.
@@ -150,6 +150,12 @@
         })
     }
 
+    fn patience(&self) -> Duration {
+        let routes = self.routes.borrow();
+        let idle = routes.as_ref().map(|routes| routes.table.limits.idle);
+        idle.map_or(HEAD, |idle| idle.max(HEAD))
+    }
+
     fn unread(&self, from: SocketAddr, error: &hyper::Error) {
         self.metrics.one(Count::ConnectionsUnread);
         if self.lock_lines().admits() {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -18,7 +18,7 @@
 use crate::body::Body;
 
 /// Time that a caller may take to send the head of a request.
-const HEAD: Duration = Duration::from_secs(10);
+pub const HEAD: Duration = Duration::from_secs(10);
 
 /// Header lines of one request; a head of 16 KiB holds so many of 16 bytes each.
 const HEADERS: usize = 1_024;
@@ -35,6 +35,12 @@
         from: SocketAddr,
     ) -> impl Future<Output = Response<Body>> + Send;
 
+    /// Time for the head of a request from the end of the one before it, so also the time for which a
+    /// connection may stay idle.
+    fn patience(&self) -> Duration {
+        HEAD
+    }
+
     /// What came over a connection is no request; the connection was ended, with an answer of the HTTP
     /// library where it has one.
     fn unread(&self, from: SocketAddr, error: &hyper::Error) {
@@ -79,7 +85,7 @@
         .http1()
         .timer(TokioTimer::new())
         .max_headers(HEADERS)
-        .header_read_timeout(HEAD);
+        .header_read_timeout(service.patience());
     builder.http2().timer(TokioTimer::new());
     let requests = service.clone();
     let answer = service_fn(move |request| {
