A view that begins before what a host knows still brings it what is new

Cause: changes from 10 to 12 were passed over by a host that knew 11, and its session took 12 as known, so that nothing asked for it again. It takes two links at once between a host and the leader, so that an answer overtakes a change. Loads of the platform's targets are not published, so the next change may be seconds away. Class: two places that count what is known. Now a view is passed over only if it ends at or before what is known; changes say how things stand, so some may come twice. Evidence: the new test fails without the change at (1, 2), and passes.

--- a/crates/entry/src/picture.rs
+++ b/crates/entry/src/picture.rs
@@ -63,6 +63,8 @@
 
 impl Picture {
     /// Checks a view's place in the sequence; a whole one clears what was known.
+    ///
+    /// Changes say how things stand, so those that are known already may come once more before new ones.
     pub fn merge(&mut self, view: &View) -> Merge {
         if view.term < self.term {
             return Merge::Old;
@@ -72,7 +74,7 @@
             *self = Self::default();
         } else if renewed || view.from > self.sequence {
             return Merge::Gap;
-        } else if view.from < self.sequence {
+        } else if view.to <= self.sequence {
             return Merge::Old;
         }
         self.term = view.term;
--- a/crates/entry/tests/routed.rs
+++ b/crates/entry/tests/routed.rs
@@ -374,3 +374,26 @@
     let refusal = refusal(&actions).expect("a refusal");
     assert_eq!(refusal.reason, Reason::Unknown);
 }
+
+/// The answer to a question that left before the newest change came, over another link.
+#[test]
+fn a_farewell_in_a_view_that_begins_before_what_is_known_is_not_missed() {
+    let mut core = core(vec![target("w1", "a", true), target("w2", "a", true)]);
+    let mut tell = |from, to, changes| {
+        let term = 1;
+        let view = View {
+            term,
+            from,
+            to,
+            changes,
+        };
+        core.handle(Event::View(view), at(5));
+        core.seen()
+    };
+    let first = target("w2", "a", true);
+    assert_eq!(tell(1, 2, vec![first.clone()]), (1, 2));
+    assert_eq!(tell(1, 3, vec![first, target("w1", "a", false)]), (1, 3));
+    // What brings nothing new changes nothing.
+    assert_eq!(tell(1, 2, vec![target("w2", "a", false)]), (1, 3));
+    assert_eq!(sent(&mut core, request(true)), "w2");
+}
