Farewells over the own interface are committed before they are acknowledged, and hold under later leaders

A later leader's planner took a target that had left for one that may be loaded, also on the platform's way, until a heartbeat said otherwise. Change: the entry host proposes the farewell and answers when it is committed, 503 otherwise; what the log says of a target that left is what every leader begins with. The control core's soft input for it is gone; a host of an earlier build that still tells one gets it committed. The heartbeats' own word ("leaving": true) stays soft there: it is said again with each.

--- a/crates/control/src/beats.rs
+++ b/crates/control/src/beats.rs
@@ -301,15 +301,10 @@
         }
     }
 
-    /// A target says that it leaves.
-    pub(crate) fn leaving(&mut self, target: &TargetId, incarnation: Incarnation, turn: &mut Turn) {
-        let worker = self.workers.get_mut(target);
-        let Some(worker) = worker.filter(|worker| worker.incarnation == incarnation) else {
-            return;
-        };
-        let open = worker.is_open();
-        worker.leave = Leave::Told;
-        if open {
+    /// A target leaves, as the log says.
+    pub(crate) fn left(&mut self, target: &TargetId, turn: &mut Turn) {
+        if let Some(worker) = self.workers.get_mut(target) {
+            worker.leave = Leave::Told;
             self.suspect(target, turn);
         }
     }
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -58,13 +58,6 @@
         /// Its life.
         incarnation: Incarnation,
     },
-    /// A target says that it leaves, besides its heartbeats.
-    Leaving {
-        /// The target.
-        target: TargetId,
-        /// Its life.
-        incarnation: Incarnation,
-    },
     /// An entry host wants the view from a sequence number on; 0 for the whole.
     Subscribe {
         /// The entry host.
--- a/crates/control/src/reign.rs
+++ b/crates/control/src/reign.rs
@@ -25,7 +25,7 @@
 use crate::strikes::Count;
 use crate::tracks::{Track, Tracks};
 use crate::turn::Turn;
-use crate::workers::{Worker, Workers};
+use crate::workers::{Leave, Worker, Workers};
 
 /// An adapter load that was ordered.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -97,6 +97,9 @@
         for known in turn.state.fleet().iter() {
             let announcement = &known.announcement;
             let mut worker = Worker::new(announcement.incarnation, turn.now);
+            if known.leaving {
+                worker.leave = Leave::Told;
+            }
             let target = announcement.target.clone();
             if announcement.dated {
                 worker.recall(&known.held);
@@ -155,10 +158,6 @@
                 target,
                 incarnation,
             } => self.lost(&target, incarnation, turn),
-            Input::Leaving {
-                target,
-                incarnation,
-            } => self.leaving(&target, incarnation, turn),
             Input::Subscribe {
                 host,
                 term,
@@ -229,9 +228,7 @@
                 self.registered(&announcement.target, answer, turn);
             }
             (Command::Leave { target, .. }, Reply::Target(fleet::Answer::Done)) => {
-                self.sketch.worker(&target);
-                self.feed.target(&target, true);
-                self.eager = true;
+                self.left(&target, turn);
             }
             (_, Reply::Document(document::Answer::Accepted)) => {
                 if let Some(change) = self.scene(turn.state, turn.now).table() {
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -218,3 +218,26 @@
         assert_eq!(bench.commit(&resend), Reply::Claim(expected), "{life:?}");
     }
 }
+
+/// A heartbeat from before the farewell may come to a later leader.
+#[test]
+fn a_worker_that_left_is_not_loaded_under_a_later_leader() {
+    for left in [false, true] {
+        let mut bench = bench();
+        if left {
+            bench.commit(&Command::Leave {
+                target: "w1".into(),
+                incarnation: 1,
+            });
+        }
+        bench.restart();
+        bench.give(Input::Heartbeat(heartbeat("w1", 1, 100, Vec::new())));
+        bench.give(Input::Report(report(1, 100, &[("report", 5, 0)])));
+        bench.pass(3);
+        let orders = bench.orders();
+        let loads = orders
+            .iter()
+            .filter(|order| matches!(order.action, Action::Load { .. }));
+        assert_eq!(loads.count() > 0, !left, "{orders:?}");
+    }
+}
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cornelhitch_types::demand;
-use cornelhitch_types::id::{ModelId, Name, TargetId, Time};
+use cornelhitch_types::id::{Incarnation, ModelId, Name, TargetId, Time};
 use cornelhitch_types::refusal::Reason;
 use cornelhitch_types::route::Table;
 use rand::SeedableRng;
@@ -293,6 +293,13 @@
         known.is_some_and(|known| known.view.incarnation >= incarnation)
     }
 
+    /// The life of a target that control published.
+    #[must_use]
+    pub fn life(&self, target: &str) -> Option<Incarnation> {
+        let known = self.picture.targets.get(target);
+        known.map(|known| known.view.incarnation)
+    }
+
     /// Requests that wait or are in progress.
     #[must_use]
     pub fn load(&self) -> u32 {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -49,6 +49,10 @@
 /// Time that a claim may take before the request is refused.
 const CLAIM: Duration = Duration::from_secs(5);
 
+/// Time that the commit of a target's farewell may take; targets ask another host after a time of this
+/// order.
+const FAREWELL: Duration = Duration::from_secs(3);
+
 /// Time that the record of an outcome may take.
 const RECORD: Duration = Duration::from_mins(1);
 
@@ -354,20 +358,49 @@
                 }
                 Upward::Heartbeat(heartbeat)
             }
-            Told::Leaving(leaving) => Upward::Leaving {
-                target: leaving.target,
-                incarnation: leaving.incarnation,
-            },
+            Told::Leaving(leaving) => {
+                return self.farewell(leaving.target, leaving.incarnation, receipt);
+            }
             Told::Presence(presence) => Upward::Presence(presence),
-            Told::Ended(ended) => Upward::Leaving {
-                target: ended.target,
-                incarnation: ended.incarnation.unwrap_or(Incarnation::MAX),
-            },
+            Told::Ended(ended) => {
+                let known = self.setup.core.life(&ended.target);
+                if let Some(life) = ended.incarnation.or(known) {
+                    return self.farewell(ended.target, life, receipt);
+                }
+                // Another host may know the target.
+                let _ = receipt.send(Receipt::Elsewhere);
+                return;
+            }
         };
         self.setup.session.tell(upward);
         let _ = receipt.send(answer);
     }
 
+    /// Has it committed that a target leaves, and says so to the target only then.
+    fn farewell(
+        &self,
+        target: TargetId,
+        incarnation: Incarnation,
+        receipt: oneshot::Sender<Receipt>,
+    ) {
+        let session = self.setup.session.clone();
+        let leave = Command::Leave {
+            target,
+            incarnation,
+        };
+        tokio::spawn(async move {
+            let committed = session.propose(leave.encode(), FAREWELL).await;
+            let answer = match committed {
+                Ok(_) => Receipt::Taken,
+                Err(error) => {
+                    tracing::info!(%error, ?leave, "a farewell is not committed");
+                    Receipt::Elsewhere
+                }
+            };
+            let _ = receipt.send(answer);
+        });
+    }
+
     /// Gives the core an event and does what it says.
     fn handle(&mut self, event: Event) {
         let now = self.setup.epoch.elapsed();
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 
 use bytes::Bytes;
+use cornelhitch_control::command::Command;
 use cornelhitch_control::input::Input;
 use cornelhitch_quorum::event::Change;
 use cornelhitch_quorum::id::Peer as Member;
@@ -54,10 +55,13 @@
             Upward::Leaving {
                 target,
                 incarnation,
-            } => self.lead(Input::Leaving {
-                target,
-                incarnation,
-            }),
+            } => {
+                let leave = Command::Leave {
+                    target,
+                    incarnation,
+                };
+                self.propose(leave.encode(), None);
+            }
             Upward::Lost {
                 target,
                 incarnation,
