--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -47,7 +47,7 @@
     /// use cornelhitch_settings::process::Serving;
     /// use std::time::Duration;
     ///
-    /// let serving = Serving { retry_ratio: 0.2, retry_window_ms: 10_000, ..Serving::default() };
+    /// let serving = Serving { retry_ratio: 0.2, retry_window_ms: 10e3, ..Serving::default() };
     /// let (mut budget, service) = (Budget::new(&serving, Duration::ZERO), "auction".into());
     /// (0..6).for_each(|_| budget.first(&service, Duration::ZERO));
     /// assert!(budget.has(&service, Duration::ZERO));
@@ -56,10 +56,11 @@
     /// ```
     #[must_use]
     pub fn new(serving: &Serving, now: Time) -> Self {
-        if serving.retry_window_ms == 0 {
+        let window = Duration::from_secs_f64(serving.retry_window_ms / 1_000.0);
+        if window.is_zero() {
             Self::Alone(Bucket::new(now))
         } else {
-            Self::Shared(Shared::new(serving))
+            Self::Shared(Shared::new(serving, window))
         }
     }
 
@@ -194,8 +195,7 @@
 
 impl Shared {
     /// The share of a host that has just started.
-    fn new(serving: &Serving) -> Self {
-        let window = Duration::from_millis(serving.retry_window_ms);
+    fn new(serving: &Serving, window: Duration) -> Self {
         Self {
             ratio: serving.retry_ratio,
             slack: f64::from(serving.retry_slack),
--- a/crates/entry/tests/repeats/world.rs
+++ b/crates/entry/tests/repeats/world.rs
@@ -127,7 +127,7 @@
             quarantine: false,
             retry_ratio: RATIO,
             retry_slack: SLACK,
-            retry_window_ms: u64::try_from(WINDOW.as_millis()).unwrap_or(u64::MAX),
+            retry_window_ms: WINDOW.as_secs_f64() * 1e3,
             ..Serving::default()
         };
         let config = Config::new(number(at))
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -149,7 +149,7 @@
     /// Retries that all entry hosts together may make besides, in [`Serving::retry_window_ms`].
     pub retry_slack: u32,
     /// The time over which retries are counted, in milliseconds; 0 counts them on each host alone.
-    pub retry_window_ms: u64,
+    pub retry_window_ms: f64,
 }
 
 impl Default for Serving {
@@ -162,7 +162,7 @@
             quarantine: true,
             retry_ratio: 0.2,
             retry_slack: 64,
-            retry_window_ms: 0,
+            retry_window_ms: 0.0,
         }
     }
 }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -246,7 +246,7 @@
         may("quarantine", Kind::Switch, "Whether a request that took a target down runs again only where no other request does; true."),
         may("retry-ratio", Kind::Number(0.0, 10.0), "Retries that each first send earns for the entry hosts together; 0.2."),
         may("retry-slack", Kind::Whole(0, COUNT), "Retries that all entry hosts together may make besides, in `retry-window-ms`; 64."),
-        may("retry-window-ms", Kind::Whole(0, DAY_MS), "The time over which retries are counted, in milliseconds; 0, the default, counts them on each host alone."),
+        may("retry-window-ms", Kind::Number(0.0, 86_400_000.0), "The time over which retries are counted, in milliseconds; 0, the default, counts them on each host alone."),
     ],
 };
 
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -77,3 +77,14 @@
     let entry = entry.replace("data: /var/lib/cornelhitch\n", "");
     assert!(entry.parse::<Process>().is_ok());
 }
+
+/// The platform gives the window in seconds, whole or not; the template writes it with an exponent.
+#[test]
+fn the_window_of_retries_may_be_written_with_an_exponent() {
+    let own = |window: &str| format!("{SOUND}serving: {{ retry-window-ms: {window} }}\n");
+    for (text, ms) in [("10000", 10_000.0), ("10e3", 10_000.0), ("7.5e3", 7_500.0)] {
+        let process: Process = own(text).parse().expect("settings");
+        let read = process.serving.retry_window_ms;
+        assert!((read - ms).abs() < 1e-6, "{text}: {read}");
+    }
+}
