What no retry comes for within a second is refused at once, with when to come back

What callers saw: requests that targets had turned away waited for the retry budget until their deadlines, and were refused then. Change: Budget::wait tells how long a request waits for its turn at the rate of its service's last window; beyond a second it is refused (not run) or failed (may have run) at once. A second is the least after which callers are told to come back, and one that comes back is a new request. An answer that has begun waits on. Evidence: the new test plays that load; before the change a request had no answer in 4 s, now none waits over 1.5 s.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -379,7 +379,7 @@
     }
 
     /// Ends a request whose target failed.
-    fn give_up(&mut self, id: CallId, detail: &str) {
+    pub(crate) fn give_up(&mut self, id: CallId, detail: &str) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -80,6 +80,20 @@
         }
     }
 
+    /// How long a request waits for its retry with so many others before it, while its service goes on
+    /// as it did in the last window.
+    ///
+    /// This is for the load under which targets turn most requests away: the budget is spent, and
+    /// what waits for it would wait past its deadline.
+    pub fn wait(&mut self, service: &Name, ahead: usize, now: Time) -> Duration {
+        let rate = match self {
+            Self::Alone(_) => EARNED_PER_SECOND,
+            Self::Shared(shared) => shared.rate(service, now),
+        };
+        let turn = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX)) + 1.0;
+        Duration::try_from_secs_f64(turn / rate).unwrap_or(Duration::MAX)
+    }
+
     /// Takes a retry, which is made or released later.
     pub fn reserve(&mut self, service: &Name, now: Time) {
         match self {
@@ -207,10 +221,8 @@
 
     /// Whether one more retry at a service is within this host's share.
     fn has(&mut self, service: &Name, now: Time) -> bool {
-        let slack = self.slack * self.part.size(now);
-        let ratio = self.ratio * USED;
+        let allowed = self.allowed(service, now);
         let account = self.account(service);
-        let allowed = f64::from(account.firsts.at_least(now)) * ratio + slack;
         let made = account
             .repeats
             .at_most(now)
@@ -218,6 +230,18 @@
         f64::from(made) + 1.0 <= allowed
     }
 
+    /// Retries at a service that a second allows.
+    fn rate(&mut self, service: &Name, now: Time) -> f64 {
+        self.allowed(service, now) / self.window.as_secs_f64()
+    }
+
+    /// Retries at a service that a window allows.
+    fn allowed(&mut self, service: &Name, now: Time) -> f64 {
+        let slack = self.slack * self.part.size(now);
+        let ratio = self.ratio * USED;
+        f64::from(self.account(service).firsts.at_least(now)) * ratio + slack
+    }
+
     /// What was sent of a service.
     fn account(&mut self, service: &Name) -> &mut Account {
         let window = self.window;
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use cornelhitch_types::demand;
 use cornelhitch_types::id::{Incarnation, ModelId, Name, TargetId, Time};
@@ -90,6 +91,8 @@
     pub(crate) dirty: BTreeSet<Key>,
     /// When requests that are held back by the retry budget are tried.
     pub(crate) starved: Option<Time>,
+    /// Requests for which the budget has no retry soon, and how long they would wait.
+    pub(crate) unaffordable: Vec<(CallId, Duration)>,
     /// When the queue is next looked through.
     pub(crate) sweep: Time,
     pub(crate) random: SmallRng,
@@ -131,6 +134,7 @@
             arrivals: BTreeMap::new(),
             dirty: BTreeSet::new(),
             starved: None,
+            unaffordable: Vec::new(),
             sweep: now,
             random,
             actions: Vec::new(),
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! From the queue to a place.
 
 use cornelhitch_types::id::{ModelId, Name, RegionId, Time};
+use cornelhitch_types::refusal::Reason;
 use cornelhitch_types::view::State;
 
 use crate::action::{Action, Destination};
@@ -10,6 +11,7 @@
 use crate::estimate::Supply;
 use crate::event::{CallId, What};
 use crate::fault::Fault;
+use crate::finish::End;
 use crate::picture::Target;
 use crate::quarantine::Life;
 use crate::queue::Key;
@@ -24,6 +26,10 @@
 /// When requests that are held back by the retry budget are tried again.
 const BUDGET_PAUSE: Time = Time::from_millis(250);
 
+/// The wait for a retry up to which a request is held back: the shortest time after which callers are
+/// told to come back.
+const SOON: Time = Time::from_secs(1);
+
 /// A candidate, and what a request may need of it.
 pub(crate) struct Choice {
     /// Where it is.
@@ -52,6 +58,12 @@
 impl Core {
     /// Sends what can be sent of one kind of request.
     pub(crate) fn dispatch(&mut self, key: &Key) {
+        self.send_waiting(key);
+        self.refuse_unaffordable();
+    }
+
+    /// Sends what waits and has a place to go to.
+    fn send_waiting(&mut self, key: &Key) {
         if self.queue.waiting(key) == 0 {
             return;
         }
@@ -253,8 +265,7 @@
         }
         let service = call.key.service();
         if call.arrivals > 0 && !self.affords(&service) {
-            self.starved = Some(self.now + BUDGET_PAUSE);
-            self.tallies.of(&service).held_back += 1;
+            self.starve(id, &service);
             return None;
         }
         let call = self.calls.get(&id)?;
@@ -288,6 +299,45 @@
         fit.get(chosen).copied()
     }
 
+    /// Holds a request back that the budget does not let be sent once more, or has it refused where
+    /// its caller is sooner served by coming back, which costs the budget nothing.
+    ///
+    /// An answer that has begun waits: what its caller has is worth more than another try.
+    fn starve(&mut self, id: CallId, service: &Name) {
+        self.starved = Some(self.now + BUDGET_PAUSE);
+        self.tallies.of(service).held_back += 1;
+        let others = self.calls.values().filter(|call| {
+            let before = call.request.id < id && call.waits() && call.arrivals > 0;
+            before && call.key.service() == *service
+        });
+        let ahead = others.count();
+        let wait = self.budget.wait(service, ahead, self.now);
+        let begun = self
+            .calls
+            .get(&id)
+            .is_some_and(|call| call.reach == Reach::Begun);
+        if wait > SOON && !begun {
+            self.unaffordable.push((id, wait));
+        }
+    }
+
+    /// Refuses the requests for which no retry comes soon.
+    fn refuse_unaffordable(&mut self) {
+        for (id, wait) in std::mem::take(&mut self.unaffordable) {
+            let unsent = self
+                .calls
+                .get(&id)
+                .is_some_and(|call| call.reach == Reach::Unsent);
+            if unsent {
+                let detail = "targets turned it away, and no more retries may be made now";
+                let end = End::not_run(Reason::Overloaded, detail);
+                self.refuse(id, end.after(wait.min(SOON)));
+            } else {
+                self.give_up(id, "the target failed, and no more retries may be made now");
+            }
+        }
+    }
+
     /// Whether a request of a service may be sent once more.
     pub(crate) fn affords(&mut self, service: &Name) -> bool {
         !self.config.uses(Guard::Budget) || self.budget.has(service, self.now)
--- a/crates/entry/tests/routed.rs
+++ b/crates/entry/tests/routed.rs
@@ -38,11 +38,16 @@
 
 /// A core in zone a that knows some targets.
 fn core(targets: Vec<Change>) -> Core {
+    core_with(targets, Serving::default())
+}
+
+/// The same, which shares its retries with other hosts where the settings say so.
+fn core_with(targets: Vec<Change>, serving: Serving) -> Core {
     // Routed requests name no body that could be told apart, so nothing is kept from targets.
     let serving = Serving {
         quarantine: false,
         strikes: 3,
-        ..Serving::default()
+        ..serving
     };
     let config = Config::new(1).place("perth", "a").serving(serving);
     let mut core = Core::new(config, Time::ZERO);
@@ -397,3 +402,44 @@
     assert_eq!(tell(1, 2, vec![target("w2", "a", false)]), (1, 3));
     assert_eq!(sent(&mut core, request(true)), "w2");
 }
+
+/// The load: targets turn away what they get, and the budget of retries is spent.
+#[test]
+fn what_no_retry_comes_for_in_time_is_refused_at_once_with_when_to_come_back() {
+    let serving = Serving {
+        retry_window_ms: 10e3,
+        ..Serving::default()
+    };
+    let targets = vec![target("w1", "a", true), target("w2", "a", true)];
+    let mut core = core_with(targets, serving);
+    let mut waits = Vec::new();
+    for id in 100..112 {
+        let since = at((id - 100) * 400);
+        let mut request = request(id % 2 == 0);
+        request.id = id;
+        let mut actions = core.handle(Event::Arrived(request), since);
+        let mut now = since;
+        while refusal(&actions).is_none() && now < since + at(4_000) {
+            if let Some((_, attempt)) = send(&actions) {
+                core.handle(Event::Sent { id, attempt }, now);
+                let failure = Failure::Refused;
+                let event = Event::Failed {
+                    id,
+                    attempt,
+                    failure,
+                };
+                actions = core.handle(event, now + at(5));
+            }
+            if send(&actions).is_none() && refusal(&actions).is_none() {
+                now += at(10);
+                actions = core.handle(Event::Tick, now);
+            }
+        }
+        let refusal = refusal(&actions).expect("a refusal");
+        assert_eq!(refusal.run, Run::NotRun, "{refusal:?}");
+        assert!(refusal.retry_after.is_some(), "{refusal:?}");
+        waits.push(now.saturating_sub(since));
+    }
+    let longest = waits.iter().max().expect("some");
+    assert!(*longest <= at(1_500), "{waits:?}");
+}
