The entry task in smaller files: errands to control and targets, answers that are refusals

What it asks of control and of targets in tasks of their own (entry/errands.rs) and its answers to callers that are no whole answer of a target (entry/answers.rs) stand by themselves; no line of logic changed. cargo clippy and the tests of the crate pass.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,43 +1,35 @@
 //! The task that owns the core of an entry host.
 
+mod answers;
+mod errands;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use bytes::Bytes;
-use cornelhitch_control::claims::{self, Claim, Finish, Holder, Key};
-use cornelhitch_control::command::Command;
-use cornelhitch_control::strikes::Strike;
 use cornelhitch_entry::action::{Action, Destination};
-use cornelhitch_entry::claim;
 use cornelhitch_entry::core::Core;
 use cornelhitch_entry::entries::{self, Whence};
-use cornelhitch_entry::event::{Attempt as Number, CallId, Digest, Event};
+use cornelhitch_entry::event::{Attempt as Number, CallId, Event};
 use cornelhitch_settings::fleet::Fleet;
 use cornelhitch_target::client::Client;
 use cornelhitch_target::inbound::{Message as Told, Receipt};
 use cornelhitch_types::entry::Host;
-use cornelhitch_types::id::{CallerId, Incarnation, Name, TargetId};
-use cornelhitch_types::refusal::Refusal;
+use cornelhitch_types::id::Name;
 use cornelhitch_types::view::{Change, View};
-use http::header::CONTENT_TYPE;
-use http::{HeaderMap, HeaderValue, StatusCode};
 use serde::Serialize;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{self, Attempt, Signals};
-use crate::audit::{Audit, Basis};
-use crate::exchange::{Exchange, Head, Intake, Part, Payload, Recorded};
+use crate::audit::Audit;
+use crate::exchange::{Exchange, Intake, Payload, Recorded};
 use crate::ingress::Routes;
 use crate::message::Upward;
 use crate::metrics::Metrics;
-use crate::outcome;
-use crate::problem::Problem;
 use crate::session;
 
 /// Time between two reports of demand while nothing presses.
@@ -46,19 +38,6 @@
 /// Time between two reports of demand when models are waited for.
 const URGENT_REPORT: Duration = Duration::from_millis(5);
 
-/// Time that a claim may take before the request is refused.
-const CLAIM: Duration = Duration::from_secs(5);
-
-/// Time that the commit of a target's farewell may take; targets ask another host after a time of this
-/// order.
-const FAREWELL: Duration = Duration::from_secs(3);
-
-/// Time that the record of an outcome may take.
-const RECORD: Duration = Duration::from_mins(1);
-
-/// Time that a probe may take.
-const PROBE: Duration = Duration::from_secs(1);
-
 /// What the entry task is told.
 #[derive(Debug)]
 pub enum Input {
@@ -376,31 +355,6 @@
         let _ = receipt.send(answer);
     }
 
-    /// Has it committed that a target leaves, and says so to the target only then.
-    fn farewell(
-        &self,
-        target: TargetId,
-        incarnation: Incarnation,
-        receipt: oneshot::Sender<Receipt>,
-    ) {
-        let session = self.setup.session.clone();
-        let leave = Command::Leave {
-            target,
-            incarnation,
-        };
-        tokio::spawn(async move {
-            let committed = session.propose(leave.encode(), FAREWELL).await;
-            let answer = match committed {
-                Ok(_) => Receipt::Taken,
-                Err(error) => {
-                    tracing::info!(%error, ?leave, "a farewell is not committed");
-                    Receipt::Elsewhere
-                }
-            };
-            let _ = receipt.send(answer);
-        });
-    }
-
     /// Gives the core an event and does what it says.
     fn handle(&mut self, event: Event) {
         let now = self.setup.epoch.elapsed();
@@ -562,163 +516,4 @@
             });
         }
     }
-
-    /// Ends a request with a refusal.
-    fn refuse(&mut self, id: CallId, refusal: Refusal) {
-        let basis = self.basis();
-        if let Some(exchange) = self.exchanges.remove(&id) {
-            self.audit.refused(&exchange, &refusal, basis);
-            let _ = exchange.reply.try_send(Part::Refusal(refusal));
-        }
-    }
-
-    /// What this host acts on now.
-    fn basis(&self) -> Basis {
-        let core = &self.setup.core;
-        let (term, view) = core.seen();
-        Basis {
-            term,
-            view,
-            table: core.table().map_or(0, |table| table.version),
-        }
-    }
-
-    /// Ends an answer that had begun: an error event, then the connection is cut.
-    fn cut(&mut self, id: CallId, refusal: &Refusal) {
-        let basis = self.basis();
-        let Some(exchange) = self.exchanges.remove(&id) else {
-            return;
-        };
-        self.audit.refused(&exchange, refusal, basis);
-        if matches!(&*exchange.payload, Payload::Routed(_)) {
-            // The target's bytes stand alone: the cut connection says that they are not whole.
-            return;
-        }
-        let problem = Problem::from(refusal).json();
-        let event = [b"event: error\ndata: ", &problem[..], b"\n\n"].concat();
-        tokio::spawn(async move {
-            let _ = exchange.reply.send(Part::Data(event.into())).await;
-        });
-    }
-
-    /// Answers with a recorded answer.
-    fn replay(&mut self, id: CallId, recorded: &Bytes) {
-        let Some(exchange) = self.exchanges.remove(&id) else {
-            return;
-        };
-        let Ok(recorded) = postcard::from_bytes::<Recorded>(recorded) else {
-            tracing::error!(id, "a recorded answer cannot be read");
-            return;
-        };
-        let mut headers = HeaderMap::new();
-        let media_type = recorded.media_type.as_deref().unwrap_or_default();
-        if let Ok(value) = HeaderValue::from_str(media_type) {
-            headers.insert(CONTENT_TYPE, value);
-        }
-        let status = StatusCode::from_u16(recorded.status).unwrap_or_default();
-        for part in [
-            Part::Head(Head { status, headers }),
-            Part::Data(recorded.body),
-            Part::End,
-        ] {
-            let _ = exchange.reply.try_send(part);
-        }
-    }
-
-    /// Asks control for the right to run a request with a key.
-    fn claim(&self, id: CallId, caller: CallerId, key: Name, digest: Digest) {
-        let claim = Command::Claim(Claim {
-            key: Key { caller, key },
-            digest,
-            holder: self.holder(),
-            call: id,
-            issued: None,
-        });
-        let session = self.setup.session.clone();
-        let inputs = self.setup.input.clone();
-        tokio::spawn(async move {
-            let reply = session.propose(claim.encode(), CLAIM).await;
-            let reply = reply.map_or(claim::Reply::Unavailable, |bytes| outcome::claimed(&bytes));
-            let _ = inputs.send(Input::Event(Event::Claimed { id, reply }));
-        });
-    }
-
-    /// Asks control to commit the outcome of a request with a key.
-    fn record(&mut self, id: CallId, caller: CallerId, key: Name, outcome: claim::Outcome) {
-        let answer = self.answers.remove(&id);
-        let key = Key { caller, key };
-        let holder = self.holder();
-        let command = match outcome {
-            claim::Outcome::NotRun => Command::Abandon {
-                key,
-                holder,
-                call: id,
-            },
-            claim::Outcome::Answered | claim::Outcome::Unknown => {
-                let answer = answer.filter(|_| outcome == claim::Outcome::Answered);
-                let outcome = answer.map_or(claims::Outcome::Unknown, claims::Outcome::from);
-                Command::Finish(Finish {
-                    key,
-                    holder,
-                    call: id,
-                    outcome,
-                })
-            }
-        };
-        let session = self.setup.session.clone();
-        let inputs = self.setup.input.clone();
-        tokio::spawn(async move {
-            if session.propose(command.encode(), RECORD).await.is_ok() {
-                let _ = inputs.send(Input::Event(Event::Recorded { id }));
-            }
-        });
-    }
-
-    /// Tells control of a target that failed with a request in progress.
-    fn strike(&self, fingerprint: u64, target: TargetId, incarnation: Incarnation) {
-        let strike = Command::Strike(Strike {
-            fingerprints: vec![fingerprint],
-            target,
-            incarnation,
-        });
-        let session = self.setup.session.clone();
-        tokio::spawn(async move { session.propose(strike.encode(), RECORD).await });
-    }
-
-    /// Asks the leader to let suspect requests to a target come from here only.
-    fn reserve(&self, target: TargetId, incarnation: Incarnation) {
-        let session = self.setup.session.clone();
-        let inputs = self.setup.input.clone();
-        tokio::spawn(async move {
-            let question = crate::message::Question::Reserve {
-                target: target.clone(),
-                incarnation,
-            };
-            let answer = session.ask(question, CLAIM).await;
-            let granted = answer.is_ok_and(|json| &json[..] == b"true");
-            let _ = inputs.send(Input::Event(Event::Reserved {
-                target,
-                incarnation,
-                granted,
-            }));
-        });
-    }
-
-    /// Tries to connect to a target.
-    fn probe(&self, target: TargetId, address: std::net::SocketAddr) {
-        let inputs = self.setup.input.clone();
-        tokio::spawn(async move {
-            let connecting = tokio::time::timeout(PROBE, TcpStream::connect(address));
-            let connected = matches!(connecting.await, Ok(Ok(_)));
-            let _ = inputs.send(Input::Event(Event::Probed { target, connected }));
-        });
-    }
-
-    /// This life of this host, which holds claims.
-    fn holder(&self) -> Holder {
-        Holder {
-            host: self.setup.host.host,
-            incarnation: self.setup.host.incarnation,
-        }
-    }
 }
