Half of what a host's first sends allow is used, since callers move between hosts

Each host counts its own last window, so two windows' requests can pay for one; 0.9 allowed for windows that end at other times, not for callers that move. Ruled out: repeats that were not counted (the logs show all), the slack (14.5 a host), requests that never arrived (8). Change: half. In a window a host's repeats are paid for by requests of that window or the one before, so all together by at most twice the most requests of either.

--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -24,9 +24,10 @@
 /// Retries that can be saved up: one full batch of a large engine, twice.
 const LIMIT: f64 = 64.0;
 
-/// The part of what first sends allow that is used: the windows of several hosts do not end at the same
-/// time, so each may count its own when it has sent most.
-const USED: f64 = 0.9;
+/// The part of what first sends allow that is used. In one window a host may make retries for what it
+/// sent in the window before, and another host for what it sends later in it, after callers have moved
+/// from one to the other: so together they count the requests of two windows.
+const USED: f64 = 0.5;
 
 /// The retries that a host may make.
 ///
@@ -49,7 +50,7 @@
     ///
     /// let serving = Serving { retry_ratio: 0.2, retry_window_ms: 10e3, ..Serving::default() };
     /// let (mut budget, service) = (Budget::new(&serving, Duration::ZERO), "auction".into());
-    /// (0..6).for_each(|_| budget.first(&service, Duration::ZERO));
+    /// (0..10).for_each(|_| budget.first(&service, Duration::ZERO));
     /// assert!(budget.has(&service, Duration::ZERO));
     /// budget.reserve(&service, Duration::ZERO);
     /// assert!(!budget.has(&service, Duration::ZERO));
