A log that nobody reads holds up no request

What callers would see: a host whose output is a pipe that nobody reads stands still when the pipe is full. Cause: lines were written by the task that wrote them, and a write to a full pipe waits. The last lines are written when the daemon ends.

--- a/crates/cornelhitch/src/daemon.rs
+++ b/crates/cornelhitch/src/daemon.rs
@@ -267,6 +267,7 @@
     );
     let node = Node::speak(process, sockets, dialect)?;
     tracing::info!(addresses = ?node.addresses, "started");
+    tokio::spawn(log::watch());
     if exporting.is_none() {
         tokio::spawn(telemetry::lines(node.metrics.clone()));
     }
@@ -283,5 +284,6 @@
         let _ = tokio::task::spawn_blocking(move || provider.shutdown()).await;
     }
     tracing::info!("ended");
+    log::finish();
     Ok(())
 }
--- /dev/null
+++ b/crates/cornelhitch/tests/output.rs
@@ -0,0 +1,87 @@
+//! A daemon whose log nobody reads.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use cornelhitch_trial::cluster::{TOKEN, free_port};
+use tempfile::TempDir;
+
+/// How often the daemon is asked before it counts as hanging, and the pause between.
+const TRIES: usize = 100;
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Requests that fill any pipe: each is refused, which writes a line.
+const REQUESTS: usize = 1_000;
+
+/// Ends the daemon with the test.
+struct Daemon(Child);
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Asks for a model that there is not; whether the host says so.
+fn refuses(callers: SocketAddr) -> bool {
+    let body = r#"{"model":"none","messages":[]}"#;
+    let ask = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(callers)?;
+        stream.set_read_timeout(Some(PAUSE * 20))?;
+        let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: any\r\nconnection: close";
+        let length = body.len();
+        write!(stream, "{head}\r\ncontent-length: {length}\r\n\r\n{body}")?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
+    };
+    ask().is_ok_and(|answer| answer.contains("not_run"))
+}
+
+#[test]
+fn a_log_that_nobody_reads_holds_up_no_request() {
+    let folder = TempDir::new().expect("a folder");
+    let write = |name: &str, text: &str| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).expect("a file");
+        path.display().to_string()
+    };
+    let keys = write("keys", "a secret that all peers share");
+    let token = write("token", TOKEN);
+    let data = folder.path().join("data").display().to_string();
+    let [callers, operators, peers] = [(); 3].map(|()| free_port());
+    let settings = write(
+        "host.yaml",
+        &format!(
+            "cluster: trial\nhost: 1\nregion: perth-a\nzone: perth-a-1\nroles: [entry, control]\n\
+             callers: 127.0.0.1:{callers}\noperators: 127.0.0.1:{operators}\npeers: 127.0.0.1:{peers}\n\
+             voters: [{{ host: 1, address: 127.0.0.1:{peers} }}]\ndata: {data}\nkeys: {keys}\n\
+             token: {token}\n"
+        ),
+    );
+    let daemon = Command::new(env!("CARGO_BIN_EXE_cornelhitchd"))
+        .args([
+            "--settings",
+            &settings,
+            "--log",
+            "trace",
+            "--log-format",
+            "json",
+        ])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn();
+    let _daemon = Daemon(daemon.expect("the daemon"));
+    let callers = SocketAddr::from(([127, 0, 0, 1], callers));
+    let started = (0..TRIES).any(|_| {
+        std::thread::sleep(PAUSE);
+        refuses(callers)
+    });
+    assert!(started, "the daemon does not start");
+    for request in 0..REQUESTS {
+        assert!(refuses(callers), "request {request} is not answered");
+    }
+}
