An error of the target that goes on with a stream is no part of it

Cause: a target that was asked to continue an answer and answered with an error of its own counted as the request's answer once all attempts were used, since only the number of attempts decided whether another is tried; its body was passed on after the events. Class: what fits the begin of an answer taken for what fits its middle. Any answer but a success fails the attempt now, where a part of the answer is with the caller; the caller's answer is then visibly cut. Evidence: the new test over real sockets fails without the change with the same bytes, and passes.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -47,7 +47,10 @@
             incarnation: self.to.incarnation,
             error: answer.status.is_server_error(),
         });
-        if answer.status.is_server_error() && self.may_repeat(routed) {
+        let failed = answer.status.is_server_error() && self.may_repeat(routed);
+        // The caller has a part of a success, which no other answer can go on with.
+        let unfit = self.resume.is_some() && !answer.status.is_success();
+        if failed || unfit {
             return Err(End::Failed(Failure::Status));
         }
         let mut deliver = Some(deliver);
