--- a/crates/entry/examples/policy/bench.rs
+++ b/crates/entry/examples/policy/bench.rs
@@ -349,6 +349,7 @@
                 fingerprint,
                 target,
                 incarnation,
+                ..
             } => {
                 let instances = self.strikes.entry(fingerprint).or_default();
                 instances.insert((target, incarnation));
--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -123,6 +123,8 @@
         target: TargetId,
         /// The incarnation of the target.
         incarnation: Incarnation,
+        /// The number of strikes that this host now counts.
+        strikes: u32,
     },
     /// Report to control that a target cannot be reached from this host.
     Suspect {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -353,6 +353,7 @@
             fingerprint,
             target,
             incarnation,
+            strikes: self.quarantine.strikes(fingerprint),
         });
         self.refuse_quarantined(fingerprint);
     }
--- a/crates/entry/src/tests/simulation.rs
+++ b/crates/entry/src/tests/simulation.rs
@@ -372,6 +372,7 @@
                 fingerprint,
                 target,
                 incarnation,
+                ..
             } => {
                 let change = self.control.strike(fingerprint, (target, incarnation));
                 self.broadcast(vec![change]);
@@ -392,9 +393,7 @@
             Action::Unreserve {
                 target,
                 incarnation,
-            } => {
-                self.control.unreserve(&(target, incarnation), core);
-            }
+            } => self.control.unreserve(&(target, incarnation), core),
             Action::Probe { target, .. } => {
                 let connected = self
                     .targets
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -208,6 +208,7 @@
         match event {
             session::Event::View(view) => {
                 self.publish_settings(&view);
+                log_strike_counts(&view);
                 let (term, from, to) = (view.term, view.from, view.to);
                 self.handle_event(Event::View(view));
                 let seen = self.setup.core.view_position();
@@ -324,6 +325,7 @@
         };
         let exchange = Exchange {
             payload: Arc::new(payload),
+            fingerprint: request.fingerprint,
             reply,
             delivered: Arc::new(AtomicU64::new(delivered)),
             keyed: request.key.is_some(),
@@ -422,7 +424,8 @@
                 fingerprint,
                 target,
                 incarnation,
-            } => self.strike(fingerprint, target, incarnation),
+                strikes,
+            } => self.strike(fingerprint, target, incarnation, strikes),
             Action::Probe { target, address } => self.probe(target, address),
             Action::Reserve {
                 target,
@@ -541,3 +544,31 @@
         }
     }
 }
+
+/// Logs the strike counts that a view publishes; only their number if the view is complete.
+fn log_strike_counts(view: &View) {
+    let (term, to) = (view.term, view.to);
+    let counts = view.changes.iter().filter_map(|change| match change {
+        Change::StrikeCount(fingerprint, strikes) => Some((*fingerprint, *strikes)),
+        _ => None,
+    });
+    if view.from == 0 {
+        let fingerprints = counts.count();
+        tracing::info!(
+            fingerprints,
+            term,
+            view = to,
+            "complete view: fingerprints with strikes"
+        );
+        return;
+    }
+    for (fingerprint, strikes) in counts {
+        tracing::info!(
+            fingerprint,
+            strikes,
+            term,
+            view = to,
+            "strike count published"
+        );
+    }
+}
--- a/crates/node/src/entry/background.rs
+++ b/crates/node/src/entry/background.rs
@@ -15,6 +15,7 @@
 use super::{Entry, Input};
 use crate::claim_outcome;
 use crate::message::Question;
+use crate::metrics::Count;
 
 /// Timeout for committing a claim; after it the request is refused.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
@@ -119,14 +120,38 @@
     }
 
     /// Commits a strike against a request whose target failed while running it.
-    pub(super) fn strike(&self, fingerprint: u64, target: TargetId, incarnation: Incarnation) {
+    pub(super) fn strike(
+        &self,
+        fingerprint: u64,
+        target: TargetId,
+        incarnation: Incarnation,
+        strikes: u32,
+    ) {
+        let (term, view) = self.setup.core.view_position();
+        self.setup.metrics.increment(Count::Strikes);
+        tracing::info!(
+            fingerprint,
+            target = &*target,
+            life = incarnation,
+            strikes,
+            term,
+            view,
+            "strike counted: target failed while running the request"
+        );
         let strike = Command::Strike(Strike {
             fingerprints: vec![fingerprint],
             target,
             incarnation,
         });
         let session = self.setup.session.clone();
-        tokio::spawn(async move { session.propose(strike.encode(), COMMIT_TIMEOUT).await });
+        let metrics = self.setup.metrics.clone();
+        tokio::spawn(async move {
+            let committed = session.propose(strike.encode(), COMMIT_TIMEOUT).await;
+            if let Err(error) = committed {
+                metrics.increment(Count::StrikesUnconfirmed);
+                tracing::warn!(fingerprint, %error, "commit of a strike not confirmed");
+            }
+        });
     }
 
     /// Asks the leader to reserve a target for suspect requests from this host only.
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -108,6 +108,8 @@
 pub struct Exchange {
     /// What is sent to the target.
     pub payload: Arc<Payload>,
+    /// The digest that strikes are counted by.
+    pub fingerprint: u64,
     /// The queue for the parts of the answer.
     pub reply: mpsc::Sender<Part>,
     /// Tokens sent to the caller so far, over all attempts.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -21,6 +21,10 @@
 pub enum Count {
     /// Requests from callers.
     Requests,
+    /// Strikes against requests whose target failed while running them.
+    Strikes,
+    /// Strikes whose commit was not confirmed.
+    StrikesUnconfirmed,
     /// Requests that were refused.
     Refusals,
     /// Answers whose first byte was forwarded.
