--- /dev/null
+++ b/crates/node/tests/crashing/fleet.rs
@@ -0,0 +1,533 @@
+//! Simulates entry hosts, the leader with its replicated state, and targets that end: real cores on
+//! a virtual clock.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use cornelhitch_control::prelude::*;
+use cornelhitch_control::strikes::Strike;
+use cornelhitch_entry::event::{Attempt, CallId, Failure, RouteLimits};
+use cornelhitch_entry::prelude::*;
+use cornelhitch_planner::Planner;
+use cornelhitch_planner::decision::Decision;
+use cornelhitch_planner::fleet_state::FleetState;
+use cornelhitch_settings::process::{IsolationPolicy, Serving};
+use cornelhitch_types::entry;
+use cornelhitch_types::id::{HostId, Incarnation, Name, Time};
+use cornelhitch_types::refusal::Reason;
+use cornelhitch_types::target::{AnnouncedHeartbeat, Announcement, Heartbeat, Kind, Load};
+use cornelhitch_types::view::View;
+
+/// Duration of one simulation step.
+const STEP: Time = Time::from_millis(10);
+/// How long a target takes to answer, or to end under a request that crashes it.
+const ATTEMPT: Time = Time::from_millis(30);
+/// Time between two heartbeats of a target.
+const HEARTBEAT: Time = Time::from_millis(1_200);
+/// Time between two lease renewals of an entry host.
+const RENEWAL: Time = Time::from_millis(500);
+/// How long a target is down after it ended.
+const DOWNTIME: Time = Time::from_secs(3);
+/// The number of the entry host at index 0.
+const FIRST_HOST: HostId = 100;
+
+/// A planner without decisions: the targets are plain services.
+struct NoPlanner;
+
+impl Planner for NoPlanner {
+    fn plan(&mut self, _: &FleetState, _: Time) -> Vec<Decision> {
+        Vec::new()
+    }
+
+    fn explain(&self, _: &str, _: Time) -> Vec<String> {
+        Vec::new()
+    }
+}
+
+/// A target; each start is a new incarnation under the same name.
+struct Target {
+    life: Incarnation,
+    heartbeats: u64,
+    heartbeat_at: Time,
+    down_until: Option<Time>,
+}
+
+/// One send of one request.
+#[derive(Clone)]
+struct PendingSend {
+    host: usize,
+    id: CallId,
+    attempt: Attempt,
+    target: usize,
+    life: Incarnation,
+    at: Time,
+    /// Whether the first byte was written.
+    running: bool,
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// It was answered completely.
+    Answered,
+    /// It was refused, or its answer was aborted.
+    Refused(Reason),
+}
+
+/// The simulated fleet.
+pub struct Fleet {
+    pub now: Time,
+    /// Times at which a target ended under the crashing request.
+    pub crashes: Vec<Time>,
+    /// How requests ended.
+    pub ends: BTreeMap<CallId, End>,
+    state: State,
+    leader: Option<Leader>,
+    term: u64,
+    entries: u64,
+    hosts: Vec<Option<Core>>,
+    renewed: Vec<Time>,
+    incarnations: u64,
+    targets: Vec<Target>,
+    sends: Vec<PendingSend>,
+    fingerprints: BTreeMap<CallId, u64>,
+    /// Fingerprints of requests that end the target that runs them.
+    crashing: BTreeSet<u64>,
+    /// Proposals of entry hosts that no leader has committed yet.
+    proposals: VecDeque<Command>,
+    last_id: CallId,
+}
+
+impl Fleet {
+    /// Starts a fleet and runs it until all hosts know all targets.
+    pub fn new(hosts: usize, targets: usize) -> Self {
+        let target = |_| Target {
+            life: 1,
+            heartbeats: 0,
+            heartbeat_at: Time::ZERO,
+            down_until: None,
+        };
+        let mut fleet = Self {
+            now: Time::from_hours(1),
+            crashes: Vec::new(),
+            ends: BTreeMap::new(),
+            state: State::default(),
+            leader: None,
+            term: 0,
+            entries: 0,
+            hosts: (0..hosts).map(|_| None).collect(),
+            renewed: vec![Time::ZERO; hosts],
+            incarnations: 0,
+            targets: (0..targets).map(target).collect(),
+            sends: Vec::new(),
+            fingerprints: BTreeMap::new(),
+            crashing: BTreeSet::new(),
+            proposals: VecDeque::new(),
+            last_id: 0,
+        };
+        fleet.elect_leader();
+        let settings = Apply {
+            operator: "ann".into(),
+            request: "first".into(),
+            base: 0,
+            text: "models: []".into(),
+        };
+        fleet.commit(&Command::Apply(settings));
+        (0..hosts).for_each(|at| fleet.restart_host(at));
+        fleet.run(Time::from_secs(6));
+        fleet
+    }
+
+    /// Makes every request with a fingerprint end the target that runs it.
+    pub fn crash_targets_with(&mut self, fingerprint: u64) {
+        self.crashing.insert(fingerprint);
+    }
+
+    /// Starts an entry host with no prior state.
+    pub fn restart_host(&mut self, at: usize) {
+        self.incarnations += 1;
+        let serving = Serving {
+            isolated: IsolationPolicy::Serve,
+            strikes: 3,
+            quarantine: false,
+            ..Serving::default()
+        };
+        let config = Config::new(host_number(at))
+            .incarnation(self.incarnations)
+            .place("perth", "a")
+            .serving(serving);
+        self.hosts[at] = Some(Core::new(config, self.now));
+        self.sends.retain(|send| send.host != at);
+        self.renewed[at] = Time::ZERO;
+    }
+
+    /// Elects another leader over the same state.
+    fn elect_leader(&mut self) {
+        self.term += 1;
+        self.leader = Some(Leader::new(Box::new(NoPlanner)));
+        self.lead(Input::Elected { term: self.term });
+    }
+
+    /// Ends the target that runs a request, for a reason of its own.
+    pub fn kill_target_of(&mut self, id: CallId) {
+        if let Some(target) = self.target_of(id) {
+            self.kill_target(target);
+        }
+    }
+
+    /// Breaks the connection of a request to its target, which runs on.
+    pub fn break_connection_of(&mut self, id: CallId) {
+        if let Some(target) = self.target_of(id) {
+            self.break_connections(target);
+        }
+    }
+
+    /// Returns the target that runs a request.
+    fn target_of(&self, id: CallId) -> Option<usize> {
+        let mut sends = self.sends.iter();
+        let send = sends.find(|send| send.id == id && send.running)?;
+        Some(send.target)
+    }
+
+    /// Ends a target for a reason of its own.
+    fn kill_target(&mut self, at: usize) {
+        self.targets[at].down_until = Some(self.now + DOWNTIME);
+        self.break_connections(at);
+    }
+
+    /// Breaks all connections to a target.
+    fn break_connections(&mut self, at: usize) {
+        let broken = self
+            .sends
+            .extract_if(.., |send| send.target == at && send.running);
+        for send in broken.collect::<Vec<_>>() {
+            self.fail(&send, Failure::Broken);
+        }
+    }
+
+    /// Sends a request to an entry host and returns its id.
+    pub fn request(&mut self, host: usize, fingerprint: u64) -> CallId {
+        self.last_id += 1;
+        let id = self.last_id;
+        let what = RequestedResource::Service {
+            name: "auction".into(),
+            method: "GET".into(),
+        };
+        let mut request = Request::new(id, "dealer", what);
+        request.fingerprint = fingerprint;
+        request.repeatable = true;
+        request.deadline = Some(Duration::from_secs(4));
+        request.terms = Some(Box::new(RouteLimits {
+            attempts: 2,
+            limit: Duration::from_secs(4),
+            objective: Duration::from_millis(400),
+            rank: 0,
+            sizes: Vec::new(),
+        }));
+        self.fingerprints.insert(id, fingerprint);
+        self.deliver(host, Event::Arrived(request));
+        id
+    }
+
+    /// Advances the simulation.
+    pub fn run(&mut self, length: Time) {
+        let until = self.now + length;
+        while self.now < until {
+            self.now += STEP;
+            self.lead(Input::Tick);
+            self.commit_proposals();
+            for target in 0..self.targets.len() {
+                self.advance_target(target);
+            }
+            for host in 0..self.hosts.len() {
+                self.renew_lease(host);
+                self.deliver(host, Event::Tick);
+            }
+            self.advance_sends();
+        }
+    }
+
+    /// Sends a target's heartbeat if it is due, and starts the target again after its downtime.
+    fn advance_target(&mut self, at: usize) {
+        let target = &mut self.targets[at];
+        match target.down_until {
+            Some(until) if until > self.now => return,
+            Some(_) => {
+                target.down_until = None;
+                target.life += 1;
+                target.heartbeats = 0;
+                target.heartbeat_at = self.now;
+            }
+            None => {}
+        }
+        if target.heartbeat_at > self.now {
+            return;
+        }
+        target.heartbeat_at = self.now + HEARTBEAT;
+        target.heartbeats += 1;
+        let presence = presence(at, target);
+        self.lead(Input::Presence(Box::new(presence)));
+    }
+
+    /// Renews a host's lease if it is due.
+    fn renew_lease(&mut self, at: usize) {
+        if self.hosts[at].is_none() || self.renewed[at] + RENEWAL > self.now {
+            return;
+        }
+        self.renewed[at] = self.now;
+        let host = entry::Host {
+            host: host_number(at),
+            incarnation: 1,
+            address: ([10, 0, 0, 1], 80).into(),
+            region: "perth".into(),
+            zone: "a".into(),
+            load: 0,
+            draining: false,
+            settings: 1,
+        };
+        self.lead(Input::Renewal(host));
+        let position = self.hosts[at].as_ref().map(Core::view_position);
+        if let Some((term, sequence)) = position.filter(|(term, _)| *term < self.term) {
+            let host = host_number(at);
+            self.lead(Input::Subscribe {
+                host,
+                term,
+                sequence,
+            });
+        }
+    }
+
+    /// Passes an input to the leader, if there is one, and carries out what it returns.
+    fn lead(&mut self, input: Input) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        for output in leader.handle(input, &self.state, self.now) {
+            match output {
+                Output::Propose(command) => self.commit(&command),
+                Output::Publish { to, view } => self.publish(to, &view),
+                Output::Lease {
+                    host,
+                    length,
+                    version,
+                    ..
+                } => {
+                    let until = self.now + length;
+                    self.deliver(host_index(host), Event::Lease { until, version });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Commits a command and tells the leader.
+    fn commit(&mut self, command: &Command) {
+        self.entries += 1;
+        let entry = Entry {
+            index: self.entries,
+            term: self.term,
+            time: self.now,
+        };
+        let command = Command::decode(&command.encode()).expect("a command is readable");
+        let reply = self.state.apply(&entry, command.clone());
+        self.lead(Input::Applied { command, reply });
+    }
+
+    /// Commits what entry hosts have proposed, if somebody leads.
+    fn commit_proposals(&mut self) {
+        while self.leader.is_some()
+            && let Some(command) = self.proposals.pop_front()
+        {
+            self.commit(&command);
+        }
+    }
+
+    /// Passes a view to the entry hosts that it is for.
+    fn publish(&mut self, to: Audience, view: &View) {
+        for at in 0..self.hosts.len() {
+            let wanted = match to {
+                Audience::All => true,
+                Audience::Host(host) => host == host_number(at),
+            };
+            if wanted {
+                self.deliver(at, Event::View(view.clone()));
+            }
+        }
+    }
+
+    /// Advances the sends that are due.
+    fn advance_sends(&mut self) {
+        let now = self.now;
+        let due: Vec<PendingSend> = self.sends.extract_if(.., |send| send.at <= now).collect();
+        for send in due {
+            if send.running {
+                self.end_run(&send);
+            } else {
+                self.connect(&send);
+            }
+        }
+    }
+
+    /// Connects to the target of a send.
+    fn connect(&mut self, send: &PendingSend) {
+        let (id, attempt) = (send.id, send.attempt);
+        let target = &self.targets[send.target];
+        if target.down_until.is_some() {
+            self.fail(send, Failure::Connect);
+        } else {
+            // The host cancels the send at once if the target has left meanwhile.
+            self.sends.push(PendingSend {
+                at: self.now + ATTEMPT,
+                running: true,
+                ..send.clone()
+            });
+            self.deliver(send.host, Event::Sent { id, attempt });
+        }
+    }
+
+    /// Ends a run: the target answers, or ends under the request.
+    fn end_run(&mut self, send: &PendingSend) {
+        let (id, attempt) = (send.id, send.attempt);
+        if self.targets[send.target].life != send.life {
+            self.fail(send, Failure::WrongTarget);
+        } else if self.crashing.contains(&self.fingerprints[&id]) {
+            self.crashes.push(self.now);
+            self.fail(send, Failure::Broken);
+            self.kill_target(send.target);
+        } else {
+            self.deliver(send.host, Event::ResponseStarted { id, attempt });
+            self.deliver(send.host, Event::ResponseEnded { id, attempt });
+        }
+    }
+
+    /// Reports a failed attempt to its host.
+    fn fail(&mut self, send: &PendingSend, failure: Failure) {
+        let (id, attempt) = (send.id, send.attempt);
+        let event = Event::Failed {
+            id,
+            attempt,
+            failure,
+        };
+        self.deliver(send.host, event);
+    }
+
+    /// Hands an event to an entry host and carries out its actions.
+    fn deliver(&mut self, at: usize, event: Event) {
+        let Some(core) = self.hosts[at].as_mut() else {
+            return;
+        };
+        for action in core.handle(event, self.now) {
+            self.perform(at, action);
+        }
+    }
+
+    /// Carries out one action of an entry host.
+    fn perform(&mut self, host: usize, action: Action) {
+        match action {
+            Action::Send {
+                id, attempt, to, ..
+            } => self.sends.push(PendingSend {
+                host,
+                id,
+                attempt,
+                target: target_index(&to.target),
+                life: to.incarnation,
+                at: self.now + STEP,
+                running: false,
+            }),
+            Action::Finish { id, .. } => {
+                self.ends.insert(id, End::Answered);
+            }
+            Action::Refuse { id, refusal } | Action::StreamError { id, refusal } => {
+                self.ends.insert(id, End::Refused(refusal.reason));
+            }
+            Action::Cancel { id, attempt, .. } => {
+                let same = |send: &PendingSend| (send.host, send.id, send.attempt);
+                self.sends.retain(|send| same(send) != (host, id, attempt));
+            }
+            Action::Strike {
+                fingerprint,
+                target,
+                incarnation,
+                ..
+            } => self.proposals.push_back(Command::Strike(Strike {
+                fingerprints: vec![fingerprint],
+                target,
+                incarnation,
+            })),
+            Action::Suspect {
+                target,
+                incarnation,
+            } => self.lead(Input::ConnectionLost {
+                target,
+                incarnation,
+            }),
+            Action::Probe { target, .. } => {
+                let connected = self.targets[target_index(&target)].down_until.is_none();
+                self.deliver(host, Event::Probed { target, connected });
+            }
+            Action::RequestView { .. } => {
+                let (term, sequence) = (0, 0);
+                let host = host_number(host);
+                self.lead(Input::Subscribe {
+                    host,
+                    term,
+                    sequence,
+                });
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Returns the number of the entry host at an index.
+fn host_number(at: usize) -> HostId {
+    FIRST_HOST + HostId::try_from(at).expect("few hosts")
+}
+
+/// Returns the index of an entry host.
+fn host_index(host: HostId) -> usize {
+    usize::try_from(host - FIRST_HOST).expect("few hosts")
+}
+
+/// Returns the name of a target.
+fn target_name(at: usize) -> Name {
+    format!("target-{at}").into()
+}
+
+/// Returns the index of a target.
+fn target_index(name: &str) -> usize {
+    let number = name.strip_prefix("target-").expect("a target's name");
+    number.parse().expect("a number")
+}
+
+/// Returns a target's announcement with its heartbeat.
+fn presence(at: usize, target: &Target) -> AnnouncedHeartbeat {
+    let name = target_name(at);
+    AnnouncedHeartbeat {
+        announcement: Announcement {
+            target: name.clone(),
+            incarnation: target.life,
+            kind: Kind::Service,
+            address: ([10, 0, 1, u8::try_from(at).expect("few targets")], 80).into(),
+            region: "perth".into(),
+            zone: "a".into(),
+            memory: 0,
+            accelerators: 0,
+            fencing: false,
+            services: vec!["auction".into()],
+            slots: Some(6),
+            incarnation_is_start_time: true,
+        },
+        heartbeat: Heartbeat {
+            target: name,
+            incarnation: target.life,
+            sequence: target.heartbeats,
+            fence: 0,
+            inventory: Vec::new(),
+            load: Load::default(),
+            cache: Vec::new(),
+            leaving: false,
+        },
+    }
+}
