--- a/crates/control/src/strikes.rs
+++ b/crates/control/src/strikes.rs
@@ -6,12 +6,13 @@
 use cornelhitch_types::id::{Incarnation, TargetId, Time};
 use serde::{Deserialize, Serialize};
 
-/// The number of target incarnations lost with a fingerprint in progress at which it is refused.
-pub const MAX_LOST_INCARNATIONS: usize = 2;
-
 /// The maximum number of fingerprints that are remembered.
 pub const MAX_FINGERPRINTS: usize = 10_000;
 
+/// The maximum number of lost incarnations that are remembered, over all fingerprints; as many as
+/// the largest limit that an entry host's settings may name.
+pub const MAX_LOST_INCARNATIONS: usize = 100_000;
+
 /// A target that was lost with requests in progress.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Strike {
@@ -37,7 +38,7 @@
     pub fingerprint: u64,
     /// The number of target incarnations that ended with it in progress.
     pub lost: u32,
-    /// Until when it is refused; `None` if it is not.
+    /// Always `None`: each entry host refuses it by the limit of its own settings.
     pub until: Option<Time>,
     /// When its strikes expire.
     pub forgotten: Time,
@@ -48,6 +49,7 @@
 struct Suspect {
     lost: BTreeSet<TargetIncarnation>,
     last: Time,
+    /// Always `None`; part of the stored format.
     until: Option<Time>,
     forgotten: Time,
 }
@@ -74,7 +76,7 @@
         Count {
             fingerprint,
             lost: u32::try_from(lost).unwrap_or(u32::MAX),
-            until: suspect.and_then(|suspect| suspect.until),
+            until: None,
             forgotten: suspect.map_or(Time::ZERO, |suspect| suspect.forgotten),
         }
     }
@@ -86,8 +88,9 @@
             .map(|fingerprint| self.count(*fingerprint))
     }
 
-    /// Records a strike; at [`MAX_LOST_INCARNATIONS`] lost incarnations the fingerprint is refused for
-    /// `quarantine`.
+    /// Records a strike, which expires `quarantine` after the last one.
+    ///
+    /// Every lost incarnation is counted, because only entry hosts know at how many they refuse.
     pub(crate) fn strike(&mut self, strike: Strike, quarantine: Duration, now: Time) -> Answer {
         let incarnation = TargetIncarnation {
             target: strike.target,
@@ -95,14 +98,9 @@
         };
         for fingerprint in &strike.fingerprints {
             let suspect = self.suspects.entry(*fingerprint).or_default();
-            if suspect.lost.len() < MAX_LOST_INCARNATIONS {
-                suspect.lost.insert(incarnation.clone());
-            }
+            suspect.lost.insert(incarnation.clone());
             suspect.last = now;
             suspect.forgotten = now.saturating_add(quarantine);
-            if suspect.lost.len() >= MAX_LOST_INCARNATIONS {
-                suspect.until = Some(suspect.forgotten);
-            }
         }
         self.enforce_limit();
         self.answer(strike.fingerprints)
@@ -127,17 +125,20 @@
         }
     }
 
-    /// Drops the oldest fingerprints above the limit, those that are not refused first.
+    /// Drops fingerprints above the limits: those with the fewest strikes first, then the oldest.
     fn enforce_limit(&mut self) {
-        while self.suspects.len() > MAX_FINGERPRINTS {
-            let oldest = self
+        let lost = self.suspects.values().map(|suspect| suspect.lost.len());
+        let mut lost: usize = lost.sum();
+        while self.suspects.len() > MAX_FINGERPRINTS || lost > MAX_LOST_INCARNATIONS {
+            let least = self
                 .suspects
                 .iter()
-                .min_by_key(|(_, suspect)| (suspect.until.is_some(), suspect.last));
-            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+                .min_by_key(|(_, suspect)| (suspect.lost.len(), suspect.last));
+            let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) else {
                 return;
             };
-            self.suspects.remove(&fingerprint);
+            let dropped = self.suspects.remove(&fingerprint);
+            lost -= dropped.map_or(0, |suspect| suspect.lost.len());
         }
     }
 }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -1,10 +1,11 @@
-//! Limits the number of targets that a request can crash to two.
+//! Limits the number of targets that a request can crash.
 //!
 //! When a target dies, every request in flight on it gets a strike, since any of them may be the
 //! cause. A request with a strike (a suspect) runs only on a target that is reserved for this
-//! host's suspects, one at a time, so that the next crash identifies its cause. At the second
-//! strike it is refused. With at most two crashes, only running suspects one at a time can both
-//! find the cause and serve all other requests.
+//! host's suspects, one at a time, so that the next crash identifies its cause. It is refused at
+//! the number of strikes in the host's settings, by default two; control counts for all hosts. With
+//! at most two crashes, only running suspects one at a time can both find the cause and serve all
+//! other requests.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -12,9 +13,6 @@
 use cornelhitch_types::id::{Incarnation, TargetId, Time};
 use serde::Serialize;
 
-/// Number of targets that one fingerprint may take down.
-pub const MAX_STRIKES: u32 = 2;
-
 /// Maximum number of fingerprints with strikes that are kept; the oldest are dropped first.
 const MAX_RECORDS: usize = 10_000;
 
