--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -147,6 +147,13 @@
     #[serde(rename = "Publish")]
     #[strum_discriminants(strum(serialize = "publish"))]
     PublishTable(SubmittedTable),
+    /// Records that an incarnation of a target which strikes name has not ended.
+    Survived {
+        /// The target that runs on.
+        target: TargetId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+    },
     /// Several commands in one entry, applied in order.
     ///
     /// Nested batches are flattened by the encoding.
@@ -170,7 +177,7 @@
     /// The result of [`Command::Claim`], [`Command::Finish`], [`Command::Abandon`] and
     /// [`Command::HostEnded`].
     Claim(claims::ClaimResult),
-    /// The result of [`Command::Strike`] and [`Command::ClearStrikes`].
+    /// The result of [`Command::Strike`], [`Command::ClearStrikes`] and [`Command::Survived`].
     Strike(strikes::Answer),
     /// The result of [`Command::PublishTable`].
     Document(current_table::Answer),
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -74,6 +74,7 @@
         if stale || heartbeat.incarnation < worker.incarnation {
             return;
         }
+        let incarnation = heartbeat.incarnation;
         let open = worker.is_open();
         let old = worker.last_heartbeat.take();
         worker.on_heartbeat(heartbeat, ctx.now, ctx.timing.report_distrust);
@@ -90,6 +91,7 @@
         }
         self.plan_requested |= reopened;
         self.propose_not_silent(&target, ctx);
+        self.propose_survived(&target, incarnation, ctx);
         self.publish_cache_events(&target, cache);
         self.reconcile_inventory(&target, ctx);
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -54,6 +54,7 @@
 mod rules;
 pub mod state;
 pub mod strikes;
+mod survivors;
 mod term_state;
 pub mod timing;
 mod tombstones;
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -20,6 +20,7 @@
     Retire(ReplicaId),
     Release(ReplicaId),
     HostEnded(HostId),
+    Survived(TargetId),
 }
 
 impl ProposalSubject {
@@ -35,6 +36,7 @@
             Command::Retire { replica } => Self::Retire(*replica),
             Command::Release { replica, .. } => Self::Release(*replica),
             Command::HostEnded { host, .. } => Self::HostEnded(*host),
+            Command::Survived { target, .. } => Self::Survived(target.clone()),
             _ => return None,
         };
         Some(subject)
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -15,7 +15,7 @@
 use crate::error::{Error, FormatVersionSnafu, MalformedSnafu, TrailingBytesSnafu};
 use crate::fleet::{self, Fleet};
 use crate::replicas::{Answer, Decide, Replicas};
-use crate::strikes::Strikes;
+use crate::strikes::{Strikes, TargetIncarnation};
 
 /// The format version of a snapshot, its first byte.
 pub const FORMAT_VERSION: u8 = 2;
@@ -213,6 +213,13 @@
                 Reply::Strike(self.strikes.strike(strike, quarantine, now))
             }
             Command::ClearStrikes { fingerprint } => Reply::Strike(self.strikes.clear(fingerprint)),
+            Command::Survived {
+                target,
+                incarnation,
+            } => Reply::Strike(self.strikes.survived(&TargetIncarnation {
+                target,
+                incarnation,
+            })),
             command => self.run_claim_command(command, now),
         }
     }
--- a/crates/control/src/strikes.rs
+++ b/crates/control/src/strikes.rs
@@ -56,9 +56,9 @@
 
 /// One incarnation of a target.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-struct TargetIncarnation {
-    target: TargetId,
-    incarnation: Incarnation,
+pub(crate) struct TargetIncarnation {
+    pub(crate) target: TargetId,
+    pub(crate) incarnation: Incarnation,
 }
 
 /// All fingerprints with strikes.
@@ -106,6 +106,25 @@
         self.answer(strike.fingerprints)
     }
 
+    /// Takes back the strikes for a target that has not ended, and returns the counts that changed.
+    pub(crate) fn survived(&mut self, survivor: &TargetIncarnation) -> Answer {
+        let mut fingerprints = Vec::new();
+        for (fingerprint, suspect) in &mut self.suspects {
+            if suspect.lost.remove(survivor) {
+                fingerprints.push(*fingerprint);
+            }
+        }
+        self.suspects.retain(|_, suspect| !suspect.lost.is_empty());
+        self.answer(fingerprints)
+    }
+
+    /// Returns the incarnations named in strikes.
+    pub(crate) fn incarnations(&self) -> impl Iterator<Item = &TargetIncarnation> {
+        self.suspects
+            .values()
+            .flat_map(|suspect| suspect.lost.iter())
+    }
+
     /// Clears a fingerprint's strikes.
     pub(crate) fn clear(&mut self, fingerprint: u64) -> Answer {
         self.suspects.remove(&fingerprint);
--- a/crates/control/src/term_state.rs
+++ b/crates/control/src/term_state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cornelhitch_planner::Planner;
-use cornelhitch_types::id::{ModelId, Name, ReplicaId, TargetId, Term, Time};
+use cornelhitch_types::id::{Incarnation, ModelId, Name, ReplicaId, TargetId, Term, Time};
 use cornelhitch_types::target::{Heartbeat, Holding};
 use cornelhitch_types::view::{self, Change};
 
@@ -23,7 +23,8 @@
 use crate::replica_orders::{OrdersByReplica, ReplicaOrders};
 use crate::replicas::{Answer, Replica};
 use crate::state::State;
-use crate::strikes::Count;
+use crate::strikes::{Count, Strike, TargetIncarnation};
+use crate::survivors::Survivors;
 use crate::view_builder::ViewBuilder;
 use crate::workers::{LeaveState, Worker, Workers};
 
@@ -63,6 +64,8 @@
     pub(crate) warming: BTreeMap<Warming, Time>,
     /// Fingerprints with strikes, with the time at which they expire.
     pub(crate) quarantine: BTreeMap<u64, Time>,
+    /// Heartbeats of the targets that strikes name.
+    pub(crate) survivors: Survivors,
     /// The state of workers that count their orders.
     pub(crate) hosting: Hosting,
     /// Heartbeats of incarnations that are not registered yet.
@@ -90,6 +93,7 @@
             adapters: BTreeMap::new(),
             warming: BTreeMap::new(),
             quarantine: BTreeMap::new(),
+            survivors: Survivors::default(),
             hosting: Hosting::default(),
             pending_heartbeats: BTreeMap::new(),
             last_plan: None,
@@ -125,6 +129,9 @@
         for count in ctx.state.strikes().iter() {
             term_state.update_quarantine(count);
         }
+        for lost in ctx.state.strikes().incarnations() {
+            term_state.survivors.watch(lost.clone(), ctx.now);
+        }
         term_state
     }
 
@@ -254,7 +261,8 @@
                 self.feed.mark_target(&target, true);
                 self.plan_requested = true;
             }
-            (_, Reply::Strike(answer)) => {
+            (command, Reply::Strike(answer)) => {
+                self.watch_survivors(&command, ctx.now);
                 for count in answer.counts {
                     self.update_quarantine(count);
                     let change = self.view_builder(ctx.state, ctx.now).strike(count);
@@ -404,6 +412,55 @@
         self.plan_requested = true;
     }
 
+    /// Starts or stops watching the heartbeats of the target that a command about strikes names.
+    fn watch_survivors(&mut self, command: &Command, now: Time) {
+        match command {
+            Command::Strike(Strike {
+                target,
+                incarnation,
+                ..
+            }) => self.survivors.watch(
+                TargetIncarnation {
+                    target: target.clone(),
+                    incarnation: *incarnation,
+                },
+                now,
+            ),
+            Command::Survived {
+                target,
+                incarnation,
+            } => self.survivors.forget(&TargetIncarnation {
+                target: target.clone(),
+                incarnation: *incarnation,
+            }),
+            _ => {}
+        }
+    }
+
+    /// Proposes to take back the strikes for a target whose heartbeats go on.
+    pub(crate) fn propose_survived(
+        &mut self,
+        target: &TargetId,
+        incarnation: Incarnation,
+        ctx: &mut Context,
+    ) {
+        let survivor = TargetIncarnation {
+            target: target.clone(),
+            incarnation,
+        };
+        if self.survivors.on_heartbeat(&survivor, ctx.now) {
+            let TargetIncarnation {
+                target,
+                incarnation,
+            } = survivor;
+            let command = Command::Survived {
+                target,
+                incarnation,
+            };
+            self.pending.propose(command, ctx);
+        }
+    }
+
     /// Records until when a fingerprint has strikes.
     fn update_quarantine(&mut self, count: Count) {
         if count.lost > 0 {
@@ -458,6 +515,7 @@
 
     /// Publishes fingerprints whose strikes have expired.
     fn publish_expired_strikes(&mut self, ctx: &Context) {
+        self.survivors.expire(ctx.now);
         let has_expired = |until: &Time| *until <= ctx.now;
         let expired: Vec<u64> = self
             .quarantine
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -194,6 +194,43 @@
     assert!(bench.changes().contains(&Change::StrikeCount(7, 0)));
 }
 
+#[test]
+fn strikes_for_a_target_whose_heartbeats_go_on_are_taken_back() {
+    // When heartbeats of the struck incarnation arrive, in ms after the strike, and the strikes
+    // that remain.
+    let rows: [(&[u64], u32); 5] = [
+        (&[], 1),
+        (&[500, 1_700], 1),
+        (&[4_000], 1),
+        (&[500, 1_700, 2_900, 4_100], 0),
+        (&[9_000, 9_100], 0),
+    ];
+    for (arrivals, remaining) in rows {
+        let mut bench = bench();
+        bench.commit(&Command::Strike(Strike {
+            fingerprints: vec![7],
+            target: "w1".into(),
+            incarnation: 1,
+        }));
+        for tenth in 1..=100 {
+            let after = tenth * 100;
+            if arrivals.contains(&after) {
+                let sequence = 100 + tenth;
+                bench.handle(Input::Heartbeat(heartbeat("w1", 1, sequence, Vec::new())));
+            }
+            bench.now += std::time::Duration::from_millis(100);
+            bench.handle(Input::Tick);
+        }
+        assert_eq!(
+            bench.state.strikes().count(7).lost,
+            remaining,
+            "{arrivals:?}"
+        );
+        let cleared = bench.changes().contains(&Change::StrikeCount(7, 0));
+        assert_eq!(cleared, remaining == 0, "{arrivals:?}");
+    }
+}
+
 #[test]
 fn claims_of_an_ended_host_have_unknown_outcomes() {
     // The incarnation that renews its lease after the claim, if any, and the final answer to a
--- a/crates/entry/examples/policy/bench.rs
+++ b/crates/entry/examples/policy/bench.rs
@@ -345,6 +345,11 @@
     fn control(&mut self, core: usize, action: Action) {
         let soon = self.now + Duration::from_millis(5);
         match action {
+            Action::ClearStrikes { fingerprint } => {
+                self.strikes.remove(&fingerprint);
+                let change = Change::StrikeCount(fingerprint, 0);
+                self.publish(vec![change], Duration::from_millis(20));
+            }
             Action::Strike {
                 fingerprint,
                 target,
--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -126,6 +126,12 @@
         /// The number of strikes that this host now counts.
         strikes: u32,
     },
+    /// Report to control that a request with strikes was answered completely, so that its strikes
+    /// are cleared.
+    ClearStrikes {
+        /// The request's fingerprint.
+        fingerprint: u64,
+    },
     /// Report to control that a target cannot be reached from this host.
     Suspect {
         /// The unreachable target.
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -224,10 +224,12 @@
         }
         let (key, elapsed) = (call.key.clone(), self.now.saturating_sub(run.since));
         let (answered, caller) = (call.answered, call.request.caller.clone());
+        let fingerprint = call.request.fingerprint;
         if call.offset == 0 || call.attempts == 1 {
             self.latencies.record_response(&key, elapsed);
         }
         self.release_attempt(id);
+        self.clear_strikes(fingerprint);
         if !answered {
             self.actions.push(Action::Finish { id, attempt });
             self.queue.remove_caller_request(&caller);
@@ -358,6 +360,15 @@
         self.refuse_quarantined(fingerprint);
     }
 
+    /// Clears the strikes of a fingerprint whose request was answered completely: a request that
+    /// crashes what runs it never is.
+    fn clear_strikes(&mut self, fingerprint: u64) {
+        if self.quarantine.strikes(fingerprint) > 0 {
+            self.quarantine.forget(fingerprint);
+            self.actions.push(Action::ClearStrikes { fingerprint });
+        }
+    }
+
     /// Refuses the unsent requests of a fingerprint that has reached the strike limit.
     pub(crate) fn refuse_quarantined(&mut self, fingerprint: u64) {
         if self.quarantine.strikes(fingerprint) < self.strike_limit() {
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -25,6 +25,9 @@
 /// How long to wait before requesting a reservation again after it was denied or released.
 const RESERVATION_BACKOFF: Duration = Duration::from_millis(500);
 
+/// How long a strike may take to be committed.
+const COMMIT_TIME: Duration = Duration::from_mins(1);
+
 /// A target with its incarnation.
 pub type TargetInstance = (TargetId, Incarnation);
 
@@ -104,25 +107,38 @@
         }
     }
 
-    /// Applies the number of strikes that control published; 0 means that an operator released the
-    /// fingerprint.
+    /// Drops the strikes of a fingerprint.
+    pub fn forget(&mut self, fingerprint: u64) {
+        self.records.remove(&fingerprint);
+    }
+
+    /// Applies the number of strikes that control published; 0 means that they are cleared.
+    ///
+    /// A lower number than before replaces what this host observed: control knows which of the
+    /// targets run on.
     pub fn set_published(&mut self, fingerprint: u64, strikes: u32, now: Time) {
         if strikes == 0 {
-            self.records.remove(&fingerprint);
+            self.forget(fingerprint);
             return;
         }
         let record = self.records.entry(fingerprint).or_default();
+        if strikes < record.published {
+            record.seen.clear();
+            record.least = 0;
+        }
         record.published = strikes;
         record.at = now;
         self.drop_oldest();
     }
 
-    /// Clears what control published, before a complete view is applied.
-    pub fn clear_published(&mut self) {
+    /// Clears what control published, before a complete view is applied. Of what this host observed
+    /// itself, only strikes that may not be committed yet are kept.
+    pub fn clear_published(&mut self, now: Time) {
         for record in self.records.values_mut() {
             record.published = 0;
         }
-        self.records.retain(|_, record| !record.seen.is_empty());
+        self.records
+            .retain(|_, record| !record.seen.is_empty() && now < record.at + COMMIT_TIME);
     }
 
     /// Whether any target is reserved for this host.
--- a/crates/entry/src/tests/fake_control.rs
+++ b/crates/entry/src/tests/fake_control.rs
@@ -101,6 +101,12 @@
         strikes(fingerprint, lives)
     }
 
+    /// Clears the strikes of a fingerprint and returns the change to publish.
+    pub fn clear_strikes(&mut self, fingerprint: u64) -> Change {
+        self.strikes.remove(&fingerprint);
+        Change::StrikeCount(fingerprint, 0)
+    }
+
     /// Reserves a target for one core's suspects; returns whether that core now holds it.
     pub fn reserve(&mut self, instance: TargetInstance, core: usize) -> bool {
         *self.reserved.entry(instance).or_insert(core) == core
--- a/crates/entry/src/tests/simulation.rs
+++ b/crates/entry/src/tests/simulation.rs
@@ -347,6 +347,21 @@
         }
     }
 
+    /// Commits a strike, or that the strikes of a request are cleared, and publishes the count.
+    fn count_strikes(&mut self, action: Action) {
+        let change = match action {
+            Action::Strike {
+                fingerprint,
+                target,
+                incarnation,
+                ..
+            } => self.control.strike(fingerprint, (target, incarnation)),
+            Action::ClearStrikes { fingerprint } => self.control.clear_strikes(fingerprint),
+            _ => return,
+        };
+        self.broadcast(vec![change]);
+    }
+
     /// Handles a message to control.
     fn commit(&mut self, core: usize, action: Action) {
         match action {
@@ -368,15 +383,7 @@
                 self.control.record(id, &(caller, key), outcome);
                 self.schedule_soon(Task::Event(core, Event::Recorded { id }));
             }
-            Action::Strike {
-                fingerprint,
-                target,
-                incarnation,
-                ..
-            } => {
-                let change = self.control.strike(fingerprint, (target, incarnation));
-                self.broadcast(vec![change]);
-            }
+            Action::Strike { .. } | Action::ClearStrikes { .. } => self.count_strikes(action),
             Action::Reserve {
                 target,
                 incarnation,
--- a/crates/entry/src/updates.rs
+++ b/crates/entry/src/updates.rs
@@ -29,7 +29,7 @@
             Merge::Applied => {}
         }
         if view.from == 0 {
-            self.quarantine.clear_published();
+            self.quarantine.clear_published(self.now);
         }
         for change in view.changes {
             self.apply_change(change);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -426,6 +426,7 @@
                 incarnation,
                 strikes,
             } => self.strike(fingerprint, target, incarnation, strikes),
+            Action::ClearStrikes { fingerprint } => self.clear_strikes(fingerprint),
             Action::Probe { target, address } => self.probe(target, address),
             Action::Reserve {
                 target,
--- a/crates/node/src/entry/background.rs
+++ b/crates/node/src/entry/background.rs
@@ -154,6 +154,22 @@
         });
     }
 
+    /// Commits that a request with strikes was answered completely.
+    pub(super) fn clear_strikes(&self, fingerprint: u64) {
+        tracing::info!(
+            fingerprint,
+            "request with strikes answered completely: strikes cleared"
+        );
+        let clear = Command::ClearStrikes { fingerprint };
+        let session = self.setup.session.clone();
+        tokio::spawn(async move {
+            let committed = session.propose(clear.encode(), COMMIT_TIMEOUT).await;
+            if let Err(error) = committed {
+                tracing::warn!(fingerprint, %error, "commit of cleared strikes not confirmed");
+            }
+        });
+    }
+
     /// Asks the leader to reserve a target for suspect requests from this host only.
     pub(super) fn reserve(&self, target: TargetId, incarnation: Incarnation) {
         let session = self.setup.session.clone();
--- a/crates/node/tests/crashing/fleet.rs
+++ b/crates/node/tests/crashing/fleet.rs
@@ -455,6 +455,10 @@
                 target,
                 incarnation,
             })),
+            Action::ClearStrikes { fingerprint } => {
+                let command = Command::ClearStrikes { fingerprint };
+                self.proposals.push_back(command);
+            }
             Action::Suspect {
                 target,
                 incarnation,
