--- a/crates/entry/src/fingerprint.rs
+++ b/crates/entry/src/fingerprint.rs
@@ -15,7 +15,35 @@
 /// ```
 #[must_use]
 pub fn of(what: &RequestedResource, body: &[u8]) -> u64 {
-    let digest = digest(what, body);
+    shortened(&digest(what, body))
+}
+
+/// Returns a 64-bit digest of a request that a route directs to its service.
+///
+/// The service is no part of it: a route may be split or moved, and the request stays the same. The
+/// caller is: headers that no digest can list, such as a session's, may tell two callers' requests
+/// apart.
+///
+/// ```
+/// use cornelhitch_entry::fingerprint;
+///
+/// let first = fingerprint::of_routed("10.0.0.7", "lanes.example", "/stock/17", b"");
+/// assert_eq!(first, fingerprint::of_routed("10.0.0.7", "lanes.example", "/stock/17", b""));
+/// assert_ne!(first, fingerprint::of_routed("10.0.0.8", "lanes.example", "/stock/17", b""));
+/// ```
+#[must_use]
+pub fn of_routed(caller: &str, host: &str, path: &str, body: &[u8]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in [caller, host, path] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.update(body);
+    shortened(hasher.finalize().as_bytes())
+}
+
+/// Returns the first 64 bits of a digest.
+fn shortened(digest: &Digest) -> u64 {
     let mut first = [0; 8];
     first.copy_from_slice(&digest[..8]);
     u64::from_le_bytes(first)
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -114,13 +114,17 @@
 
     /// Returns the route for a request's host and path.
     fn find(&self, parts: &Parts) -> Option<&Route> {
-        let host = parts.headers.get(HOST)?.to_str().ok()?;
-        let host = host.split(':').next().unwrap_or(host);
-        let at = self.index.find(host, parts.uri.path())?;
+        let at = self.index.find(host_name(parts)?, parts.uri.path())?;
         self.table.routes.get(at)
     }
 }
 
+/// Returns the host that a request names, without the port; `None` if it names none.
+fn host_name(parts: &Parts) -> Option<&str> {
+    let host = parts.headers.get(HOST)?.to_str().ok()?;
+    host.split(':').next()
+}
+
 /// The HTTP service for routed requests.
 pub struct RoutedService {
     /// The entry task's input queue.
@@ -281,9 +285,9 @@
         .ok_or_else(no_service)?;
     let what = requested(service, table, &metadata, &parts.method);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let content = [path.as_bytes(), &[0], &body].concat();
     let mut call = Call::new(id, from.ip().to_string(), what);
-    call.fingerprint = fingerprint::of(&call.what, &content);
+    let host = host_name(&parts).unwrap_or_default();
+    call.fingerprint = fingerprint::of_routed(&call.caller, host, path, &body);
     call.deadline = Some(
         metadata
             .deadline
