--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -277,6 +277,9 @@
         let service = matches!(call.request.what, RequestedResource::Service { .. });
         let (answered, fingerprint) = (call.answered, call.request.fingerprint);
         self.record_failure(&run, fingerprint, failure);
+        if failure == Failure::Stalled {
+            self.remember_cancelled(id, &run);
+        }
         if failure == Failure::WrongTarget {
             self.remove_missing_place(&run);
         }
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -14,7 +14,7 @@
 use crate::fault::Fault;
 use crate::quarantine::TargetInstance;
 use crate::queue::QueueKey;
-use crate::request::{Call, Claim, Progress, Stage};
+use crate::request::{Call, Claim, Progress, RunningAttempt, Stage};
 
 /// How long an attempt that must not be repeated may continue after its caller has been answered,
 /// so that its outcome can still be recorded.
@@ -131,6 +131,17 @@
         let Some(run) = self.calls.get(&id).and_then(Call::current_attempt).cloned() else {
             return;
         };
+        self.remember_cancelled(id, &run);
+        self.actions.push(Action::Cancel {
+            id,
+            attempt: run.attempt,
+            target: run.place.target.clone(),
+        });
+        self.release_attempt(id);
+    }
+
+    /// Keeps whose attempt was cancelled: its target may have ended already, which is reported later.
+    pub(crate) fn remember_cancelled(&mut self, id: CallId, run: &RunningAttempt) {
         if run.progress > Progress::Unsent
             && let Some(call) = self.calls.get(&id)
         {
@@ -141,12 +152,6 @@
             };
             self.cancelled.insert((id, run.attempt), suspect, self.now);
         }
-        self.actions.push(Action::Cancel {
-            id,
-            attempt: run.attempt,
-            target: run.place.target.clone(),
-        });
-        self.release_attempt(id);
     }
 
     /// Releases what an attempt holds: its slot, retry reservation, fingerprint count and suspect
--- a/crates/entry/tests/routed.rs
+++ b/crates/entry/tests/routed.rs
@@ -200,6 +200,17 @@
     );
 }
 
+#[test]
+fn a_target_that_ends_as_its_slow_request_is_moved_is_a_strike() {
+    let mut core = core_with_two_targets();
+    send_first(&mut core, request(true));
+    core.handle(Event::Tick, at(11 + 310));
+    core.handle(Event::Tick, at(11 + 410));
+    let actions = fail(&mut core, 1, Failure::Broken, 430);
+    let strike = |action: &Action| matches!(action, Action::Strike { strikes: 1, .. });
+    assert!(actions.iter().any(strike), "{actions:?}");
+}
+
 #[test]
 fn a_request_expires_at_the_limit_of_its_route() {
     let mut core = core_with_two_targets();
