--- a/crates/node/tests/crashing/main.rs
+++ b/crates/node/tests/fleet/crashing.rs
@@ -1,14 +1,11 @@
 //! Requests that end the targets that run them, over many entry hosts and the leader.
 
-mod fleet;
-
 use cornelhitch_types::id::Time;
 use cornelhitch_types::refusal::Reason;
 
-use fleet::{End, Fleet};
+use crate::HOSTS;
+use crate::simulation::{End, Fleet};
 
-/// Number of entry hosts.
-const HOSTS: usize = 9;
 /// Number of targets.
 const TARGETS: usize = 12;
 /// The fingerprint of a request that ends what runs it.
@@ -40,7 +37,7 @@
 /// Returns the repeats of a proper request that were refused for targets that ended.
 fn quarantined(fleet: &Fleet) -> usize {
     let ends = fleet.ends.values();
-    ends.filter(|end| **end == End::Refused(Reason::Quarantined))
+    ends.filter(|(_, end)| *end == End::Refused(Reason::Quarantined))
         .count()
 }
 
@@ -75,6 +72,7 @@
     let later: Vec<_> = (0..HOSTS).map(|host| fleet.request(host, POLLED)).collect();
     fleet.run(Time::from_secs(1));
     for id in later {
-        assert_eq!(fleet.ends.get(&id), Some(&End::Answered), "request {id}");
+        let end = fleet.ends.get(&id).map(|(_, end)| *end);
+        assert_eq!(end, Some(End::Answered), "request {id}");
     }
 }
--- /dev/null
+++ b/crates/node/tests/fleet/main.rs
@@ -0,0 +1,9 @@
+//! Many entry hosts, the leader with its replicated state, and targets: real cores on a virtual
+//! clock.
+
+mod crashing;
+mod limits;
+mod simulation;
+
+/// Number of entry hosts.
+const HOSTS: usize = 9;
--- a/crates/node/tests/crashing/fleet.rs
+++ b/crates/node/tests/fleet/simulation.rs
@@ -1,5 +1,4 @@
-//! Simulates entry hosts, the leader with its replicated state, and targets that end: real cores on
-//! a virtual clock.
+//! Simulates entry hosts, the leader with its replicated state, and targets that end or name limits.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -28,6 +27,8 @@
 const RENEWAL: Time = Time::from_millis(500);
 /// How long a target is down after it ended.
 const DOWNTIME: Time = Time::from_secs(3);
+/// How long before a request its host must have known a limit for the request to count.
+const TOLD_FOR: Time = Time::from_millis(500);
 /// The number of the entry host at index 0.
 const FIRST_HOST: HostId = 100;
 
@@ -50,6 +51,19 @@
     heartbeats: u64,
     heartbeat_at: Time,
     down_until: Option<Time>,
+    /// The requests per second that it takes from all hosts, if it names a limit.
+    limit: Option<f64>,
+    /// When each host first got an answer that names the current limit.
+    told: BTreeMap<usize, Time>,
+}
+
+/// A request that reached a target.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    pub target: usize,
+    pub at: Time,
+    /// Whether the host that sent it had known the target's limit for [`TOLD_FOR`].
+    pub told: bool,
 }
 
 /// One send of one request.
@@ -79,8 +93,10 @@
     pub now: Time,
     /// Times at which a target ended under the crashing request.
     pub crashes: Vec<Time>,
-    /// How requests ended.
-    pub ends: BTreeMap<CallId, End>,
+    /// How requests ended, and when.
+    pub ends: BTreeMap<CallId, (Time, End)>,
+    /// Requests that reached targets.
+    pub arrivals: Vec<Arrival>,
     state: State,
     leader: Option<Leader>,
     term: u64,
@@ -106,11 +122,14 @@
             heartbeats: 0,
             heartbeat_at: Time::ZERO,
             down_until: None,
+            limit: None,
+            told: BTreeMap::new(),
         };
         let mut fleet = Self {
             now: Time::from_hours(1),
             crashes: Vec::new(),
             ends: BTreeMap::new(),
+            arrivals: Vec::new(),
             state: State::default(),
             leader: None,
             term: 0,
@@ -168,6 +187,12 @@
         self.lead(Input::Elected { term: self.term });
     }
 
+    /// Sets the limit that a target names in its answers, in requests per second.
+    pub fn name_limit(&mut self, target: usize, limit: Option<f64>) {
+        self.targets[target].limit = limit;
+        self.targets[target].told.clear();
+    }
+
     /// Ends the target that runs a request, for a reason of its own.
     pub fn kill_target_of(&mut self, id: CallId) {
         if let Some(target) = self.target_of(id) {
@@ -375,6 +400,7 @@
         if target.down_until.is_some() {
             self.fail(send, Failure::Connect);
         } else {
+            self.record_arrival(send);
             // The host cancels the send at once if the target has left meanwhile.
             self.sends.push(PendingSend {
                 at: self.now + ATTEMPT,
@@ -395,11 +421,31 @@
             self.fail(send, Failure::Broken);
             self.kill_target(send.target);
         } else {
+            self.tell_limit(send);
             self.deliver(send.host, Event::ResponseStarted { id, attempt });
             self.deliver(send.host, Event::ResponseEnded { id, attempt });
         }
     }
 
+    /// Records that a request reaches its target.
+    fn record_arrival(&mut self, send: &PendingSend) {
+        let told = self.targets[send.target].told.get(&send.host);
+        self.arrivals.push(Arrival {
+            target: send.target,
+            at: self.now,
+            told: told.is_some_and(|at| *at + TOLD_FOR <= self.now),
+        });
+    }
+
+    /// Tells a host the limit that the answer to a request names.
+    fn tell_limit(&mut self, send: &PendingSend) {
+        let now = self.now;
+        let target = &mut self.targets[send.target];
+        if target.limit.is_some() {
+            target.told.entry(send.host).or_insert(now);
+        }
+    }
+
     /// Reports a failed attempt to its host.
     fn fail(&mut self, send: &PendingSend, failure: Failure) {
         let (id, attempt) = (send.id, send.attempt);
@@ -436,10 +482,11 @@
                 running: false,
             }),
             Action::Finish { id, .. } => {
-                self.ends.insert(id, End::Answered);
+                self.ends.insert(id, (self.now, End::Answered));
             }
             Action::Refuse { id, refusal } | Action::StreamError { id, refusal } => {
-                self.ends.insert(id, End::Refused(refusal.reason));
+                let end = End::Refused(refusal.reason);
+                self.ends.insert(id, (self.now, end));
             }
             Action::Cancel { id, attempt, .. } => {
                 let same = |send: &PendingSend| (send.host, send.id, send.attempt);
