--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -4,7 +4,9 @@
 use cornelhitch_types::entry;
 use cornelhitch_types::id::{HostId, Incarnation, TargetId, Term};
 use cornelhitch_types::order::{Order, Outcome};
-use cornelhitch_types::target::{AnnouncedHeartbeat, Announcement, Heartbeat, Inspection};
+use cornelhitch_types::target::{
+    AnnouncedHeartbeat, Announcement, Heartbeat, Inspection, RequestRate,
+};
 
 use crate::command::{Command, Reply};
 
@@ -58,6 +60,15 @@
         /// Its incarnation.
         incarnation: Incarnation,
     },
+    /// A target names a limit in its answers to an entry host, or no longer does.
+    LimitNamed {
+        /// The target.
+        target: TargetId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// The requests that it takes from all entry hosts together.
+        limit: Option<RequestRate>,
+    },
     /// An entry host requests the changes to the view after a sequence number; 0 for the full view.
     Subscribe {
         /// The entry host.
--- a/crates/control/src/term_state.rs
+++ b/crates/control/src/term_state.rs
@@ -4,7 +4,7 @@
 
 use cornelhitch_planner::Planner;
 use cornelhitch_types::id::{Incarnation, ModelId, Name, ReplicaId, TargetId, Term, Time};
-use cornelhitch_types::target::{Heartbeat, Holding};
+use cornelhitch_types::target::{Heartbeat, Holding, RequestRate};
 use cornelhitch_types::view::{self, Change};
 
 use crate::command::{Command, Reply};
@@ -168,6 +168,11 @@
                 target,
                 incarnation,
             } => self.on_connection_lost(&target, incarnation, ctx),
+            Input::LimitNamed {
+                target,
+                incarnation,
+                limit,
+            } => self.on_limit_named(target, incarnation, limit, ctx),
             Input::Subscribe {
                 host,
                 term,
@@ -274,6 +279,25 @@
         }
     }
 
+    /// Publishes the limit of a target when it changes.
+    fn on_limit_named(
+        &mut self,
+        target: TargetId,
+        incarnation: Incarnation,
+        limit: Option<RequestRate>,
+        ctx: &Context,
+    ) {
+        let worker = self.workers.get_mut(&target);
+        let Some(worker) = worker.filter(|worker| worker.incarnation == incarnation) else {
+            return;
+        };
+        if worker.on_limit(limit, ctx.now) {
+            let rate = worker.limit.map(|limit| limit.rate);
+            self.feed
+                .push(Change::TargetLimit(target, incarnation, rate), true);
+        }
+    }
+
     /// Handles the registration of a target.
     fn on_registered(&mut self, target: &TargetId, answer: fleet::Answer, ctx: &mut Context) {
         let Some(known) = ctx.state.fleet().get(target) else {
--- a/crates/control/src/view_builder.rs
+++ b/crates/control/src/view_builder.rs
@@ -113,6 +113,18 @@
         Change::StrikeCount(count.fingerprint, if expired { 0 } else { count.lost })
     }
 
+    /// Returns the limits that targets name.
+    fn target_limits(&self) -> impl Iterator<Item = Change> {
+        self.workers.iter().filter_map(|(target, worker)| {
+            let rate = worker.limit?.rate;
+            Some(Change::TargetLimit(
+                target.clone(),
+                worker.incarnation,
+                Some(rate),
+            ))
+        })
+    }
+
     /// Returns the full view.
     pub(crate) fn full_view(&self) -> Vec<Change> {
         let state = self.state;
@@ -129,6 +141,7 @@
         changes.extend(replicas.chain(observed).map(Change::Replica));
         changes.extend(self.leases.iter().filter_map(|lease| self.entry(lease)));
         changes.extend(strikes);
+        changes.extend(self.target_limits());
         changes
     }
 }
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -5,7 +5,7 @@
 use cornelhitch_settings::fleet::FleetSettings as Settings;
 use cornelhitch_types::id::{Incarnation, ModelId, Name, ReplicaId, TargetId, Time};
 use cornelhitch_types::model::Reference;
-use cornelhitch_types::target::{Heartbeat, Holding, Load, Stage};
+use cornelhitch_types::target::{Heartbeat, Holding, Load, RequestRate, Stage};
 use cornelhitch_types::view;
 
 use crate::mutation::{self, Mutation};
@@ -82,6 +82,19 @@
     }
 }
 
+/// How long a limit holds after an entry host last reported it, if others report that it has ended:
+/// longer than the pause between two requests of a host under the lowest limits.
+const LIMIT_HOLD_TIME: Time = Time::from_secs(10);
+
+/// The limit that a target names in its answers to entry hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NamedLimit {
+    /// The requests that it takes from all entry hosts together.
+    pub(crate) rate: RequestRate,
+    /// When an entry host last reported it.
+    reported_at: Time,
+}
+
 /// The soft state of one incarnation of a target.
 #[derive(Debug, Clone)]
 pub(crate) struct Worker {
@@ -93,6 +106,8 @@
     pub(crate) last_heartbeat: Option<LastHeartbeat>,
     /// Whether it is suspected to have failed.
     pub(crate) suspected: bool,
+    /// The limit that it names in its answers.
+    pub(crate) limit: Option<NamedLimit>,
     /// Whether it is leaving.
     pub(crate) leave_state: LeaveState,
     /// Whether an entry host reported it lost since its last heartbeat.
@@ -110,6 +125,20 @@
 }
 
 impl Worker {
+    /// Applies an entry host's report on the target's limit; returns whether the limit changed.
+    pub(crate) fn on_limit(&mut self, reported: Option<RequestRate>, now: Time) -> bool {
+        let old = self.limit.map(|limit| limit.rate);
+        match (reported, self.limit) {
+            (Some(rate), _) => {
+                let reported_at = now;
+                self.limit = Some(NamedLimit { rate, reported_at });
+            }
+            (None, Some(limit)) if now >= limit.reported_at + LIMIT_HOLD_TIME => self.limit = None,
+            (None, _) => {}
+        }
+        old != self.limit.map(|limit| limit.rate)
+    }
+
     /// Creates the state of a target that has sent no heartbeat in this term.
     pub(crate) fn new(incarnation: Incarnation, now: Time) -> Self {
         Self {
@@ -117,6 +146,7 @@
             last_contact: now,
             last_heartbeat: None,
             suspected: false,
+            limit: None,
             leave_state: LeaveState::Staying,
             reported_lost: false,
             reports_ignored_until: Time::ZERO,
--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cornelhitch_types::id::{CallerId, Incarnation, Name, ReplicaId, TargetId, Version};
 use cornelhitch_types::refusal::Refusal;
+use cornelhitch_types::target::RequestRate;
 use serde::{Deserialize, Serialize};
 
 use crate::claim;
@@ -21,6 +22,8 @@
     pub address: SocketAddr,
     /// The replica, or `None` for a service.
     pub replica: Option<ReplicaId>,
+    /// Whether the target is known to name a limit, so that an answer without one tells its end.
+    pub limited: bool,
 }
 
 /// An action that a core asks its owner to carry out.
@@ -132,6 +135,15 @@
         /// The request's fingerprint.
         fingerprint: u64,
     },
+    /// Report to control which limit a target names.
+    ReportLimit {
+        /// The target.
+        target: TargetId,
+        /// The incarnation of the target.
+        incarnation: Incarnation,
+        /// The requests that it takes from all entry hosts together; `None` if it names no limit.
+        limit: Option<RequestRate>,
+    },
     /// Report to control that a target cannot be reached from this host.
     Suspect {
         /// The unreachable target.
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::request::{Call, Progress, RunningAttempt, Stage};
 use crate::retry_policy::{self, NextStep};
 use crate::route::Candidate;
+use crate::target_limits::Turn;
 
 /// Longest gap between parts of a streamed response before it counts as stalled.
 ///
@@ -443,7 +444,7 @@
         let service = self.calls.get(&id).map(|call| call.key.service());
         let within_budget = service.is_some_and(|service| self.budget_allows(&service));
         match same_place {
-            Some(candidate) if reachable && within_budget => {
+            Some(candidate) if reachable && within_budget && self.has_turn(&candidate) => {
                 if let Some(call) = self.calls.get_mut(&id) {
                     call.stage = Stage::Waiting;
                 }
@@ -453,6 +454,12 @@
         }
     }
 
+    /// Whether a target's limit, if any, lets this host send there now.
+    fn has_turn(&self, candidate: &Candidate) -> bool {
+        let target = &candidate.place.target;
+        self.target_limits.turn(target, 0, self.now) == Turn::Now
+    }
+
     /// Returns the place of a failed attempt as a candidate, if it still accepts requests and the
     /// request has attempts left.
     fn resume_candidate(&self, id: CallId, run: &RunningAttempt) -> Option<Candidate> {
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use cornelhitch_settings::process::Serving;
-use cornelhitch_types::id::{Name, Time};
+use cornelhitch_types::id::{HostId, Name, Time};
 use serde::Serialize;
 
-use crate::host_share::HostShare;
+use crate::host_share::{self, HostShare};
 use crate::sliding_counter::SlidingCounter;
 
 /// Retries that each first send earns.
@@ -124,10 +124,10 @@
         }
     }
 
-    /// Sets the number of entry hosts that the leader lists, and whether this one is among them.
-    pub fn set_hosts(&mut self, hosts: u32, listed: bool, now: Time) {
+    /// Sets the entry hosts that the leader lists, in the order of their numbers.
+    pub fn set_hosts(&mut self, hosts: &[HostId], own: HostId, now: Time) {
         if let Self::Shared(shared) = self {
-            shared.host_share.set_hosts(hosts, listed, now);
+            shared.host_share.set_hosts(hosts, own, now);
         }
     }
 
@@ -189,7 +189,7 @@
     /// Retries allowed per first send of a service.
     ratio: f64,
     /// Additional retries that all hosts together may make for each service in a window.
-    slack: f64,
+    slack: u32,
     /// The window over which both limits count.
     window: Duration,
     /// This host's share of the slack.
@@ -215,7 +215,7 @@
     fn new(serving: &Serving, window: Duration) -> Self {
         Self {
             ratio: serving.retry_ratio,
-            slack: f64::from(serving.retry_slack),
+            slack: serving.retry_slack,
             window,
             host_share: HostShare::new(window),
             accounts: BTreeMap::new(),
@@ -240,9 +240,11 @@
 
     /// Returns the number of retries per window allowed for a service.
     fn allowed(&mut self, service: &Name, now: Time) -> f64 {
-        let slack = self.slack * self.host_share.fraction(now);
+        let slack = self
+            .host_share
+            .of(self.slack, host_share::key(service), now);
         let ratio = self.ratio * MOVED_CALLERS_FACTOR;
-        f64::from(self.account(service).firsts.at_least(now)) * ratio + slack
+        f64::from(self.account(service).firsts.at_least(now)) * ratio + f64::from(slack)
     }
 
     /// Returns the account of a service, which starts empty.
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -35,6 +35,7 @@
 use crate::request::{Call, Progress, Stage};
 use crate::route::Place;
 use crate::share::Shares;
+use crate::target_limits::TargetLimits;
 
 /// Interval at which the queue is searched for requests that can no longer meet their deadline.
 const SWEEP_INTERVAL: Time = Time::from_millis(100);
@@ -75,6 +76,7 @@
     pub(crate) backoffs: BTreeSet<(Time, CallId)>,
     pub(crate) latencies: Latencies,
     pub(crate) shares: Shares,
+    pub(crate) target_limits: TargetLimits,
     pub(crate) ejections: Ejections,
     pub(crate) health: Health,
     pub(crate) caches: PrefixCaches,
@@ -90,8 +92,8 @@
     pub(crate) arrivals: BTreeMap<ModelId, Arrivals>,
     /// Lanes to dispatch from: a place may have become available for their requests.
     pub(crate) dirty: BTreeSet<QueueKey>,
-    /// When requests that are held back by the retry budget are tried again.
-    pub(crate) budget_retry_at: Option<Time>,
+    /// When requests that are held back by the retry budget or the limits of targets are tried again.
+    pub(crate) held_retry_at: Option<Time>,
     /// Requests that the retry budget cannot serve soon, with their expected wait.
     pub(crate) over_budget: Vec<(CallId, Duration)>,
     /// When the queue is next searched for expired requests.
@@ -122,6 +124,7 @@
             backoffs: BTreeSet::new(),
             latencies: Latencies::default(),
             shares: Shares::default(),
+            target_limits: TargetLimits::default(),
             ejections: Ejections::default(),
             health: Health::default(),
             caches: PrefixCaches::default(),
@@ -134,7 +137,7 @@
             in_flight_fingerprints: HashMap::new(),
             arrivals: BTreeMap::new(),
             dirty: BTreeSet::new(),
-            budget_retry_at: None,
+            held_retry_at: None,
             over_budget: Vec::new(),
             next_sweep: now,
             random,
@@ -154,6 +157,7 @@
             Event::Lease { until, version } => {
                 self.lease.renew(until, version, self.now);
                 self.budget.renew_lease(until, self.now);
+                self.target_limits.renew_lease(until, self.now);
             }
             Event::Claimed { id, reply } => self.on_claimed(id, reply),
             Event::Recorded { id } => self.on_recorded(id),
@@ -187,6 +191,11 @@
                 incarnation,
                 load,
             } => self.on_loaded(&target, incarnation, load),
+            Event::LimitNamed {
+                target,
+                incarnation,
+                limit,
+            } => self.on_limit_named(target, incarnation, limit),
             Event::Drain => {
                 let leave = Time::from_millis(self.config.serving.leave_ms);
                 self.drain.start(self.now + leave);
@@ -208,7 +217,7 @@
             timer,
             backoff_end,
             next_sweep,
-            self.budget_retry_at,
+            self.held_retry_at,
             self.ejections.next_probe(),
             self.quarantine.next_expiry(),
             self.drain.next_step(),
@@ -358,13 +367,13 @@
     fn process_due(&mut self) {
         self.fire_timers();
         self.send_due_probes();
-        let retry = self.budget_retry_at.is_some_and(|at| at <= self.now)
+        let retry = self.held_retry_at.is_some_and(|at| at <= self.now)
             || self
                 .quarantine
                 .next_expiry()
                 .is_some_and(|at| at <= self.now);
         if retry {
-            self.budget_retry_at = None;
+            self.held_retry_at = None;
             self.quarantine.expire_reservations(self.now);
             self.dirty.extend(self.queue.keys());
         }
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -15,6 +15,8 @@
     pub repeats: u64,
     /// Number of times that the retry budget held back a possible retry.
     pub held_back: u64,
+    /// Requests refused because all their targets name limits that leave them no turn.
+    pub limited: u64,
 }
 
 /// Counters of all services that were sent to.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -18,23 +18,27 @@
 use crate::request::{Call, Progress, RunningAttempt, Stage};
 use crate::route::{Candidate, Place};
 use crate::share::Sharers;
+use crate::target_limits::Turn;
 
 /// Number of requests at the head of a lane that are considered first. The rest is searched only
 /// while capacity is left, because those before it wait for an adapter or for a target of their own.
 const SCAN_LIMIT: usize = 64;
 
-/// Interval at which requests that are held back by the retry budget are tried again.
-const BUDGET_RETRY_INTERVAL: Time = Time::from_millis(250);
+/// Interval at which requests that are held back by the retry budget or a target's limit are tried
+/// again.
+const HELD_RETRY_INTERVAL: Time = Time::from_millis(250);
 
-/// Longest expected wait for the retry budget for which a request is held back instead of refused:
-/// the shortest `Retry-After` that callers are given.
-const MAX_BUDGET_WAIT: Time = Time::from_secs(1);
+/// Longest expected wait for the retry budget or a target's limit for which a request is held back
+/// instead of refused: the shortest `Retry-After` that callers are given.
+const MAX_HELD_WAIT: Time = Time::from_secs(1);
 
 /// A place that a request may be sent to, with this host's limit there.
 pub(crate) struct Choice {
     pub candidate: Candidate,
     /// Number of requests that this host may have in flight there.
     pub limit: u32,
+    /// When its target's limit, if any, lets this host send there.
+    pub turn: Turn,
     /// Adapters that are loaded there.
     pub adapters: Vec<Name>,
 }
@@ -42,7 +46,7 @@
 impl Choice {
     /// Whether this host may send one more request there.
     pub(crate) fn has_capacity(&self) -> bool {
-        self.candidate.own < self.limit
+        self.candidate.own < self.limit && self.turn == Turn::Now
     }
 
     /// Returns the target with its incarnation.
@@ -56,10 +60,11 @@
 
 impl Core {
     /// Sends the waiting requests of a lane that have a place to go to, and refuses those that the
-    /// retry budget cannot serve soon.
+    /// retry budget or the limits of their targets cannot serve soon.
     pub(crate) fn dispatch(&mut self, key: &QueueKey) {
         self.send_waiting(key);
         self.refuse_over_budget();
+        self.refuse_over_limit(key);
     }
 
     /// Sends waiting requests in turn while there are places with capacity.
@@ -74,9 +79,7 @@
                 return;
             }
             if let Some(index) = self.choose(id, &mut options) {
-                options[index].candidate.own += 1;
-                let candidate = options[index].candidate.clone();
-                self.send(id, &candidate);
+                self.send_to(id, &mut options[index]);
             }
         }
         if self.queue.waiting(key) > 0 && options.iter().any(Choice::has_capacity) {
@@ -93,13 +96,19 @@
                 return;
             }
             if let Some(index) = self.choose(id, options) {
-                options[index].candidate.own += 1;
-                let candidate = options[index].candidate.clone();
-                self.send(id, &candidate);
+                self.send_to(id, &mut options[index]);
             }
         }
     }
 
+    /// Sends a request to a place and updates what the place can still take.
+    fn send_to(&mut self, id: CallId, option: &mut Choice) {
+        option.candidate.own += 1;
+        self.send(id, &option.candidate);
+        let target = &option.candidate.place.target;
+        option.turn = self.target_limits.turn(target, 0, self.now);
+    }
+
     /// Returns the places that can serve a lane, including those without free capacity.
     pub(crate) fn options(&self, key: &QueueKey) -> Vec<Choice> {
         match key {
@@ -187,6 +196,7 @@
         Some(Choice {
             limit,
             candidate,
+            turn: self.target_limits.turn(&view.target, 0, self.now),
             adapters: Vec::new(),
         })
     }
@@ -293,6 +303,10 @@
         if fitting.iter().any(healthy) {
             fitting.retain(healthy);
         }
+        let unlimited = |index: &usize| !self.target_limits.is_fresh(target(index), self.now);
+        if fitting.iter().any(unlimited) {
+            fitting.retain(unlimited);
+        }
         let response_time = self
             .latencies
             .get(&call.key)
@@ -314,7 +328,7 @@
     /// A request whose response has begun always waits: losing the partial response would cost the
     /// caller more than the wait.
     fn hold_back(&mut self, id: CallId, service: &Name) {
-        self.budget_retry_at = Some(self.now + BUDGET_RETRY_INTERVAL);
+        self.held_retry_at = Some(self.now + HELD_RETRY_INTERVAL);
         self.counters.of(service).held_back += 1;
         let others = self.calls.values().filter(|call| {
             let before = call.request.id < id && call.is_waiting() && call.sends > 0;
@@ -326,7 +340,7 @@
             .calls
             .get(&id)
             .is_some_and(|call| call.progress == Progress::Begun);
-        if wait > MAX_BUDGET_WAIT && !begun {
+        if wait > MAX_HELD_WAIT && !begun {
             self.over_budget.push((id, wait));
         }
     }
@@ -341,13 +355,86 @@
             if unsent {
                 let detail = "targets turned it away, and no more retries may be made now";
                 let rejection = Rejection::not_run(Reason::Overloaded, detail);
-                self.refuse(id, rejection.after(wait.min(MAX_BUDGET_WAIT)));
+                self.refuse(id, rejection.after(wait.min(MAX_HELD_WAIT)));
             } else {
                 self.fail_call(id, "the target failed, and no more retries may be made now");
             }
         }
     }
 
+    /// Refuses the requests of a lane whose targets all name a limit that leaves them no turn soon.
+    /// Nothing waits for a limit to end.
+    fn refuse_over_limit(&mut self, key: &QueueKey) {
+        if self.target_limits.is_empty() || self.queue.waiting(key) == 0 {
+            return;
+        }
+        let options = self.options(key);
+        let waiting: Vec<CallId> = self.queue.lane(key).collect();
+        let mut ahead = 0;
+        for id in waiting {
+            let Some(call) = self.calls.get(&id) else {
+                continue;
+            };
+            let Some(turn) = self.limited_turn(call, &options, ahead) else {
+                continue;
+            };
+            ahead += 1;
+            let begun = call.progress == Progress::Begun;
+            match turn {
+                Turn::After(wait) if wait <= MAX_HELD_WAIT || begun => self.hold_for_turn(),
+                Turn::Elsewhere(_) if begun => self.hold_for_turn(),
+                Turn::After(wait) | Turn::Elsewhere(wait) => self.refuse_limited(id, wait),
+                Turn::Now => {}
+            }
+        }
+    }
+
+    /// Returns the first turn of a request with `ahead` others before it, if limits alone keep it
+    /// from being sent: every place that could take it has no turn.
+    fn limited_turn(&self, call: &Call, options: &[Choice], ahead: u32) -> Option<Turn> {
+        let fitting = options.iter().filter(|option| self.fits(call, option));
+        let turns = fitting.map(|option| {
+            // A place with a turn is full, and is waited for.
+            if option.turn == Turn::Now {
+                return Turn::Now;
+            }
+            let target = &option.candidate.place.target;
+            self.target_limits.turn(target, ahead, self.now)
+        });
+        let first = turns.min_by_key(|turn| match turn {
+            Turn::Now => (0, Time::ZERO),
+            Turn::After(wait) => (1, *wait),
+            Turn::Elsewhere(wait) => (2, *wait),
+        })?;
+        (first != Turn::Now).then_some(first)
+    }
+
+    /// Tries the waiting requests again soon, because a turn at a limited target is near.
+    fn hold_for_turn(&mut self) {
+        let at = self.now + HELD_RETRY_INTERVAL;
+        self.held_retry_at = Some(self.held_retry_at.map_or(at, |held| held.min(at)));
+    }
+
+    /// Refuses a request that its targets' limits leave no turn soon.
+    fn refuse_limited(&mut self, id: CallId, wait: Time) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let unsent = call.progress == Progress::Unsent;
+        let service = call.key.service();
+        self.counters.of(&service).limited += 1;
+        if unsent {
+            let detail = "its targets take no more requests now";
+            let rejection = Rejection::not_run(Reason::Overloaded, detail);
+            self.refuse(id, rejection.after(wait));
+        } else {
+            self.fail_call(
+                id,
+                "the target failed, and others take no more requests now",
+            );
+        }
+    }
+
     /// Whether the retry budget allows sending another retry to a service.
     pub(crate) fn budget_allows(&mut self, service: &Name) -> bool {
         !self.config.uses(Guard::Budget) || self.budget.allows(service, self.now)
@@ -440,6 +527,8 @@
         if call.sends > 0 {
             self.budget.reserve(&call.key.service(), self.now);
         }
+        let limited = self.target_limits.is_limited(&instance.0);
+        self.target_limits.record_send(&instance.0, self.now);
         call.attempts += 1;
         call.stage = Stage::Running(RunningAttempt {
             attempt: call.attempts,
@@ -469,6 +558,7 @@
                 incarnation: candidate.incarnation,
                 address: candidate.address,
                 replica: candidate.place.replica,
+                limited,
             },
             resume: (call.progress == Progress::Begun).then_some(call.offset),
         });
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -13,6 +13,7 @@
 use crate::queue::QueueKey;
 use crate::request::{Call, Claim, Progress};
 use crate::route::Place;
+use crate::target_limits::TargetLimits;
 
 /// A snapshot of a core's state.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -41,6 +42,8 @@
     pub services: Counters,
     /// The state of the retry budget.
     pub budget: Budget,
+    /// The limits that targets name.
+    pub limits: TargetLimits,
     /// All requests.
     pub calls: Vec<Row>,
 }
@@ -127,6 +130,7 @@
             strikes: core.quarantine.list(),
             services: core.counters.clone(),
             budget: core.budget.clone(),
+            limits: core.target_limits.clone(),
             calls,
         }
     }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -5,7 +5,7 @@
 
 use cornelhitch_types::id::{CallerId, ClassId, Incarnation, Name, TargetId, Time, Version};
 use cornelhitch_types::model::Reference;
-use cornelhitch_types::target::Load;
+use cornelhitch_types::target::{Load, RequestRate};
 use cornelhitch_types::view::View;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter};
@@ -234,6 +234,15 @@
         /// Whether the response is an error caused by the target itself.
         error: bool,
     },
+    /// An answer of a target names a limit, or names none though the request was sent under one.
+    LimitNamed {
+        /// The target that sent it.
+        target: TargetId,
+        /// The incarnation of the target.
+        incarnation: Incarnation,
+        /// The requests that it takes from all entry hosts together.
+        limit: Option<RequestRate>,
+    },
     /// The owner forwarded a part of a streamed response.
     Progress {
         /// The request of the attempt.
--- a/crates/entry/src/updates.rs
+++ b/crates/entry/src/updates.rs
@@ -1,8 +1,8 @@
 //! Handles events from control and targets: view changes, load reports, reservations and probes.
 
-use cornelhitch_types::id::{Incarnation, Name, TargetId, Version};
+use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Version};
 use cornelhitch_types::refusal::Reason;
-use cornelhitch_types::target::Load;
+use cornelhitch_types::target::{Load, RequestRate};
 use cornelhitch_types::view::{self, Change, View};
 
 use crate::action::Action;
@@ -30,14 +30,15 @@
         }
         if view.from == 0 {
             self.quarantine.clear_published(self.now);
+            self.target_limits.clear_published();
         }
         for change in view.changes {
             self.apply_change(change);
         }
-        let hosts = &self.fleet_view.hosts;
-        let listed = hosts.contains_key(&self.config.host);
-        let count = u32::try_from(hosts.len()).unwrap_or(u32::MAX);
-        self.budget.set_hosts(count, listed, self.now);
+        let hosts: Vec<HostId> = self.fleet_view.hosts.keys().copied().collect();
+        let own = self.config.host;
+        self.budget.set_hosts(&hosts, own, self.now);
+        self.target_limits.set_hosts(&hosts, own, self.now);
         if self.catalogue.version != settings_before {
             self.refuse_unknown();
         }
@@ -68,6 +69,11 @@
             Change::ColdStartEstimate(model, ms) => {
                 self.fleet_view.set_cold_start_estimate(model, ms);
             }
+            Change::TargetLimit(target, incarnation, limit) => {
+                let running = self.own_in_flight(&target);
+                self.target_limits
+                    .on_published(&target, incarnation, limit, running, self.now);
+            }
         }
     }
 
@@ -84,7 +90,7 @@
     /// Handles a target that is new, has changed or has reported its load.
     fn on_target(&mut self, target: view::Target) {
         let id = target.target.clone();
-        let load = target.load;
+        let (load, incarnation) = (target.load, target.incarnation);
         let sharers = self.sharers(&target.region);
         let own = self.own_in_flight(&id);
         if self.fleet_view.insert_target(target, own, self.now) {
@@ -92,6 +98,7 @@
             self.health.forget(&id);
             self.caches.forget(&id);
         }
+        self.target_limits.forget_before(&id, incarnation);
         if self
             .fleet_view
             .targets
@@ -150,6 +157,26 @@
         }
     }
 
+    /// Applies the limit that an answer names, and reports it to control when it is due.
+    pub(crate) fn on_limit_named(
+        &mut self,
+        target: TargetId,
+        incarnation: Incarnation,
+        limit: Option<RequestRate>,
+    ) {
+        let running = self.own_in_flight(&target);
+        let report = self
+            .target_limits
+            .on_answer(&target, incarnation, limit, running, self.now);
+        if report {
+            self.actions.push(Action::ReportLimit {
+                target,
+                incarnation,
+                limit,
+            });
+        }
+    }
+
     /// Records whether a target's response was an error of its own, if its incarnation is current.
     pub(crate) fn on_response_head(
         &mut self,
@@ -169,6 +196,7 @@
         self.ejections.readmit(target);
         self.health.forget(target);
         self.caches.forget(target);
+        self.target_limits.forget(target);
         let place = Place {
             target: target.clone(),
             replica: None,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -209,6 +209,7 @@
             session::Event::View(view) => {
                 self.publish_settings(&view);
                 log_strike_counts(&view);
+                log_limits(&view);
                 let (term, from, to) = (view.term, view.from, view.to);
                 self.handle_event(Event::View(view));
                 let seen = self.setup.core.view_position();
@@ -432,7 +433,6 @@
                 target,
                 incarnation,
             } => self.reserve(target, incarnation),
-            action @ (Action::Suspect { .. } | Action::Unreserve { .. }) => self.forward(action),
             Action::Report => self.urgent = true,
             Action::RequestView { .. } => self.setup.session.request_full_view(),
             Action::BadSettings { version, error } => {
@@ -440,6 +440,7 @@
             }
             Action::CloseListener => self.setup.close.cancel(),
             Action::Drained => self.setup.drained.cancel(),
+            action => self.forward(action),
         }
     }
 
@@ -460,6 +461,15 @@
                 target,
                 incarnation,
             }),
+            Action::ReportLimit {
+                target,
+                incarnation,
+                limit,
+            } => self.setup.session.send(Upward::Limit {
+                target,
+                incarnation,
+                limit,
+            }),
             other => tracing::error!(?other, "unexpected action: not a message to the leader"),
         }
     }
@@ -573,3 +583,21 @@
         );
     }
 }
+
+/// Logs the limits of targets that a view publishes.
+fn log_limits(view: &View) {
+    for change in &view.changes {
+        if let Change::TargetLimit(target, incarnation, limit) = change {
+            let per_1000_s = limit.map(|limit| limit.0);
+            let (term, to) = (view.term, view.to);
+            tracing::info!(
+                target = &**target,
+                life = incarnation,
+                per_1000_s,
+                term,
+                view = to,
+                "limit of a target published"
+            );
+        }
+    }
+}
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -7,7 +7,7 @@
 use cornelhitch_types::demand::DemandReport;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Incarnation, TargetId, Term, Time, Version};
-use cornelhitch_types::target::{AnnouncedHeartbeat, Announcement, Heartbeat};
+use cornelhitch_types::target::{AnnouncedHeartbeat, Announcement, Heartbeat, RequestRate};
 use cornelhitch_types::view::View;
 use cornelhitch_wire::hello::ProcessId;
 use serde::{Deserialize, Serialize};
@@ -76,6 +76,15 @@
         /// The query.
         question: Question,
     },
+    /// A target names a limit in its answers, or no longer does.
+    Limit {
+        /// The target.
+        target: TargetId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// The requests that it takes from all entry hosts together.
+        limit: Option<RequestRate>,
+    },
 }
 
 /// A query that only the leader can answer; the answer is JSON.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -88,7 +88,7 @@
 }
 
 /// The counters kept for each service.
-const SERVICE_COUNTS: [ServiceCount; 3] = [
+const SERVICE_COUNTS: [ServiceCount; 4] = [
     ServiceCount {
         name: "cornelhitch_service_requests_total",
         read: |counters| counters.requests,
@@ -101,6 +101,10 @@
         name: "cornelhitch_repeats_held_back_total",
         read: |counters| counters.held_back,
     },
+    ServiceCount {
+        name: "cornelhitch_limited_total",
+        read: |counters| counters.limited,
+    },
 ];
 
 /// The metrics of one process; clones share them.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -39,6 +39,13 @@
                 load,
             });
         }
+        if answer.limit.is_some() || self.to.limited {
+            self.send_event(Event::LimitNamed {
+                target: self.to.target.clone(),
+                incarnation: self.to.incarnation,
+                limit: answer.limit,
+            });
+        }
         if let Some(declined) = answer.declined {
             return Err(self.target_declined(declined, answer.body).await);
         }
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -69,6 +69,15 @@
                 target,
                 incarnation,
             }),
+            Upward::Limit {
+                target,
+                incarnation,
+                limit,
+            } => self.handle(Input::LimitNamed {
+                target,
+                incarnation,
+                limit,
+            }),
             Upward::Unreserve {
                 target,
                 incarnation,
--- a/crates/node/tests/fleet/simulation.rs
+++ b/crates/node/tests/fleet/simulation.rs
@@ -14,7 +14,9 @@
 use cornelhitch_types::entry;
 use cornelhitch_types::id::{HostId, Incarnation, Name, Time};
 use cornelhitch_types::refusal::Reason;
-use cornelhitch_types::target::{AnnouncedHeartbeat, Announcement, Heartbeat, Kind, Load};
+use cornelhitch_types::target::{
+    AnnouncedHeartbeat, Announcement, Heartbeat, Kind, Load, RequestRate,
+};
 use cornelhitch_types::view::View;
 
 /// Duration of one simulation step.
@@ -29,6 +31,8 @@
 const DOWNTIME: Time = Time::from_secs(3);
 /// How long before a request its host must have known a limit for the request to count.
 const TOLD_FOR: Time = Time::from_millis(500);
+/// How long after a target first named a limit requests count.
+const KNOWN_AFTER: Time = Time::from_secs(4);
 /// The number of the entry host at index 0.
 const FIRST_HOST: HostId = 100;
 
@@ -53,16 +57,29 @@
     down_until: Option<Time>,
     /// The requests per second that it takes from all hosts, if it names a limit.
     limit: Option<f64>,
+    /// The only host whose answers name the limit, if not all do.
+    tells_only: Option<usize>,
+    /// When an answer first named the current limit.
+    named_at: Option<Time>,
     /// When each host first got an answer that names the current limit.
     told: BTreeMap<usize, Time>,
 }
 
+impl Target {
+    /// Begins to name a limit as if for the first time.
+    fn forget_told(&mut self) {
+        self.named_at = None;
+        self.told.clear();
+    }
+}
+
 /// A request that reached a target.
 #[derive(Debug, Clone, Copy)]
 pub struct Arrival {
     pub target: usize,
     pub at: Time,
-    /// Whether the host that sent it had known the target's limit for [`TOLD_FOR`].
+    /// Whether the target has named its limit for [`KNOWN_AFTER`], and the host that sent it has
+    /// known it for [`TOLD_FOR`].
     pub told: bool,
 }
 
@@ -75,6 +92,8 @@
     target: usize,
     life: Incarnation,
     at: Time,
+    /// Whether the host knew a limit of the target.
+    limited: bool,
     /// Whether the first byte was written.
     running: bool,
 }
@@ -93,6 +112,8 @@
     pub now: Time,
     /// Times at which a target ended under the crashing request.
     pub crashes: Vec<Time>,
+    /// When requests arrived at their hosts.
+    pub sent: BTreeMap<CallId, Time>,
     /// How requests ended, and when.
     pub ends: BTreeMap<CallId, (Time, End)>,
     /// Requests that reached targets.
@@ -123,11 +144,14 @@
             heartbeat_at: Time::ZERO,
             down_until: None,
             limit: None,
+            tells_only: None,
+            named_at: None,
             told: BTreeMap::new(),
         };
         let mut fleet = Self {
             now: Time::from_hours(1),
             crashes: Vec::new(),
+            sent: BTreeMap::new(),
             ends: BTreeMap::new(),
             arrivals: Vec::new(),
             state: State::default(),
@@ -177,11 +201,14 @@
             .serving(serving);
         self.hosts[at] = Some(Core::new(config, self.now));
         self.sends.retain(|send| send.host != at);
+        for target in &mut self.targets {
+            target.told.remove(&at);
+        }
         self.renewed[at] = Time::ZERO;
     }
 
     /// Elects another leader over the same state.
-    fn elect_leader(&mut self) {
+    pub fn elect_leader(&mut self) {
         self.term += 1;
         self.leader = Some(Leader::new(Box::new(NoPlanner)));
         self.lead(Input::Elected { term: self.term });
@@ -190,7 +217,12 @@
     /// Sets the limit that a target names in its answers, in requests per second.
     pub fn name_limit(&mut self, target: usize, limit: Option<f64>) {
         self.targets[target].limit = limit;
-        self.targets[target].told.clear();
+        self.targets[target].forget_told();
+    }
+
+    /// Makes a target name its limit in answers to one host only.
+    pub fn tell_only(&mut self, target: usize, host: usize) {
+        self.targets[target].tells_only = Some(host);
     }
 
     /// Ends the target that runs a request, for a reason of its own.
@@ -215,7 +247,7 @@
     }
 
     /// Ends a target for a reason of its own.
-    fn kill_target(&mut self, at: usize) {
+    pub fn kill_target(&mut self, at: usize) {
         self.targets[at].down_until = Some(self.now + DOWNTIME);
         self.break_connections(at);
     }
@@ -250,6 +282,7 @@
             sizes: Vec::new(),
         }));
         self.fingerprints.insert(id, fingerprint);
+        self.sent.insert(id, self.now);
         self.deliver(host, Event::Arrived(request));
         id
     }
@@ -280,6 +313,7 @@
             Some(_) => {
                 target.down_until = None;
                 target.life += 1;
+                target.forget_told();
                 target.heartbeats = 0;
                 target.heartbeat_at = self.now;
             }
@@ -429,11 +463,16 @@
 
     /// Records that a request reaches its target.
     fn record_arrival(&mut self, send: &PendingSend) {
-        let told = self.targets[send.target].told.get(&send.host);
+        let target = &self.targets[send.target];
+        let known = target
+            .named_at
+            .is_some_and(|at| at + KNOWN_AFTER <= self.now);
+        let told = target.told.get(&send.host);
+        let told = told.is_some_and(|at| *at + TOLD_FOR <= self.now);
         self.arrivals.push(Arrival {
             target: send.target,
             at: self.now,
-            told: told.is_some_and(|at| *at + TOLD_FOR <= self.now),
+            told: known && told,
         });
     }
 
@@ -441,9 +480,21 @@
     fn tell_limit(&mut self, send: &PendingSend) {
         let now = self.now;
         let target = &mut self.targets[send.target];
-        if target.limit.is_some() {
+        let tells = target.tells_only.is_none_or(|host| host == send.host);
+        let limit = target.limit.filter(|_| tells);
+        if limit.is_some() {
+            target.named_at = target.named_at.or(Some(now));
             target.told.entry(send.host).or_insert(now);
         }
+        let limit = limit.and_then(RequestRate::per_second);
+        if limit.is_some() || send.limited {
+            let event = Event::LimitNamed {
+                target: target_name(send.target),
+                incarnation: send.life,
+                limit,
+            };
+            self.deliver(send.host, event);
+        }
     }
 
     /// Reports a failed attempt to its host.
@@ -479,6 +530,7 @@
                 target: target_index(&to.target),
                 life: to.incarnation,
                 at: self.now + STEP,
+                limited: to.limited,
                 running: false,
             }),
             Action::Finish { id, .. } => {
@@ -492,6 +544,17 @@
                 let same = |send: &PendingSend| (send.host, send.id, send.attempt);
                 self.sends.retain(|send| same(send) != (host, id, attempt));
             }
+            Action::Probe { target, .. } => {
+                let connected = self.targets[target_index(&target)].down_until.is_none();
+                self.deliver(host, Event::Probed { target, connected });
+            }
+            action => self.report(host, action),
+        }
+    }
+
+    /// Passes what an entry host tells or asks control to the leader.
+    fn report(&mut self, host: usize, action: Action) {
+        match action {
             Action::Strike {
                 fingerprint,
                 target,
@@ -513,10 +576,15 @@
                 target,
                 incarnation,
             }),
-            Action::Probe { target, .. } => {
-                let connected = self.targets[target_index(&target)].down_until.is_none();
-                self.deliver(host, Event::Probed { target, connected });
-            }
+            Action::ReportLimit {
+                target,
+                incarnation,
+                limit,
+            } => self.lead(Input::LimitNamed {
+                target,
+                incarnation,
+                limit,
+            }),
             Action::RequestView { .. } => {
                 let (term, sequence) = (0, 0);
                 let host = host_number(host);
--- a/crates/types/src/target.rs
+++ b/crates/types/src/target.rs
@@ -114,6 +114,41 @@
     pub adapters: Vec<Name>,
 }
 
+/// A rate of requests, in requests per 1,000 seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestRate(pub u64);
+
+impl RequestRate {
+    /// Returns a rate given in requests per second; `None` if it is negative or not a number.
+    ///
+    /// ```
+    /// use cornelhitch_types::target::RequestRate;
+    ///
+    /// assert_eq!(RequestRate::per_second(1.3), Some(RequestRate(1_300)));
+    /// assert_eq!(RequestRate::per_second(f64::NAN), None);
+    /// ```
+    #[must_use]
+    pub fn per_second(rate: f64) -> Option<Self> {
+        let per_1000_s = Duration::try_from_secs_f64(rate).ok()?.as_millis();
+        u64::try_from(per_1000_s).ok().map(Self)
+    }
+
+    /// Returns the number of whole requests in a window.
+    ///
+    /// ```
+    /// use cornelhitch_types::target::RequestRate;
+    /// use std::time::Duration;
+    ///
+    /// assert_eq!(RequestRate(1_300).in_window(Duration::from_secs(4)), 5);
+    /// ```
+    #[must_use]
+    pub fn in_window(self, window: Duration) -> u32 {
+        let requests = u128::from(self.0) * window.as_millis() / 1_000_000;
+        u32::try_from(requests).unwrap_or(u32::MAX)
+    }
+}
+
 /// Load of a target, measured some time before it was sent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/types/src/view.rs
+++ b/crates/types/src/view.rs
@@ -12,7 +12,7 @@
 use crate::entry;
 use crate::id::{Incarnation, ModelId, Name, RegionId, ReplicaId, TargetId, Term, Version, ZoneId};
 use crate::route::RouteTable;
-use crate::target::{CacheEvent, Kind, Load};
+use crate::target::{CacheEvent, Kind, Load, RequestRate};
 
 /// State of a replica for routing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
@@ -102,6 +102,9 @@
     /// start of its load; 0 if a target has it cached or is loading it.
     #[serde(rename = "Outlook")]
     ColdStartEstimate(ModelId, u32),
+    /// The requests that an incarnation of a target takes from all entry hosts together; `None` if
+    /// it no longer names a limit.
+    TargetLimit(TargetId, Incarnation, Option<RequestRate>),
 }
 
 /// Changes that advance a view from one sequence number to another.
