--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -24,6 +24,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
+use crate::answer_memory::AnswerMemory;
 use crate::entry::Input;
 use crate::exchange::{Exchange, Head, Part, Payload, Recorded};
 use crate::metrics::{Count, Metrics};
@@ -93,6 +94,8 @@
     pub client: Arc<dyn Client>,
     /// The entry task's input queue.
     pub inputs: mpsc::UnboundedSender<Input>,
+    /// The host's memory for buffered answers.
+    pub memory: AnswerMemory,
     /// The metrics of this process.
     pub metrics: Metrics,
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::answer_memory::AnswerMemory;
 use crate::attempt::{self, Attempt, Signals};
 use crate::exchange::{Exchange, NewRequest, Payload, Recorded};
 use crate::ingress::Routes;
@@ -126,6 +127,7 @@
     exchanges: HashMap<CallId, Exchange>,
     attempts: HashMap<(CallId, AttemptNumber), RunningAttempt>,
     answers: HashMap<CallId, Recorded>,
+    answer_memory: AnswerMemory,
     last_report: Instant,
     urgent: bool,
     request_log: RequestLog,
@@ -138,6 +140,7 @@
         exchanges: HashMap::new(),
         attempts: HashMap::new(),
         answers: HashMap::new(),
+        answer_memory: AnswerMemory::default(),
         last_report: Instant::now(),
         urgent: true,
         request_log: RequestLog::default(),
@@ -522,6 +525,7 @@
             exchange,
             client: self.setup.client.clone(),
             inputs: self.setup.input_sender.clone(),
+            memory: self.answer_memory.clone(),
             metrics: self.setup.metrics.clone(),
         };
         let (signals, receivers) = attempt::signals();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`control`] owns the replicated log, the replicated state and the leader's decisions.
 //! - [`links`] and [`datagrams`] carry messages between processes.
 
+pub mod answer_memory;
 pub mod attempt;
 pub mod body;
 pub mod callers;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -7,6 +7,7 @@
 use futures_util::StreamExt;
 use tokio::sync::oneshot;
 
+use crate::answer_memory::Reservation;
 use crate::attempt::{AnswerRecord, Attempt, AttemptEnd, SignalReceivers, end_to_end_headers};
 use crate::exchange::{Head, Part, Payload, Routed};
 
@@ -71,7 +72,8 @@
             status: answer.status,
             headers: end_to_end_headers(&answer.headers),
         };
-        let body = self.read_body(answer.body).await?;
+        let mut memory = self.memory.reservation();
+        let body = self.read_body(answer.body, &mut memory).await?;
         self.begin_answer(&mut deliver).await?;
         self.finish_answer(finish, AnswerRecord::default(), &mut Some(head), body)
             .await
@@ -118,18 +120,36 @@
         })
     }
 
-    /// Buffers a complete answer body; fails if it is over [`MAX_ANSWER_BYTES`].
-    async fn read_body(&self, mut body: Chunks) -> Result<Bytes, AttemptEnd> {
+    /// Buffers a complete answer body; fails if it is over [`MAX_ANSWER_BYTES`], or the host has no
+    /// memory for it.
+    async fn read_body(
+        &self,
+        mut body: Chunks,
+        memory: &mut Reservation,
+    ) -> Result<Bytes, AttemptEnd> {
         let mut buffer = BytesMut::new();
         while let Some(chunk) = body.next().await {
-            buffer.extend_from_slice(&chunk.map_err(|error| self.target_error(error))?);
-            if buffer.len() > MAX_ANSWER_BYTES {
-                return Err(AttemptEnd::Failed(Failure::Status));
+            let chunk = chunk.map_err(|error| self.target_error(error))?;
+            let fits = buffer.len() + chunk.len() <= MAX_ANSWER_BYTES;
+            if !fits || !memory.extend(chunk.len()) {
+                return Err(self.answer_too_large(buffer.len()));
             }
+            buffer.extend_from_slice(&chunk);
         }
         Ok(buffer.freeze())
     }
 
+    /// Logs that an answer, or an event of it, is given up for its size.
+    fn answer_too_large(&self, buffered: usize) -> AttemptEnd {
+        tracing::warn!(
+            request = &*self.request,
+            target = &*self.to.target,
+            buffered,
+            "answer given up: no end within what is buffered"
+        );
+        AttemptEnd::Failed(Failure::Status)
+    }
+
     /// Passes on each event of a stream once it is complete; returns the head if no event arrived.
     async fn forward_events(
         &self,
@@ -154,6 +174,9 @@
                 let to = id.unwrap_or_else(|| self.delivered());
                 self.forward(to, event, &mut record).await?;
             }
+            if splitter.buffered_len() > sse::MAX_EVENT_BYTES {
+                return Err(self.answer_too_large(splitter.buffered_len()));
+            }
         }
         if splitter.buffered_len() > 0 {
             return Err(AttemptEnd::Failed(Failure::Truncated));
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod inbound;
 pub mod message;
+mod metered;
 mod pool;
 pub mod prelude;
 mod response_body;
--- a/crates/target/src/pool.rs
+++ b/crates/target/src/pool.rs
@@ -14,9 +14,14 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use snafu::ResultExt;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::error::{ConnectSnafu, Error};
+use crate::metered::{Meter, MeteredStream};
+
+/// Upper bound on the head of a response, and on the bytes of a body that are read at once.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 
 /// A request with its complete body, ready to be sent.
 pub type OutgoingRequest = Request<Full<Bytes>>;
@@ -34,11 +39,30 @@
 #[derive(Debug)]
 pub enum Sender {
     /// HTTP/1.1: one request at a time.
-    Http1(http1::SendRequest<Full<Bytes>>),
+    Http1 {
+        /// The handle for requests.
+        sender: http1::SendRequest<Full<Bytes>>,
+        /// Counts what is read.
+        meter: Meter,
+        /// Closes the connection when it is dropped.
+        #[expect(dead_code, reason = "acts when it is dropped")]
+        driver: Driver,
+    },
     /// HTTP/2: many concurrent requests.
     Http2(http2::SendRequest<Full<Bytes>>),
 }
 
+/// The task that reads and writes an HTTP/1.1 connection. It ends with its owner: by itself it would
+/// go on reading a response that nobody waits for, as long as that yields no bytes of a body.
+#[derive(Debug)]
+pub struct Driver(AbortHandle);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 impl Sender {
     /// Sends a request; the error returns the request if no byte of it was sent.
     pub async fn send(
@@ -46,7 +70,8 @@
         mut request: OutgoingRequest,
     ) -> Result<Response<Incoming>, TrySendError<OutgoingRequest>> {
         match self {
-            Self::Http1(sender) => {
+            Self::Http1 { sender, meter, .. } => {
+                meter.reset();
                 *request.uri_mut() = origin_form(request.uri());
                 sender.try_send_request(request).await
             }
@@ -54,10 +79,17 @@
         }
     }
 
+    /// Records that a part of a response's body was delivered.
+    pub fn record_delivery(&self) {
+        if let Self::Http1 { meter, .. } = self {
+            meter.reset();
+        }
+    }
+
     /// Waits until the connection can accept a request; returns false if it is closed.
     async fn ready(&mut self) -> bool {
         match self {
-            Self::Http1(sender) => sender.ready().await.is_ok(),
+            Self::Http1 { sender, .. } => sender.ready().await.is_ok(),
             Self::Http2(sender) => sender.ready().await.is_ok(),
         }
     }
@@ -158,7 +190,7 @@
     /// timeout. An HTTP/2 connection is shared, so the pool holds at most one to each target.
     pub fn put(&self, address: SocketAddr, sender: Sender, keep_alive: Option<Duration>) {
         let limit = match sender {
-            Sender::Http1(_) => self.max_idle_per_target,
+            Sender::Http1 { .. } => self.max_idle_per_target,
             Sender::Http2(_) => 1,
         };
         let mut connections = self.idle_connections();
@@ -186,14 +218,22 @@
     async fn open(&self, address: SocketAddr) -> io::Result<Sender> {
         let socket = TcpStream::connect(address).await?;
         socket.set_nodelay(true)?;
-        let io = TokioIo::new(socket);
         match self.version {
             Version::Http1 => {
-                let (sender, driver) = http1::handshake(io).await.map_err(io::Error::other)?;
-                tokio::spawn(driver);
-                Ok(Sender::Http1(sender))
+                let meter = Meter::default();
+                let io = TokioIo::new(MeteredStream::new(socket, meter.clone()));
+                let mut builder = http1::Builder::new();
+                let handshake = builder.max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
+                let (sender, driver) = handshake.map_err(io::Error::other)?;
+                let driver = Driver(tokio::spawn(driver).abort_handle());
+                Ok(Sender::Http1 {
+                    sender,
+                    meter,
+                    driver,
+                })
             }
             Version::Http2 => {
+                let io = TokioIo::new(socket);
                 let handshake = http2::handshake(TokioExecutor::new(), io).await;
                 let (sender, driver) = handshake.map_err(io::Error::other)?;
                 tokio::spawn(driver);
--- a/crates/target/src/response_body.rs
+++ b/crates/target/src/response_body.rs
@@ -48,6 +48,7 @@
             let Some(frame) = frame else { return Ok(None) };
             let frame = frame.map_err(|error| broken(error.to_string()))?;
             if let Ok(bytes) = frame.into_data() {
+                self.sender.record_delivery();
                 return Ok(Some(bytes));
             }
         }
