--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,63 +1,27 @@
 //! Dispatch: assigns queued requests to places.
 
 use cornelhitch_types::id::{ModelId, Name, RegionId, Time};
-use cornelhitch_types::refusal::Reason;
 use cornelhitch_types::view::State;
 
 use crate::action::{Action, Destination};
 use crate::affinity;
+use crate::choice::Choice;
 use crate::config::Guard;
 use crate::core::Core;
 use crate::estimate::Supply;
 use crate::event::{CallId, RequestedResource};
 use crate::fault::Fault;
-use crate::finish::Rejection;
 use crate::fleet_view::Target;
 use crate::quarantine::TargetInstance;
 use crate::queue::QueueKey;
 use crate::request::{Call, Progress, RunningAttempt, Stage};
 use crate::route::{Candidate, Place};
 use crate::share::Sharers;
-use crate::target_limits::Turn;
 
 /// Number of requests at the head of a lane that are considered first. The rest is searched only
 /// while capacity is left, because those before it wait for an adapter or for a target of their own.
 const SCAN_LIMIT: usize = 64;
 
-/// Interval at which requests that are held back by the retry budget or a target's limit are tried
-/// again.
-const HELD_RETRY_INTERVAL: Time = Time::from_millis(250);
-
-/// Longest expected wait for the retry budget or a target's limit for which a request is held back
-/// instead of refused: the shortest `Retry-After` that callers are given.
-const MAX_HELD_WAIT: Time = Time::from_secs(1);
-
-/// A place that a request may be sent to, with this host's limit there.
-pub(crate) struct Choice {
-    pub candidate: Candidate,
-    /// Number of requests that this host may have in flight there.
-    pub limit: u32,
-    /// When its target's limit, if any, lets this host send there.
-    pub turn: Turn,
-    /// Adapters that are loaded there.
-    pub adapters: Vec<Name>,
-}
-
-impl Choice {
-    /// Whether this host may send one more request there.
-    pub(crate) fn has_capacity(&self) -> bool {
-        self.candidate.own < self.limit && self.turn == Turn::Now
-    }
-
-    /// Returns the target with its incarnation.
-    fn instance(&self) -> TargetInstance {
-        (
-            self.candidate.place.target.clone(),
-            self.candidate.incarnation,
-        )
-    }
-}
-
 impl Core {
     /// Sends the waiting requests of a lane that have a place to go to, and refuses those that the
     /// retry budget or the limits of their targets cannot serve soon.
@@ -74,29 +38,22 @@
         }
         let mut options = self.options(key);
         let waiting: Vec<CallId> = self.queue.lane(key).take(SCAN_LIMIT).collect();
-        for id in waiting {
-            if !options.iter().any(Choice::has_capacity) {
-                return;
-            }
-            if let Some(index) = self.choose(id, &mut options) {
-                self.send_to(id, &mut options[index]);
-            }
-        }
+        self.send_each(&waiting, &mut options);
+        // The rest is searched past requests that wait for an adapter or a target of their own.
         if self.queue.waiting(key) > 0 && options.iter().any(Choice::has_capacity) {
-            self.send_waiting_beyond_scan(key, &mut options);
+            let rest: Vec<CallId> = self.queue.lane(key).skip(SCAN_LIMIT).collect();
+            self.send_each(&rest, &mut options);
         }
     }
 
-    /// Continues with the rest of the lane, past requests that wait for an adapter or a target of
-    /// their own.
-    fn send_waiting_beyond_scan(&mut self, key: &QueueKey, options: &mut [Choice]) {
-        let rest: Vec<CallId> = self.queue.lane(key).skip(SCAN_LIMIT).collect();
-        for id in rest {
+    /// Sends requests in turn, as long as a place has capacity.
+    fn send_each(&mut self, ids: &[CallId], options: &mut [Choice]) {
+        for id in ids {
             if !options.iter().any(Choice::has_capacity) {
                 return;
             }
-            if let Some(index) = self.choose(id, options) {
-                self.send_to(id, &mut options[index]);
+            if let Some(index) = self.choose(*id, options) {
+                self.send_to(*id, &mut options[index]);
             }
         }
     }
@@ -322,124 +279,6 @@
         fitting.get(chosen).copied()
     }
 
-    /// Holds a request back because the retry budget is spent. If the expected wait is too long,
-    /// marks the request for refusal instead: a retry by the caller does not use the budget.
-    ///
-    /// A request whose response has begun always waits: losing the partial response would cost the
-    /// caller more than the wait.
-    fn hold_back(&mut self, id: CallId, service: &Name) {
-        self.held_retry_at = Some(self.now + HELD_RETRY_INTERVAL);
-        self.counters.of(service).held_back += 1;
-        let others = self.calls.values().filter(|call| {
-            let before = call.request.id < id && call.is_waiting() && call.sends > 0;
-            before && call.key.service() == *service
-        });
-        let ahead = others.count();
-        let wait = self.budget.expected_wait(service, ahead, self.now);
-        let begun = self
-            .calls
-            .get(&id)
-            .is_some_and(|call| call.progress == Progress::Begun);
-        if wait > MAX_HELD_WAIT && !begun {
-            self.over_budget.push((id, wait));
-        }
-    }
-
-    /// Refuses the requests whose expected wait for the retry budget is too long.
-    fn refuse_over_budget(&mut self) {
-        for (id, wait) in std::mem::take(&mut self.over_budget) {
-            let unsent = self
-                .calls
-                .get(&id)
-                .is_some_and(|call| call.progress == Progress::Unsent);
-            if unsent {
-                let detail = "targets turned it away, and no more retries may be made now";
-                let rejection = Rejection::not_run(Reason::Overloaded, detail);
-                self.refuse(id, rejection.after(wait.min(MAX_HELD_WAIT)));
-            } else {
-                self.fail_call(id, "the target failed, and no more retries may be made now");
-            }
-        }
-    }
-
-    /// Refuses the requests of a lane whose targets all name a limit that leaves them no turn soon.
-    /// Nothing waits for a limit to end.
-    fn refuse_over_limit(&mut self, key: &QueueKey) {
-        if self.target_limits.is_empty() || self.queue.waiting(key) == 0 {
-            return;
-        }
-        let options = self.options(key);
-        let waiting: Vec<CallId> = self.queue.lane(key).collect();
-        let mut ahead = 0;
-        for id in waiting {
-            let Some(call) = self.calls.get(&id) else {
-                continue;
-            };
-            let Some(turn) = self.limited_turn(call, &options, ahead) else {
-                continue;
-            };
-            ahead += 1;
-            let begun = call.progress == Progress::Begun;
-            match turn {
-                Turn::After(wait) if wait <= MAX_HELD_WAIT || begun => self.hold_for_turn(),
-                Turn::Elsewhere(_) if begun => self.hold_for_turn(),
-                Turn::After(wait) | Turn::Elsewhere(wait) => self.refuse_limited(id, wait),
-                Turn::Now => {}
-            }
-        }
-    }
-
-    /// Returns the first turn of a request with `ahead` others before it, if limits alone keep it
-    /// from being sent: every place that could take it has no turn.
-    fn limited_turn(&self, call: &Call, options: &[Choice], ahead: u32) -> Option<Turn> {
-        let fitting = options.iter().filter(|option| self.fits(call, option));
-        let turns = fitting.map(|option| {
-            // A place with a turn is full, and is waited for.
-            if option.turn == Turn::Now {
-                return Turn::Now;
-            }
-            let target = &option.candidate.place.target;
-            self.target_limits.turn(target, ahead, self.now)
-        });
-        let first = turns.min_by_key(|turn| match turn {
-            Turn::Now => (0, Time::ZERO),
-            Turn::After(wait) => (1, *wait),
-            Turn::Elsewhere(wait) => (2, *wait),
-        })?;
-        (first != Turn::Now).then_some(first)
-    }
-
-    /// Tries the waiting requests again soon, because a turn at a limited target is near.
-    fn hold_for_turn(&mut self) {
-        let at = self.now + HELD_RETRY_INTERVAL;
-        self.held_retry_at = Some(self.held_retry_at.map_or(at, |held| held.min(at)));
-    }
-
-    /// Refuses a request that its targets' limits leave no turn soon.
-    fn refuse_limited(&mut self, id: CallId, wait: Time) {
-        let Some(call) = self.calls.get(&id) else {
-            return;
-        };
-        let unsent = call.progress == Progress::Unsent;
-        let service = call.key.service();
-        self.counters.of(&service).limited += 1;
-        if unsent {
-            let detail = "its targets take no more requests now";
-            let rejection = Rejection::not_run(Reason::Overloaded, detail);
-            self.refuse(id, rejection.after(wait));
-        } else {
-            self.fail_call(
-                id,
-                "the target failed, and others take no more requests now",
-            );
-        }
-    }
-
-    /// Whether the retry budget allows sending another retry to a service.
-    pub(crate) fn budget_allows(&mut self, service: &Name) -> bool {
-        !self.config.uses(Guard::Budget) || self.budget.allows(service, self.now)
-    }
-
     /// Whether a place has the adapter that a request needs, and the strike limit allows the
     /// request's fingerprint to run there.
     pub(crate) fn fits(&self, call: &Call, option: &Choice) -> bool {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -53,9 +53,11 @@
 
 mod admit;
 mod attempt;
+mod choice;
 mod dispatch;
 mod fault;
 mod finish;
+mod held;
 #[cfg(test)]
 mod tests;
 mod updates;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -3,6 +3,7 @@
 
 mod background;
 mod responses;
+mod view_log;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -211,8 +212,7 @@
         match event {
             session::Event::View(view) => {
                 self.publish_settings(&view);
-                log_strike_counts(&view);
-                log_limits(&view);
+                view_log::log_changes(&view);
                 let (term, from, to) = (view.term, view.from, view.to);
                 self.handle_event(Event::View(view));
                 let seen = self.setup.core.view_position();
@@ -559,49 +559,3 @@
         }
     }
 }
-
-/// Logs the strike counts that a view publishes; only their number if the view is complete.
-fn log_strike_counts(view: &View) {
-    let (term, to) = (view.term, view.to);
-    let counts = view.changes.iter().filter_map(|change| match change {
-        Change::StrikeCount(fingerprint, strikes) => Some((*fingerprint, *strikes)),
-        _ => None,
-    });
-    if view.from == 0 {
-        let fingerprints = counts.count();
-        tracing::info!(
-            fingerprints,
-            term,
-            view = to,
-            "complete view: fingerprints with strikes"
-        );
-        return;
-    }
-    for (fingerprint, strikes) in counts {
-        tracing::info!(
-            fingerprint,
-            strikes,
-            term,
-            view = to,
-            "strike count published"
-        );
-    }
-}
-
-/// Logs the limits of targets that a view publishes.
-fn log_limits(view: &View) {
-    for change in &view.changes {
-        if let Change::TargetLimit(target, incarnation, limit) = change {
-            let per_1000_s = limit.map(|limit| limit.0);
-            let (term, to) = (view.term, view.to);
-            tracing::info!(
-                target = &**target,
-                life = incarnation,
-                per_1000_s,
-                term,
-                view = to,
-                "limit of a target published"
-            );
-        }
-    }
-}
