--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -17,7 +17,6 @@
 use crate::request::{Call, Progress, RunningAttempt, Stage};
 use crate::retry_policy::{self, NextStep};
 use crate::route::Candidate;
-use crate::target_limits::Turn;
 
 /// Longest gap between parts of a streamed response before it counts as stalled.
 ///
@@ -443,8 +442,9 @@
         let same_place = self.resume_candidate(id, run);
         let service = self.calls.get(&id).map(|call| call.key.service());
         let within_budget = service.is_some_and(|service| self.budget_allows(&service));
+        let within_limit = self.target_limits.allows(&run.place.target, self.now);
         match same_place {
-            Some(candidate) if reachable && within_budget && self.has_turn(&candidate) => {
+            Some(candidate) if reachable && within_budget && within_limit => {
                 if let Some(call) = self.calls.get_mut(&id) {
                     call.stage = Stage::Waiting;
                 }
@@ -454,12 +454,6 @@
         }
     }
 
-    /// Whether a target's limit, if any, lets this host send there now.
-    fn has_turn(&self, candidate: &Candidate) -> bool {
-        let target = &candidate.place.target;
-        self.target_limits.turn(target, 0, self.now) == Turn::Now
-    }
-
     /// Returns the place of a failed attempt as a candidate, if it still accepts requests and the
     /// request has attempts left.
     fn resume_candidate(&self, id: CallId, run: &RunningAttempt) -> Option<Candidate> {
--- a/crates/entry/src/choice.rs
+++ b/crates/entry/src/choice.rs
@@ -4,15 +4,15 @@
 
 use crate::quarantine::TargetInstance;
 use crate::route::Candidate;
-use crate::target_limits::Turn;
+use crate::target_limits::{Quota, Turn};
 
 /// A place that a request may be sent to, with this host's limit there.
 pub(crate) struct Choice {
     pub candidate: Candidate,
     /// Number of requests that this host may have in flight there.
     pub limit: u32,
-    /// When its target's limit, if any, lets this host send there.
-    pub turn: Turn,
+    /// What this host may send there if its target names a limit.
+    pub quota: Option<Quota>,
     /// Adapters that are loaded there.
     pub adapters: Vec<Name>,
 }
@@ -20,7 +20,13 @@
 impl Choice {
     /// Whether this host may send one more request there.
     pub(crate) fn has_capacity(&self) -> bool {
-        self.candidate.own < self.limit && self.turn == Turn::Now
+        self.candidate.own < self.limit && self.turn(0) == Turn::Now
+    }
+
+    /// Returns when the target's limit, if any, lets this host send a request there, with `ahead`
+    /// others before it.
+    pub(crate) fn turn(&self, ahead: u32) -> Turn {
+        self.quota.map_or(Turn::Now, |quota| quota.turn(ahead))
     }
 
     /// Returns the target with its incarnation.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -63,7 +63,7 @@
         option.candidate.own += 1;
         self.send(id, &option.candidate);
         let target = &option.candidate.place.target;
-        option.turn = self.target_limits.turn(target, 0, self.now);
+        option.quota = self.target_limits.quota(target, self.now);
     }
 
     /// Returns the places that can serve a lane, including those without free capacity.
@@ -153,7 +153,7 @@
         Some(Choice {
             limit,
             candidate,
-            turn: self.target_limits.turn(&view.target, 0, self.now),
+            quota: self.target_limits.quota(&view.target, self.now),
             adapters: Vec::new(),
         })
     }
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -85,9 +85,12 @@
             };
             ahead += 1;
             let begun = call.progress == Progress::Begun;
+            let deadline = call.deadline;
             match turn {
-                Turn::After(wait) if wait <= MAX_HELD_WAIT || begun => self.hold_for_turn(),
-                Turn::Elsewhere(_) if begun => self.hold_for_turn(),
+                _ if begun => self.hold_for_turn(),
+                Turn::After(wait) if wait <= MAX_HELD_WAIT && self.now + wait < deadline => {
+                    self.hold_for_turn();
+                }
                 Turn::After(wait) | Turn::Elsewhere(wait) => self.refuse_limited(id, wait),
                 Turn::Now => {}
             }
@@ -98,13 +101,10 @@
     /// from being sent: every place that could take it has no turn.
     fn limited_turn(&self, call: &Call, options: &[Choice], ahead: u32) -> Option<Turn> {
         let fitting = options.iter().filter(|option| self.fits(call, option));
-        let turns = fitting.map(|option| {
-            // A place with a turn is full, and is waited for.
-            if option.turn == Turn::Now {
-                return Turn::Now;
-            }
-            let target = &option.candidate.place.target;
-            self.target_limits.turn(target, ahead, self.now)
+        // A place that has a turn now is full, and is waited for.
+        let turns = fitting.map(|option| match option.turn(0) {
+            Turn::Now => Turn::Now,
+            _ => option.turn(ahead),
         });
         let first = turns.min_by_key(|turn| match turn {
             Turn::Now => (0, Time::ZERO),
--- a/crates/entry/src/target_limits.rs
+++ b/crates/entry/src/target_limits.rs
@@ -49,6 +49,34 @@
     Elsewhere(Duration),
 }
 
+/// What this host may send to a target that names a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Quota {
+    /// The window over which the limit counts.
+    window: Duration,
+    /// Requests that all hosts together may send in a window.
+    total: u32,
+    /// Those of them that this host may send.
+    share: u32,
+    /// Those of its share that it has not sent yet.
+    left: u32,
+}
+
+impl Quota {
+    /// Returns when a request may be sent, with `ahead` others before it.
+    #[must_use]
+    pub fn turn(&self, ahead: u32) -> Turn {
+        if self.share == 0 {
+            return Turn::Elsewhere(self.window / self.total);
+        }
+        if ahead < self.left {
+            return Turn::Now;
+        }
+        let turns = ahead - self.left + 1;
+        Turn::After(self.window.saturating_mul(turns) / self.share)
+    }
+}
+
 /// The limit of one target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 struct Limit {
@@ -64,6 +92,13 @@
     sends: SlidingCounter,
 }
 
+impl Limit {
+    /// Whether an answer to this host has named the limit within [`HOLD_TIME`].
+    fn is_held(&self, now: Time) -> bool {
+        self.named_at.is_some_and(|at| now < at + HOLD_TIME)
+    }
+}
+
 /// The limits of all targets that name one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct TargetLimits {
@@ -102,8 +137,8 @@
     /// keeps its turns for requests that have no other; without answers, a limit's end is not known.
     #[must_use]
     pub fn is_fresh(&self, target: &str, now: Time) -> bool {
-        let named_at = self.limits.get(target).and_then(|limit| limit.named_at);
-        named_at.is_some_and(|at| now < at + HOLD_TIME)
+        let known = self.limits.get(target);
+        known.is_some_and(|limit| limit.is_held(now))
     }
 
     /// Whether a target is known to have a limit.
@@ -112,7 +147,7 @@
         self.limits.contains_key(target)
     }
 
-    /// Returns when a request may be sent to a target, with `ahead` others before it.
+    /// Returns what this host may send to a target; `None` if the target has no limit.
     ///
     /// ```
     /// use cornelhitch_entry::target_limits::{TargetLimits, Turn};
@@ -123,28 +158,32 @@
     /// limits.set_hosts(&[1], 1, Duration::ZERO);
     /// limits.renew_lease(Duration::from_secs(60), Duration::ZERO);
     /// limits.on_answer(&"worker-1".into(), 1, Some(RequestRate(500)), 0, now);
-    /// assert_eq!(limits.turn("worker-1", 0, now), Turn::Now);
+    /// assert_eq!(limits.quota("worker-1", now).map(|quota| quota.turn(0)), Some(Turn::Now));
     /// limits.record_send("worker-1", now);
     /// limits.record_send("worker-1", now);
-    /// assert_eq!(limits.turn("worker-1", 0, now), Turn::After(Duration::from_secs(2)));
+    /// let wait = Turn::After(Duration::from_secs(2));
+    /// assert_eq!(limits.quota("worker-1", now).map(|quota| quota.turn(0)), Some(wait));
+    /// assert_eq!(limits.quota("worker-2", now), None);
     /// ```
     #[must_use]
-    pub fn turn(&self, target: &str, ahead: u32, now: Time) -> Turn {
-        let Some(limit) = self.limits.get(target) else {
-            return Turn::Now;
-        };
+    pub fn quota(&self, target: &str, now: Time) -> Option<Quota> {
+        let limit = self.limits.get(target)?;
         let window = window(limit.rate);
-        let total = limit.rate.in_window(window);
+        let total = limit.rate.in_window(window).max(1);
         let share = self.share.of(total, host_share::key(target), now);
-        if share == 0 {
-            return Turn::Elsewhere(window / total.max(1));
-        }
-        let left = share.saturating_sub(limit.sends.at_most(now));
-        if ahead < left {
-            return Turn::Now;
-        }
-        let turns = ahead - left + 1;
-        Turn::After(window.saturating_mul(turns) / share)
+        Some(Quota {
+            window,
+            total,
+            share,
+            left: share.saturating_sub(limit.sends.at_most(now)),
+        })
+    }
+
+    /// Whether this host may send a request to a target now.
+    #[must_use]
+    pub fn allows(&self, target: &str, now: Time) -> bool {
+        let quota = self.quota(target, now);
+        quota.is_none_or(|quota| quota.turn(0) == Turn::Now)
     }
 
     /// Counts a send to a target.
@@ -177,7 +216,7 @@
         if named.is_some() {
             limit.named_at = Some(now);
         }
-        let held = limit.named_at.is_some_and(|at| now < at + HOLD_TIME);
+        let held = limit.is_held(now);
         if !held && !limit.published {
             self.limits.remove(target);
             return false;
@@ -203,10 +242,8 @@
         now: Time,
     ) {
         let known = self.limits.get(target);
-        let held = known.is_some_and(|limit| {
-            let held = limit.named_at.is_some_and(|at| now < at + HOLD_TIME);
-            held && limit.incarnation >= incarnation
-        });
+        let held =
+            known.is_some_and(|limit| limit.is_held(now) && limit.incarnation >= incarnation);
         // An answer to this host is newer than what another host was told before.
         if let Some(rate) = published.filter(|_| !held) {
             self.set(target, incarnation, rate, running, now);
