--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -147,12 +147,14 @@
     #[serde(rename = "Publish")]
     #[strum_discriminants(strum(serialize = "publish"))]
     PublishTable(SubmittedTable),
-    /// Records that an incarnation of a target which strikes name has not ended.
+    /// Records that an incarnation of a target has not ended, though strikes name it.
     Survived {
         /// The target that runs on.
         target: TargetId,
         /// Its incarnation.
         incarnation: Incarnation,
+        /// Up to when it has certainly run.
+        until: Time,
     },
     /// Several commands in one entry, applied in order.
     ///
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -216,10 +216,14 @@
             Command::Survived {
                 target,
                 incarnation,
-            } => Reply::Strike(self.strikes.survived(&TargetIncarnation {
-                target,
-                incarnation,
-            })),
+                until,
+            } => {
+                let survivor = TargetIncarnation {
+                    target,
+                    incarnation,
+                };
+                Reply::Strike(self.strikes.survived(&survivor, until))
+            }
             command => self.run_claim_command(command, now),
         }
     }
--- a/crates/control/src/strikes.rs
+++ b/crates/control/src/strikes.rs
@@ -106,11 +106,13 @@
         self.answer(strike.fingerprints)
     }
 
-    /// Takes back the strikes for a target that has not ended, and returns the counts that changed.
-    pub(crate) fn survived(&mut self, survivor: &TargetIncarnation) -> Answer {
+    /// Takes back the strikes for a target that has certainly run until a given time, and returns
+    /// the counts that changed. Fingerprints with a later strike keep theirs until that one is
+    /// disproved too: which target it names is not stored.
+    pub(crate) fn survived(&mut self, survivor: &TargetIncarnation, until: Time) -> Answer {
         let mut fingerprints = Vec::new();
         for (fingerprint, suspect) in &mut self.suspects {
-            if suspect.lost.remove(survivor) {
+            if suspect.last <= until && suspect.lost.remove(survivor) {
                 fingerprints.push(*fingerprint);
             }
         }
@@ -118,6 +120,12 @@
         self.answer(fingerprints)
     }
 
+    /// Whether strikes name an incarnation.
+    pub(crate) fn names(&self, target: &TargetIncarnation) -> bool {
+        let mut suspects = self.suspects.values();
+        suspects.any(|suspect| suspect.lost.contains(target))
+    }
+
     /// Returns the incarnations named in strikes.
     pub(crate) fn incarnations(&self) -> impl Iterator<Item = &TargetIncarnation> {
         self.suspects
--- a/crates/control/src/survivors.rs
+++ b/crates/control/src/survivors.rs
@@ -21,7 +21,7 @@
 /// How long a target is watched; one that is silent for so long has ended.
 const WATCH_TIME: Duration = Duration::from_mins(1);
 
-/// The heartbeats of a target since it was named in a strike.
+/// The heartbeats of a target since it was named in a strike that nothing has disproved yet.
 #[derive(Debug, Clone, Copy)]
 struct Watch {
     since: Time,
@@ -35,25 +35,25 @@
 }
 
 impl Survivors {
-    /// Watches the heartbeats of a target that a strike has just named.
+    /// Watches the heartbeats of a target that a strike has just named, unless it is watched for an
+    /// earlier one.
     pub(crate) fn watch(&mut self, target: TargetIncarnation, now: Time) {
-        let heartbeats = 0;
-        let since = now;
-        self.watches.insert(target, Watch { since, heartbeats });
+        let (since, heartbeats) = (now, 0);
+        let watch = Watch { since, heartbeats };
+        self.watches.entry(target).or_insert(watch);
     }
 
-    /// Records a heartbeat; returns whether it shows that the target has survived its strikes.
-    pub(crate) fn on_heartbeat(&mut self, target: &TargetIncarnation, now: Time) -> bool {
-        let Some(watch) = self.watches.get_mut(target) else {
-            return false;
-        };
+    /// Records a heartbeat; returns until when it shows that the target has certainly run, if that
+    /// disproves a strike.
+    pub(crate) fn on_heartbeat(&mut self, target: &TargetIncarnation, now: Time) -> Option<Time> {
+        let watch = self.watches.get_mut(target)?;
         if now >= watch.since + SETTLING_TIME {
             watch.heartbeats += 1;
         }
-        watch.heartbeats >= MIN_HEARTBEATS
+        (watch.heartbeats >= MIN_HEARTBEATS).then_some(watch.since)
     }
 
-    /// Stops watching a target whose survival is recorded.
+    /// Stops watching a target whose survival is recorded; later strikes are watched for anew.
     pub(crate) fn forget(&mut self, target: &TargetIncarnation) {
         self.watches.remove(target);
     }
--- a/crates/control/src/term_state.rs
+++ b/crates/control/src/term_state.rs
@@ -267,7 +267,7 @@
                 self.plan_requested = true;
             }
             (command, Reply::Strike(answer)) => {
-                self.watch_survivors(&command, ctx.now);
+                self.watch_survivors(&command, ctx);
                 for count in answer.counts {
                     self.update_quarantine(count);
                     let change = self.view_builder(ctx.state, ctx.now).strike(count);
@@ -437,27 +437,29 @@
     }
 
     /// Starts or stops watching the heartbeats of the target that a command about strikes names.
-    fn watch_survivors(&mut self, command: &Command, now: Time) {
-        match command {
-            Command::Strike(Strike {
-                target,
-                incarnation,
-                ..
-            }) => self.survivors.watch(
-                TargetIncarnation {
-                    target: target.clone(),
-                    incarnation: *incarnation,
-                },
-                now,
-            ),
-            Command::Survived {
-                target,
-                incarnation,
-            } => self.survivors.forget(&TargetIncarnation {
-                target: target.clone(),
-                incarnation: *incarnation,
-            }),
-            _ => {}
+    fn watch_survivors(&mut self, command: &Command, ctx: &Context) {
+        let (Command::Strike(Strike {
+            target,
+            incarnation,
+            ..
+        })
+        | Command::Survived {
+            target,
+            incarnation,
+            ..
+        }) = command
+        else {
+            return;
+        };
+        let target = TargetIncarnation {
+            target: target.clone(),
+            incarnation: *incarnation,
+        };
+        if matches!(command, Command::Survived { .. }) {
+            self.survivors.forget(&target);
+        }
+        if ctx.state.strikes().names(&target) {
+            self.survivors.watch(target, ctx.now);
         }
     }
 
@@ -472,7 +474,7 @@
             target: target.clone(),
             incarnation,
         };
-        if self.survivors.on_heartbeat(&survivor, ctx.now) {
+        if let Some(until) = self.survivors.on_heartbeat(&survivor, ctx.now) {
             let TargetIncarnation {
                 target,
                 incarnation,
@@ -480,6 +482,7 @@
             let command = Command::Survived {
                 target,
                 incarnation,
+                until,
             };
             self.pending.propose(command, ctx);
         }
--- a/crates/control/tests/bytes.rs
+++ b/crates/control/tests/bytes.rs
@@ -49,7 +49,7 @@
         Command::HostEnded { host: 1, incarnation },
         Command::Strike(Strike { fingerprints: vec![7, 8], target: "w1".into(), incarnation }),
         Command::ClearStrikes { fingerprint: 7 },
-        Command::Survived { target: "w1".into(), incarnation },
+        Command::Survived { target: "w1".into(), incarnation, until: std::time::Duration::from_secs(5) },
         Command::RecordSilence { target: "w1".into(), incarnation, silent: true },
         Command::Deregister { target, incarnation, attested: true },
         Command::Noop,
--- a/crates/node/tests/fleet/crashing.rs
+++ b/crates/node/tests/fleet/crashing.rs
@@ -57,6 +57,31 @@
     assert_eq!(quarantined(&fleet), 0);
 }
 
+#[test]
+fn breaks_that_go_on_at_living_targets_keep_no_strike_alive() {
+    let mut fleet = Fleet::new(HOSTS, TARGETS);
+    for host in 0..2 {
+        let id = fleet.request(host, POLLED);
+        for _ in 0..2 {
+            fleet.run(Time::from_millis(30));
+            fleet.break_connection_of(id);
+        }
+    }
+    for round in 0..60 {
+        let others = (0..HOSTS).map(|host| fleet.request(host, 1_000 + round));
+        let others: Vec<_> = others.collect();
+        fleet.run(Time::from_millis(30));
+        for id in others {
+            fleet.break_connection_of(id);
+        }
+        fleet.run(Time::from_millis(170));
+    }
+    let id = fleet.request(0, POLLED);
+    fleet.run(Time::from_secs(1));
+    let end = fleet.ends.get(&id).map(|(_, end)| *end);
+    assert_eq!(end, Some(End::Answered));
+}
+
 #[test]
 fn connections_that_break_at_living_targets_quarantine_nothing_for_long() {
     let mut fleet = Fleet::new(HOSTS, TARGETS);
