--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -5,7 +5,7 @@
 use cornelhitch_settings::fleet::FleetSettings as Settings;
 use cornelhitch_types::id::{Incarnation, ModelId, Name, ReplicaId, TargetId, Time};
 use cornelhitch_types::model::Reference;
-use cornelhitch_types::target::{Heartbeat, Holding, Load, RequestRate, Stage};
+use cornelhitch_types::target::{Heartbeat, Holding, Load, MAX_LIMIT_WINDOW, RequestRate, Stage};
 use cornelhitch_types::view;
 
 use crate::mutation::{self, Mutation};
@@ -82,10 +82,6 @@
     }
 }
 
-/// How long a limit holds after an entry host last reported it, if others report that it has ended:
-/// longer than the pause between two requests of a host under the lowest limits.
-const LIMIT_HOLD_TIME: Time = Time::from_secs(10);
-
 /// The limit that a target names in its answers to entry hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct NamedLimit {
@@ -126,6 +122,8 @@
 
 impl Worker {
     /// Applies an entry host's report on the target's limit; returns whether the limit changed.
+    ///
+    /// Reports that it has ended count once no host has confirmed it for [`MAX_LIMIT_WINDOW`].
     pub(crate) fn on_limit(&mut self, reported: Option<RequestRate>, now: Time) -> bool {
         let old = self.limit.map(|limit| limit.rate);
         match (reported, self.limit) {
@@ -133,7 +131,7 @@
                 let reported_at = now;
                 self.limit = Some(NamedLimit { rate, reported_at });
             }
-            (None, Some(limit)) if now >= limit.reported_at + LIMIT_HOLD_TIME => self.limit = None,
+            (None, Some(limit)) if now >= limit.reported_at + MAX_LIMIT_WINDOW => self.limit = None,
             (None, _) => {}
         }
         old != self.limit.map(|limit| limit.rate)
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -25,8 +25,8 @@
 /// How long to wait before requesting a reservation again after it was denied or released.
 const RESERVATION_BACKOFF: Duration = Duration::from_millis(500);
 
-/// How long a strike may take to be committed.
-const COMMIT_TIME: Duration = Duration::from_mins(1);
+/// How long a strike may take to be committed; its owner gives up then.
+pub const COMMIT_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// A target with its incarnation.
 pub type TargetInstance = (TargetId, Incarnation);
@@ -138,7 +138,7 @@
             record.published = 0;
         }
         self.records
-            .retain(|_, record| !record.seen.is_empty() && now < record.at + COMMIT_TIME);
+            .retain(|_, record| !record.seen.is_empty() && now < record.at + COMMIT_TIMEOUT);
     }
 
     /// Whether any target is reserved for this host.
--- a/crates/entry/src/target_limits.rs
+++ b/crates/entry/src/target_limits.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cornelhitch_types::id::{HostId, Incarnation, TargetId, Time};
-use cornelhitch_types::target::RequestRate;
+use cornelhitch_types::target::{MAX_LIMIT_WINDOW, RequestRate};
 use serde::Serialize;
 
 use crate::host_share::{self, HostShare};
@@ -25,11 +25,8 @@
 /// The limit from which the shorter window is used: several requests in it for each of a few hosts.
 const SMOOTH_RATE: RequestRate = RequestRate(50_000);
 
-/// The longest window: that of the lowest rate.
-const MAX_WINDOW: Duration = Duration::from_secs(10);
-
-/// The lowest rate that is kept to, one request in [`MAX_WINDOW`]: only an answer can tell that a
-/// limit has changed.
+/// The lowest rate that is kept to, one request in [`MAX_LIMIT_WINDOW`]: only an answer can tell
+/// that a limit has changed.
 const MIN_RATE: RequestRate = RequestRate(100);
 
 /// How long a limit holds after the last answer that named it, if later answers name none.
@@ -110,7 +107,7 @@
     /// Returns the limits of a host that has just started.
     fn default() -> Self {
         Self {
-            share: HostShare::new(MAX_WINDOW),
+            share: HostShare::new(MAX_LIMIT_WINDOW),
             limits: BTreeMap::new(),
         }
     }
@@ -318,7 +315,7 @@
     }
     let per_1000_s = u32::try_from(rate.0).unwrap_or(u32::MAX).max(1);
     let one_request = Duration::from_secs(1_000) / per_1000_s;
-    one_request.clamp(WINDOW, MAX_WINDOW)
+    one_request.clamp(WINDOW, MAX_LIMIT_WINDOW)
 }
 
 /// Returns a counter over another window that counts the sends of the old one as made now.
--- a/crates/node/src/entry/background.rs
+++ b/crates/node/src/entry/background.rs
@@ -7,6 +7,7 @@
 use cornelhitch_control::strikes::Strike;
 use cornelhitch_entry::claim;
 use cornelhitch_entry::event::{CallId, Digest, Event};
+use cornelhitch_entry::quarantine::COMMIT_TIMEOUT;
 use cornelhitch_target::inbound::Receipt;
 use cornelhitch_types::id::{CallerId, Incarnation, Name, TargetId};
 use tokio::net::TcpStream;
@@ -23,8 +24,8 @@
 /// Timeout for committing that a target leaves; targets try another host after a similar time.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Timeout for committing an outcome or a strike.
-const COMMIT_TIMEOUT: Duration = Duration::from_mins(1);
+/// Timeout for committing an outcome.
+const RECORD_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Timeout for a connection probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -110,7 +111,7 @@
         let inputs = self.setup.input_sender.clone();
         tokio::spawn(async move {
             if session
-                .propose(command.encode(), COMMIT_TIMEOUT)
+                .propose(command.encode(), RECORD_TIMEOUT)
                 .await
                 .is_ok()
             {
--- a/crates/types/src/target.rs
+++ b/crates/types/src/target.rs
@@ -114,6 +114,10 @@
     pub adapters: Vec<Name>,
 }
 
+/// The longest window over which the limit of a target counts. Entry hosts send at least one request
+/// in it, and control keeps a limit that nobody has confirmed for so long.
+pub const MAX_LIMIT_WINDOW: Duration = Duration::from_secs(10);
+
 /// A rate of requests, in requests per 1,000 seconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
