--- a/crates/entry/src/target_limits.rs
+++ b/crates/entry/src/target_limits.rs
@@ -239,8 +239,11 @@
         now: Time,
     ) {
         let known = self.limits.get(target);
+        if known.is_some_and(|limit| limit.incarnation > incarnation) {
+            return;
+        }
         let held =
-            known.is_some_and(|limit| limit.is_held(now) && limit.incarnation >= incarnation);
+            known.is_some_and(|limit| limit.is_held(now) && limit.incarnation == incarnation);
         // An answer to this host is newer than what another host was told before.
         if let Some(rate) = published.filter(|_| !held) {
             self.set(target, incarnation, rate, running, now);
