--- a/crates/node/tests/fleet/limits.rs
+++ b/crates/node/tests/fleet/limits.rs
@@ -129,6 +129,20 @@
     assert!(ends.all(|(_, end)| *end == End::Answered));
 }
 
+/// A host asks a limited target now and then only, to learn of the limit's end.
+#[test]
+fn other_targets_go_before_one_that_names_a_limit() {
+    let mut random = SmallRng::seed_from_u64(7);
+    let mut fleet = Fleet::new(HOSTS, 2);
+    fleet.name_limit(0, Some(20.0));
+    press(&mut fleet, &mut random, Time::from_secs(20));
+    let since = fleet.now;
+    press(&mut fleet, &mut random, Time::from_secs(20));
+    let most = most_in_window(&fleet, 0, since, |_| true);
+    let hosts = u32::try_from(HOSTS).expect("few");
+    assert!(most <= 2 * hosts, "{most} requests in {WINDOW:?}");
+}
+
 #[test]
 fn a_limit_ends_when_answers_no_longer_name_it() {
     let mut random = SmallRng::seed_from_u64(6);
