--- a/crates/control/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use common::{Bench, MODELS, worker};
+use std::time::Duration;
+
 use cornelhitch_control::fleet;
 use cornelhitch_control::prelude::*;
 use cornelhitch_control::replicas::{Answer, Decide, Evidence, Refusal};
@@ -223,3 +225,26 @@
         assert_eq!(bench.state.strikes().count(7).lost, 0);
     }
 }
+
+#[test]
+fn only_strikes_from_before_a_target_was_heard_are_taken_back() {
+    let mut bench = bench();
+    let strike = |fingerprint| {
+        Command::Strike(Strike {
+            fingerprints: vec![fingerprint],
+            target: "w1".into(),
+            incarnation: 1,
+        })
+    };
+    bench.apply(&strike(7));
+    let until = bench.now + Duration::from_secs(1);
+    bench.now += Duration::from_secs(2);
+    bench.apply(&strike(8));
+    bench.apply(&Command::Survived {
+        target: "w1".into(),
+        incarnation: 1,
+        until,
+    });
+    let counts = [7, 8].map(|fingerprint| bench.state.strikes().count(fingerprint).lost);
+    assert_eq!(counts, [0, 1]);
+}
--- a/crates/node/tests/fleet/limits.rs
+++ b/crates/node/tests/fleet/limits.rs
@@ -157,6 +157,21 @@
     assert!(most > 150, "{most} requests in {WINDOW:?} without a limit");
 }
 
+#[test]
+fn a_limit_ends_with_the_incarnation_that_named_it() {
+    let mut random = SmallRng::seed_from_u64(8);
+    let mut fleet = Fleet::new(HOSTS, 1);
+    fleet.name_limit(0, Some(1.0));
+    press(&mut fleet, &mut random, Time::from_secs(15));
+    fleet.name_limit(0, None);
+    fleet.kill_target(0);
+    press(&mut fleet, &mut random, Time::from_secs(6));
+    let since = fleet.now;
+    press(&mut fleet, &mut random, Time::from_secs(5));
+    let most = most_in_window(&fleet, 0, since, |_| true);
+    assert!(most > 150, "{most} requests in {WINDOW:?} without a limit");
+}
+
 #[test]
 fn limits_are_kept_under_random_schedules() {
     for seed in 0..40 {
