--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -64,6 +64,9 @@
     pub repeatable: bool,
     /// The fingerprint of the body and the requested resource; see [`crate::fingerprint::of`].
     pub fingerprint: u64,
+    /// Digest of what a routed request asks for, whoever sends it; see
+    /// [`crate::fingerprint::of_content`].
+    pub content: Option<u64>,
     /// Digest of the request, to detect a different body under the same key.
     pub digest: Digest,
     /// Digests of the prompt's prefixes, block by block, shortest first.
@@ -130,6 +133,7 @@
             key: None,
             repeatable: true,
             fingerprint: id,
+            content: None,
             digest: Digest::default(),
             prefixes: Vec::new(),
             sections: Vec::new(),
--- a/crates/entry/src/fingerprint.rs
+++ b/crates/entry/src/fingerprint.rs
@@ -42,6 +42,20 @@
     shortened(hasher.finalize().as_bytes())
 }
 
+/// Returns a 64-bit digest of what a routed request asks for, whoever sends it.
+///
+/// ```
+/// use cornelhitch_entry::fingerprint;
+///
+/// let first = fingerprint::of_content("lanes.example", "/stock/17", b"");
+/// assert_eq!(first, fingerprint::of_content("lanes.example", "/stock/17", b""));
+/// assert_ne!(first, fingerprint::of_content("lanes.example", "/stock/18", b""));
+/// ```
+#[must_use]
+pub fn of_content(host: &str, path: &str, body: &[u8]) -> u64 {
+    of_routed("", host, path, body)
+}
+
 /// Returns the first 64 bits of a digest.
 fn shortened(digest: &Digest) -> u64 {
     let mut first = [0; 8];
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -338,6 +338,8 @@
         let exchange = Exchange {
             payload: Arc::new(payload),
             fingerprint: request.fingerprint,
+            caller: request.caller.clone(),
+            content: request.content,
             sections: SectionIds::from(&request.sections[..]),
             reply,
             delivered: Arc::new(AtomicU64::new(delivered)),
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cornelhitch_entry::event::Request;
 use cornelhitch_target::client::{ApiFormat, RequestId};
+use cornelhitch_types::id::CallerId;
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::refusal::Refusal;
 use http::{HeaderMap, Method, StatusCode};
@@ -112,6 +113,10 @@
     pub payload: Arc<Payload>,
     /// The digest that strikes are counted by.
     pub fingerprint: u64,
+    /// The caller that sent the request, for the log.
+    pub caller: CallerId,
+    /// The digest of what the request asks for, whoever sends it, for the log.
+    pub content: Option<u64>,
     /// The shared sections of the prompt, for the log.
     pub sections: SectionIds,
     /// The queue for the parts of the answer.
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -298,6 +298,7 @@
     let mut call = Call::new(id, from.ip().to_string(), what);
     let host = host_name(&parts).unwrap_or_default();
     call.fingerprint = fingerprint::of_routed(&call.caller, host, path, &body);
+    call.content = Some(fingerprint::of_content(host, path, &body));
     call.deadline = Some(
         metadata
             .deadline
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -37,7 +37,9 @@
             tracing::info!(
                 request = &*request_id(exchange),
                 what = &*requested(exchange),
+                caller = &*exchange.caller,
                 fingerprint = exchange.fingerprint,
+                content = content(exchange),
                 sections = %exchange.sections,
                 attempt,
                 target = &*to.target,
@@ -74,7 +76,8 @@
             let retry_ms = refusal.retry_after.map(|after| after.as_millis());
             tracing::info!(
                 request = &*request_id(exchange), what = &*requested(exchange),
-                fingerprint = exchange.fingerprint, sections = %exchange.sections,
+                fingerprint = exchange.fingerprint, content = content(exchange),
+                sections = %exchange.sections,
                 reason = %refusal.reason, run = %refusal.run, retry_ms, detail = &*refusal.detail,
                 after_ms = elapsed_ms(exchange), left_ms = remaining_ms(exchange),
                 term = context.term, view = context.view, table = context.table,
@@ -114,6 +117,11 @@
     }
 }
 
+/// Returns the digest of what a routed request asks for, in hexadecimal.
+fn content(exchange: &Exchange) -> Option<String> {
+    exchange.content.map(|content| format!("{content:x}"))
+}
+
 /// Returns the milliseconds since a request arrived.
 fn elapsed_ms(exchange: &Exchange) -> u128 {
     exchange.arrived.elapsed().as_millis()
