--- a/crates/entry/examples/policy/bench.rs
+++ b/crates/entry/examples/policy/bench.rs
@@ -50,7 +50,7 @@
 
 /// An event scheduled in virtual time.
 pub enum ScheduledEvent {
-    Event(usize, Event),
+    Event(usize, Box<Event>),
     Arrive,
     Connected(usize, CallId, Attempt, usize, u64),
     Written(usize, CallId, Attempt, usize, u64),
@@ -158,7 +158,7 @@
         for core in 0..bench.setup.cores {
             let until = Time::from_hours(10);
             let lease = Event::Lease { until, version: 1 };
-            bench.schedule(Time::ZERO, ScheduledEvent::Event(core, lease));
+            bench.schedule(Time::ZERO, ScheduledEvent::Event(core, Box::new(lease)));
         }
         bench.schedule(Time::from_millis(10), ScheduledEvent::Arrive);
         bench.schedule(Time::from_millis(100), ScheduledEvent::Report);
@@ -204,7 +204,7 @@
     fn handle(&mut self, event: ScheduledEvent) {
         match event {
             ScheduledEvent::Event(core, event) => {
-                let actions = self.cores[core].handle(event, self.now);
+                let actions = self.cores[core].handle(*event, self.now);
                 self.carry_out_all(core, actions);
             }
             ScheduledEvent::Arrive => self.arrive(),
@@ -375,7 +375,7 @@
                     incarnation,
                     granted,
                 };
-                self.schedule(soon, ScheduledEvent::Event(core, event));
+                self.schedule(soon, ScheduledEvent::Event(core, Box::new(event)));
             }
             Action::Unreserve {
                 target,
@@ -387,7 +387,7 @@
                 let connected = self.engines[number(&target)].alive;
                 self.schedule(
                     soon,
-                    ScheduledEvent::Event(core, Event::Probed { target, connected }),
+                    ScheduledEvent::Event(core, Box::new(Event::Probed { target, connected })),
                 );
             }
             _ => {}
--- a/crates/entry/examples/policy/engine.rs
+++ b/crates/entry/examples/policy/engine.rs
@@ -106,7 +106,7 @@
                 attempt,
                 failure,
             };
-            self.schedule(self.now, ScheduledEvent::Event(job.core, event));
+            self.schedule(self.now, ScheduledEvent::Event(job.core, Box::new(event)));
             return;
         }
         known.queued.push_back(job);
@@ -188,17 +188,17 @@
                 attempt,
                 failure,
             };
-            self.schedule(back, ScheduledEvent::Event(job.core, event));
+            self.schedule(back, ScheduledEvent::Event(job.core, Box::new(event)));
             self.start(engine);
             return;
         }
         self.schedule(
             back,
-            ScheduledEvent::Event(job.core, Event::ResponseStarted { id, attempt }),
+            ScheduledEvent::Event(job.core, Box::new(Event::ResponseStarted { id, attempt })),
         );
         self.schedule(
             back,
-            ScheduledEvent::Event(job.core, Event::ResponseEnded { id, attempt }),
+            ScheduledEvent::Event(job.core, Box::new(Event::ResponseEnded { id, attempt })),
         );
         self.start(engine);
     }
@@ -273,7 +273,7 @@
                     attempt,
                     failure,
                 };
-                self.schedule(self.now, ScheduledEvent::Event(core, event));
+                self.schedule(self.now, ScheduledEvent::Event(core, Box::new(event)));
             }
         }
     }
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -63,14 +63,14 @@
             self.refuse_unadmitted(id, rejection);
             return;
         }
-        match self.judge_sections(&call.request) {
+        match self.judge_parts(&call.request) {
             Verdict::Run => {}
-            Verdict::Try(sections) => {
-                call.tried = sections;
+            Verdict::Try(parts) => {
+                call.tried = parts;
                 call.tried_knowing = self.suspects.knowledge(self.now);
             }
-            Verdict::Refuse(section) => {
-                let rejection = self.section_rejection(section, Run::NotRun);
+            Verdict::Refuse(part) => {
+                let rejection = self.part_rejection(part, &call.request, Run::NotRun);
                 self.refuse_unadmitted(id, rejection);
                 return;
             }
@@ -181,26 +181,31 @@
         }
     }
 
-    /// Decides whether the sections of a request's prompt allow it to run.
-    fn judge_sections(&mut self, request: &Request) -> Verdict {
+    /// Decides whether the parts of a request allow it to run.
+    fn judge_parts(&mut self, request: &Request) -> Verdict {
         let hosts = &self.fleet_view.hosts;
         let own = hosts.keys().position(|host| *host == self.config.host);
         let turn = own.map(|position| Turn {
             position,
             hosts: hosts.len(),
         });
-        self.suspects.judge(&request.sections, turn, self.now)
+        self.suspects.judge(&request.parts(), turn, self.now)
     }
 
-    /// Returns the refusal for a request with a section that ends targets.
-    pub(crate) fn section_rejection(&self, section: u64, run: Run) -> Rejection {
+    /// Returns the refusal for a request with a part under which targets end.
+    pub(crate) fn part_rejection(&self, part: u64, request: &Request, run: Run) -> Rejection {
         let retention = Duration::from_secs(self.catalogue.fleet.refusing.quarantine_s);
-        let time_left = self.suspects.time_left(section, retention, self.now);
+        let time_left = self.suspects.time_left(part, retention, self.now);
+        let detail = if request.content == Some(part) {
+            format!("targets failed while they ran this request ({part:x})")
+        } else {
+            format!("targets failed under the prompt section {part:x}")
+        };
         Rejection {
             reason: Reason::Quarantined,
             run,
             retry: None,
-            detail: format!("targets failed under the prompt section {section:x}").into(),
+            detail: detail.into(),
         }
         .after(time_left)
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -237,14 +237,14 @@
         let kind = Kind::from(&call.request);
         self.durations.record(kind, call.age(self.now), self.now);
         let (known, error) = (run.known, run.error);
-        let sections = call.request.sections.clone();
+        let (content, sections) = (call.request.content, call.request.sections.clone());
         if call.offset == 0 || call.attempts == 1 {
             self.latencies.record_response(&key, elapsed);
         }
         self.release_attempt(id);
         self.clear_strikes(fingerprint);
         if !error {
-            self.acquit_sections(&sections, known);
+            self.acquit_parts(content, &sections, known);
         }
         if !answered {
             self.actions.push(Action::Finish { id, attempt });
@@ -396,10 +396,12 @@
         }
     }
 
-    /// Clears the crashes of a prompt's sections that were known when a request was sent that has
-    /// been answered completely.
-    fn acquit_sections(&mut self, sections: &[u64], known: Knowledge) {
-        let sections = self.suspects.acquit(sections, known, self.now);
+    /// Clears the crashes of a request's parts that were known when it was sent, since it has been
+    /// answered completely.
+    fn acquit_parts(&mut self, content: Option<u64>, sections: &[u64], known: Knowledge) {
+        let mut cleared = self.suspects.acquit(sections, known, self.now);
+        cleared.extend(content.filter(|it| self.suspects.acquit_content(*it, known, self.now)));
+        let sections = cleared;
         if !sections.is_empty() {
             let known = known.index;
             self.actions
@@ -409,8 +411,8 @@
         }
     }
 
-    /// Returns the refusal for a request that has reached the strike limit, or whose prompt holds a
-    /// section that ends targets.
+    /// Returns the refusal for a request that has reached the strike limit, or that has a part under
+    /// which targets end.
     fn strikes_rejection(&self, id: CallId, fingerprint: u64) -> Option<Rejection> {
         if self.quarantine.strikes(fingerprint) >= self.strike_limit() {
             return Some(self.quarantine_rejection(fingerprint));
@@ -418,7 +420,7 @@
         self.suspect_rejection(id)
     }
 
-    /// Returns the refusal for a request whose prompt holds a section that ends targets.
+    /// Returns the refusal for a request that has a part under which targets end.
     fn suspect_rejection(&self, id: CallId) -> Option<Rejection> {
         let call = self.calls.get(&id)?;
         let newest = self.suspects.knowledge(self.now).index;
@@ -426,16 +428,15 @@
         if is_trial && call.progress == Progress::Unsent {
             return None;
         }
-        let sections = &call.request.sections;
-        let section = self.suspects.refused_for(sections)?;
+        let part = self.suspects.refused_for(&call.request.parts())?;
         let run = match call.progress {
             Progress::Unsent => Run::NotRun,
             _ => Run::Failed,
         };
-        Some(self.section_rejection(section, run))
+        Some(self.part_rejection(part, &call.request, run))
     }
 
-    /// Refuses the unsent requests whose prompts hold a section that ends targets.
+    /// Refuses the unsent requests that have a part under which targets end.
     pub(crate) fn refuse_suspects(&mut self) {
         if !self.suspects.refuses_any() {
             return;
@@ -444,7 +445,7 @@
             let unsent = call
                 .current_attempt()
                 .is_none_or(|run| run.progress == Progress::Unsent);
-            unsent && !call.answered && !call.request.sections.is_empty()
+            unsent && !call.answered
         });
         let mut ids: Vec<CallId> = unsent_requests.map(|call| call.request.id).collect();
         ids.sort_unstable();
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -143,6 +143,14 @@
         }
     }
 
+    /// Returns the ids that ends of targets are counted by: what the request asks for, and the
+    /// sections of its prompt that others may have in common.
+    #[must_use]
+    pub fn parts(&self) -> Vec<u64> {
+        let sections = self.sections.iter().copied();
+        self.content.into_iter().chain(sections).collect()
+    }
+
     /// Subtracts the time that passed before the request arrived from the caller's deadline and
     /// the route's limit.
     pub fn deduct_elapsed(&mut self, time: Duration) {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -143,7 +143,7 @@
         Suspect {
             fingerprint: self.request.fingerprint,
             suspicion: Suspicion {
-                sections: self.request.sections.clone(),
+                sections: self.request.parts(),
                 tried: self.tried.clone(),
             },
             strikes: run.strikes,
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -1,10 +1,11 @@
-//! Finds the section of a prompt that ends each target that answers it.
+//! Finds the part of a request that ends each target that answers it: a section of its prompt, or
+//! all that it asks for, whoever sends it.
 //!
-//! Every target that ends counts against all sections that were in progress on it, and a complete
-//! answer clears the earlier crashes of its sections: this is group testing (Dorfman, 1943), with
-//! the sections of a request as the pool. Requests with a section that explains the crashes are
-//! refused. Some time after, a single request is admitted as a trial, by one entry host, so that
-//! its answer can clear a section that ended nothing.
+//! Every target that ends counts against all parts that were in progress on it, and a complete
+//! answer clears the earlier crashes of its parts: this is group testing (Dorfman, 1943), with the
+//! parts of a request as the pool. Requests with a part that explains the crashes are refused. Some
+//! time after, a single request is admitted as a trial, by one entry host, so that its answer can
+//! clear a part that ended nothing. What follows says section for either kind of part.
 
 mod answered;
 mod record;
@@ -220,17 +221,15 @@
         let mut cleared = Vec::new();
         let mut changed = false;
         for section in sections {
-            if let Some(record) = self.records.get_mut(section) {
+            if self.records.contains_key(section) {
                 changed = true;
-                if record.acquit(known) {
+                if self.disprove(*section, known) {
                     cleared.push(*section);
                 }
-                if !record.crashes.is_empty() {
-                    continue;
-                }
-                self.records.remove(section);
             }
-            self.answered.record(*section, now);
+            if !self.records.contains_key(section) {
+                self.answered.record(*section, now);
+            }
         }
         if changed {
             self.update(now);
@@ -238,6 +237,30 @@
         cleared
     }
 
+    /// Clears the crashes of what a whole request asks for that its complete answer disproves;
+    /// returns whether control has to clear some. Answers are not remembered: most contents come once.
+    pub fn acquit_content(&mut self, content: u64, known: Knowledge, now: Time) -> bool {
+        if !self.records.contains_key(&content) {
+            return false;
+        }
+        let cleared = self.disprove(content, known);
+        self.update(now);
+        cleared
+    }
+
+    /// Removes the crashes of a part that were known at a given point; returns whether control has
+    /// to clear some.
+    fn disprove(&mut self, part: u64, known: Knowledge) -> bool {
+        let Some(record) = self.records.get_mut(&part) else {
+            return false;
+        };
+        let published = record.acquit(known);
+        if record.crashes.is_empty() {
+            self.records.remove(&part);
+        }
+        published
+    }
+
     /// Applies the crashes of a section that control published; none means that they are cleared.
     /// [`Suspects::update`] has to follow the last one of a view.
     pub fn set_published(&mut self, section: u64, crashes: Vec<SectionCrash>, now: Time) {
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! clock.
 
 mod crashing;
+mod crashing_callers;
 mod crashing_part;
 mod crashing_part_schedules;
 mod leaving;
--- a/crates/node/tests/fleet/simulation.rs
+++ b/crates/node/tests/fleet/simulation.rs
@@ -146,8 +146,8 @@
     incarnations: u64,
     targets: Vec<Target>,
     sends: Vec<PendingSend>,
-    fingerprints: BTreeMap<CallId, u64>,
-    /// Fingerprints of requests that end the target that runs them.
+    contents: BTreeMap<CallId, u64>,
+    /// Contents of requests that end the target that runs them.
     crashing: BTreeSet<u64>,
     /// The sections of requests that have some.
     sections: BTreeMap<CallId, Vec<u64>>,
@@ -193,7 +193,7 @@
             incarnations: 0,
             targets: (0..targets).map(target).collect(),
             sends: Vec::new(),
-            fingerprints: BTreeMap::new(),
+            contents: BTreeMap::new(),
             crashing: BTreeSet::new(),
             sections: BTreeMap::new(),
             crashing_sections: BTreeSet::new(),
@@ -214,9 +214,9 @@
         fleet
     }
 
-    /// Makes every request with a fingerprint end the target that runs it.
-    pub fn crash_targets_with(&mut self, fingerprint: u64) {
-        self.crashing.insert(fingerprint);
+    /// Makes every request for a content end the target that runs it.
+    pub fn crash_targets_with(&mut self, content: u64) {
+        self.crashing.insert(content);
     }
 
     /// Makes every request with a section end the target that begins to answer it.
@@ -313,7 +313,12 @@
 
     /// Sends a request to an entry host and returns its id.
     pub fn request(&mut self, host: usize, fingerprint: u64) -> CallId {
-        self.request_with_sections(host, fingerprint, &[])
+        self.request_of(host, fingerprint, fingerprint, &[])
+    }
+
+    /// Sends one caller's request for a content that others ask for too, and returns its id.
+    pub fn request_content(&mut self, host: usize, fingerprint: u64, content: u64) -> CallId {
+        self.request_of(host, fingerprint, content, &[])
     }
 
     /// Sends a request whose prompt has sections to an entry host and returns its id.
@@ -322,6 +327,17 @@
         host: usize,
         fingerprint: u64,
         sections: &[u64],
+    ) -> CallId {
+        self.request_of(host, fingerprint, fingerprint, sections)
+    }
+
+    /// Sends a request to an entry host and returns its id.
+    fn request_of(
+        &mut self,
+        host: usize,
+        fingerprint: u64,
+        content: u64,
+        sections: &[u64],
     ) -> CallId {
         self.last_id += 1;
         let id = self.last_id;
@@ -331,6 +347,7 @@
         };
         let mut request = Request::new(id, "dealer", what);
         request.fingerprint = fingerprint;
+        request.content = Some(content);
         request.sections = sections.to_vec();
         request.repeatable = true;
         request.deadline = Some(Duration::from_secs(4));
@@ -342,7 +359,7 @@
             rank: 0,
             sizes: Vec::new(),
         }));
-        self.fingerprints.insert(id, fingerprint);
+        self.contents.insert(id, content);
         if !sections.is_empty() {
             self.sections.insert(id, sections.to_vec());
         }
@@ -586,7 +603,7 @@
             } else {
                 self.begin_answer(send);
             }
-        } else if self.crashing.contains(&self.fingerprints[&id]) {
+        } else if self.crashing.contains(&self.contents[&id]) {
             self.crashes.push(self.now);
             self.fail(send, Failure::Broken);
             self.kill_target(send.target);
