--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -146,6 +146,14 @@
         /// Index of the newest log entry whose crashes were known when the request was sent.
         known: u64,
     },
+    /// Ask control whether a request may run as a trial of its refused parts; answered by
+    /// [`Event::TrialAnswered`](crate::event::Event::TrialAnswered).
+    AskTrial {
+        /// The request, which waits for the answer.
+        id: CallId,
+        /// The parts to try.
+        parts: Vec<u64>,
+    },
     /// Report to control which limit a target names.
     ReportLimit {
         /// The target.
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -78,8 +78,11 @@
         self.queue.add_caller_request(&call.request.caller);
         self.timers.insert((call.timer, id));
         let needs_claim = call.claim == Claim::Asked;
+        let is_trial = !call.tried.is_empty();
         self.calls.insert(id, call);
-        if needs_claim {
+        if is_trial {
+            self.ask_trial(id);
+        } else if needs_claim {
             self.request_claim(id);
         } else {
             self.enqueue(id);
@@ -265,6 +268,7 @@
             retry_at: Time::ZERO,
             answered: false,
             tried: Vec::new(),
+            trial_until: Time::ZERO,
             tried_knowing: Knowledge::default(),
             stalled: false,
             request,
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -421,7 +421,7 @@
     }
 
     /// Returns the refusal for a request that has a part under which targets end.
-    fn suspect_rejection(&self, id: CallId) -> Option<Rejection> {
+    pub(crate) fn suspect_rejection(&self, id: CallId) -> Option<Rejection> {
         let call = self.calls.get(&id)?;
         let newest = self.suspects.knowledge(self.now).index;
         let is_trial = !call.tried.is_empty() && call.tried_knowing.index == newest;
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -194,6 +194,7 @@
                 incarnation,
                 granted,
             } => self.on_reserved(target, incarnation, granted),
+            Event::TrialAnswered { id, granted } => self.on_trial_answered(id, granted),
             Event::Probed { target, connected } => self.on_probed(&target, connected),
             Event::Loaded {
                 target,
@@ -427,6 +428,7 @@
         self.orphaned_claims.expire(self.now);
         self.cancelled.expire(self.now);
         self.refuse_outlasting();
+        self.refuse_lapsed_trials();
         if self.config.uses(Guard::Early) {
             for key in self.queue.keys() {
                 self.shed_late(&key);
@@ -463,6 +465,6 @@
             }
         }
         Stage::Running(_) => row.running += 1,
-        Stage::Claiming | Stage::Recording => {}
+        Stage::Claiming | Stage::AskingTrial | Stage::Recording => {}
     }
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -310,6 +310,13 @@
         /// Whether this host now holds the reservation.
         granted: bool,
     },
+    /// Control answered whether a request may run as a trial of its refused parts.
+    TrialAnswered {
+        /// The request that waits for the answer.
+        id: CallId,
+        /// Whether it may run; no other request tries these parts meanwhile.
+        granted: bool,
+    },
     /// A probe of an ejected target ended.
     Probed {
         /// The probed target.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod suspects;
 pub mod target_limits;
 pub mod target_notices;
+mod trial;
 
 mod admit;
 mod attempt;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -52,6 +52,8 @@
 pub enum Stage {
     /// Control's reply to its claim.
     Claiming,
+    /// Control's answer whether it may run as a trial of its refused parts.
+    AskingTrial,
     /// A place to run.
     Waiting,
     /// The end of an attempt.
@@ -113,8 +115,10 @@
     pub retry_at: Time,
     /// Whether the caller has its final response or has disconnected.
     pub answered: bool,
-    /// The refused sections of its prompt that it was admitted to try.
+    /// The refused parts that it is to try.
     pub tried: Vec<u64>,
+    /// Until when it may be sent as their trial.
+    pub trial_until: Time,
     /// What was known of crashes when the trial was granted; it lapses with any later one.
     pub tried_knowing: Knowledge,
     /// Whether its response stalled once and the attempt was cancelled for it.
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -46,8 +46,11 @@
 /// within it.
 const TURN_LENGTH: Duration = Duration::from_millis(500);
 
-/// How long a host waits for the outcome of a trial before it begins another one.
-const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long the outcome of a trial is waited for before another one may begin.
+pub const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long after it was asked for a trial may be sent.
+pub(crate) const TRIAL_SEND_TIME: Duration = Duration::from_secs(2);
 
 /// Whether the sections of a prompt allow a request to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -43,6 +43,7 @@
 use crate::registry::Answer;
 use crate::reservation::Reservations;
 use crate::timestamped::TimestampedCommand;
+use crate::trials::Trials;
 
 /// Interval between ticks of the leader.
 const LEADER_TICK: Duration = Duration::from_millis(50);
@@ -169,6 +170,8 @@
     /// The newest lease renewal of each host, with the address to answer.
     pub(crate) renewals: HashMap<HostId, Renewal>,
     pub(crate) reservations: Reservations,
+    /// Trials of request parts that this leader granted.
+    pub(crate) trials: Trials,
     /// The newest settings version in force on all hosts.
     pub(crate) settings_in_force: Version,
     waiters: HashMap<RequestId, Waiter>,
@@ -204,6 +207,7 @@
         voters: Vec::new(),
         renewals: HashMap::new(),
         reservations: Reservations::default(),
+        trials: Trials::default(),
         settings_in_force: 0,
         waiters: HashMap::new(),
         next: 1,
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Count;
 use crate::orders;
 use crate::reservation::Reservations;
+use crate::trials::Trials;
 
 /// Timeout for querying a worker about its orders.
 const INSPECTION_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -69,6 +70,7 @@
         if was_leading {
             self.handle(Input::LeadershipLost);
             self.reservations = Reservations::default();
+            self.trials = Trials::default();
             self.subscribers.clear();
         }
         if role == Role::Leader {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -443,6 +443,7 @@
                 target,
                 incarnation,
             } => self.reserve(target, incarnation),
+            Action::AskTrial { id, parts } => self.ask_trial(id, parts),
             Action::Report => self.urgent = true,
             Action::RequestView { .. } => self.setup.session.request_full_view(),
             Action::BadSettings { version, error } => {
--- a/crates/node/src/entry/background.rs
+++ b/crates/node/src/entry/background.rs
@@ -268,6 +268,17 @@
         });
     }
 
+    /// Asks the leader whether a request may run as a trial of its refused parts.
+    pub(super) fn ask_trial(&self, id: CallId, parts: Vec<u64>) {
+        let session = self.setup.session.clone();
+        let inputs = self.setup.input_sender.clone();
+        tokio::spawn(async move {
+            let answer = session.ask(Question::Trial(parts), CLAIM_TIMEOUT).await;
+            let granted = answer.is_ok_and(|json| &json[..] == b"true");
+            let _ = inputs.send(Input::Event(Event::TrialAnswered { id, granted }));
+        });
+    }
+
     /// Checks whether a target accepts TCP connections.
     pub(super) fn probe(&self, target: TargetId, address: std::net::SocketAddr) {
         let inputs = self.setup.input_sender.clone();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -45,4 +45,5 @@
 pub mod socket;
 mod startup;
 pub mod timestamped;
+pub mod trials;
 mod upward;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -116,6 +116,8 @@
         /// Its incarnation.
         incarnation: Incarnation,
     },
+    /// Whether one request may run as a trial of these parts.
+    Trial(Vec<u64>),
 }
 
 /// A membership change that an operator requests.
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -14,6 +14,7 @@
 
 use crate::control::{Control, Renewal};
 use crate::message::{Membership, Question, Upward};
+use crate::section_ids::SectionIds;
 
 /// The accepted settings and those in force, as shown to operators.
 #[derive(Debug, Serialize)]
@@ -136,6 +137,13 @@
                 let now = self.now();
                 json(&self.reservations.reserve(host, target, incarnation, now))
             }
+            Question::Trial(parts) => {
+                let now = self.now();
+                let granted = self.trials.grant(&parts, now);
+                let parts = SectionIds::from(&parts[..]);
+                tracing::info!(host, %parts, granted, "entry host asked for a trial of refused parts");
+                json(&granted)
+            }
         };
         self.send_answer(host, call, json);
     }
