--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -236,14 +236,14 @@
         let fingerprint = call.request.fingerprint;
         let kind = Kind::from(&call.request);
         self.durations.record(kind, call.age(self.now), self.now);
-        let (known, error) = (run.known, run.error);
+        let (known, strikes, error) = (run.known, run.strikes, run.error);
         let (content, sections) = (call.request.content, call.request.sections.clone());
         if call.offset == 0 || call.attempts == 1 {
             self.latencies.record_response(&key, elapsed);
         }
         self.release_attempt(id);
-        self.clear_strikes(fingerprint);
         if !error {
+            self.clear_strikes(fingerprint, strikes);
             self.acquit_parts(content, &sections, known);
         }
         if !answered {
@@ -379,10 +379,11 @@
         self.refuse_suspects();
     }
 
-    /// Clears the strikes of a fingerprint whose request was answered completely: a request that
-    /// crashes what runs it never is.
-    fn clear_strikes(&mut self, fingerprint: u64) {
-        if self.quarantine.strikes(fingerprint) > 0 {
+    /// Clears the strikes of a fingerprint whose request was answered completely, if none was counted
+    /// since the request was sent: the answer tells nothing of what ended later.
+    fn clear_strikes(&mut self, fingerprint: u64, known: u32) {
+        let strikes = self.quarantine.strikes(fingerprint);
+        if strikes > 0 && strikes <= known {
             self.quarantine.forget(fingerprint);
             self.actions.push(Action::ClearStrikes { fingerprint });
         }
--- a/crates/entry/tests/routed.rs
+++ b/crates/entry/tests/routed.rs
@@ -212,6 +212,31 @@
     assert!(actions.iter().any(strike), "{actions:?}");
 }
 
+#[test]
+fn an_answer_clears_no_strike_that_was_counted_after_its_request_was_sent() {
+    let mut core = core_with_two_targets();
+    let copies = [7, 8].map(|id| Request {
+        id,
+        fingerprint: 99,
+        ..request(true)
+    });
+    for copy in copies {
+        let id = copy.id;
+        core.handle(Event::Arrived(copy), at(10));
+        core.handle(Event::Sent { id, attempt: 1 }, at(10));
+    }
+    let failed = Event::Failed {
+        id: 8,
+        attempt: 1,
+        failure: Failure::Broken,
+    };
+    core.handle(failed, at(20));
+    core.handle(Event::ResponseStarted { id: 7, attempt: 1 }, at(30));
+    let actions = core.handle(Event::ResponseEnded { id: 7, attempt: 1 }, at(30));
+    let clears = |action: &Action| matches!(action, Action::ClearStrikes { .. });
+    assert!(!actions.iter().any(clears), "{actions:?}");
+}
+
 #[test]
 fn a_request_expires_at_the_limit_of_its_route() {
     let mut core = core_with_two_targets();
--- a/crates/node/tests/fleet/crashing.rs
+++ b/crates/node/tests/fleet/crashing.rs
@@ -34,6 +34,20 @@
     }
 }
 
+#[test]
+fn a_request_that_crashed_three_targets_is_sent_no_more_though_others_answer_it_with_errors() {
+    for (errors, runs) in [(1, 4), (2, 4), (3, 4)] {
+        let mut fleet = Fleet::new(HOSTS, TARGETS);
+        fleet.crash_targets_with(CRASHING);
+        fleet.answer_with_errors(errors, runs);
+        for round in 0..400 {
+            fleet.request(round % HOSTS, CRASHING);
+            fleet.run(Time::from_millis(150));
+        }
+        assert_eq!(fleet.crashes.len(), LIMIT, "errors: {errors} of {runs}");
+    }
+}
+
 /// Returns the repeats of a proper request that were refused for targets that ended.
 fn quarantined(fleet: &Fleet) -> usize {
     let ends = fleet.ends.values();
--- a/crates/node/tests/fleet/simulation.rs
+++ b/crates/node/tests/fleet/simulation.rs
@@ -93,6 +93,13 @@
     pub told: bool,
 }
 
+/// How many of a number of runs are answered with an error.
+#[derive(Debug, Clone, Copy)]
+struct Errors {
+    errors: u64,
+    runs: u64,
+}
+
 /// One send of one request.
 #[derive(Clone)]
 struct PendingSend {
@@ -150,6 +157,10 @@
     contents: BTreeMap<CallId, u64>,
     /// Contents of requests that end the target that runs them.
     crashing: BTreeSet<u64>,
+    /// How often targets answer these with an error instead.
+    errors: Option<Errors>,
+    /// Number of runs of these requests.
+    crashing_runs: u64,
     /// The sections of requests that have some.
     sections: BTreeMap<CallId, Vec<u64>>,
     /// Sections under which a target ends once it has begun to answer.
@@ -199,6 +210,8 @@
             sends: Vec::new(),
             contents: BTreeMap::new(),
             crashing: BTreeSet::new(),
+            errors: None,
+            crashing_runs: 0,
             sections: BTreeMap::new(),
             crashing_sections: BTreeSet::new(),
             views: VecDeque::new(),
@@ -225,6 +238,11 @@
         self.crashing.insert(content);
     }
 
+    /// Makes targets answer a crashing request with an error in some of its runs, out of this many.
+    pub fn answer_with_errors(&mut self, errors: u64, runs: u64) {
+        self.errors = Some(Errors { errors, runs });
+    }
+
     /// Makes every request with a section end the target that begins to answer it.
     pub fn crash_targets_with_section(&mut self, section: u64) {
         self.crashing_sections.insert(section);
@@ -629,9 +647,7 @@
                 self.begin_answer(send);
             }
         } else if self.crashing.contains(&self.contents[&id]) {
-            self.crashes.push(self.now);
-            self.fail(send, Failure::Broken);
-            self.kill_target(send.target);
+            self.end_crashing_run(send);
         } else {
             self.tell_statement(send);
             self.deliver(send.host, Event::ResponseStarted { id, attempt });
@@ -639,6 +655,22 @@
         }
     }
 
+    /// Ends a run of a crashing request: the target ends, or answers with an error.
+    fn end_crashing_run(&mut self, send: &PendingSend) {
+        let (id, attempt) = (send.id, send.attempt);
+        let run = self.crashing_runs;
+        self.crashing_runs += 1;
+        if self.errors.is_some_and(|it| run % it.runs < it.errors) {
+            self.deliver(send.host, Event::ErrorStatus { id, attempt });
+            self.deliver(send.host, Event::ResponseStarted { id, attempt });
+            self.deliver(send.host, Event::ResponseEnded { id, attempt });
+        } else {
+            self.crashes.push(self.now);
+            self.fail(send, Failure::Broken);
+            self.kill_target(send.target);
+        }
+    }
+
     /// Records that a request reaches its target.
     fn record_arrival(&mut self, send: &PendingSend) {
         let target = &self.targets[send.target];
