--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -42,6 +42,7 @@
         let AnnouncedHeartbeat {
             announcement,
             heartbeat,
+            ..
         } = presence;
         let target = announcement.target.clone();
         let incarnation = announcement.incarnation;
--- a/crates/control/tests/hosting/worker.rs
+++ b/crates/control/tests/hosting/worker.rs
@@ -199,6 +199,7 @@
                 cache: Vec::new(),
                 leaving,
             },
+            software: None,
         }
     }
 
--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -11,11 +11,14 @@
 
 use crate::claim;
 use crate::event::{Attempt, CallId, Digest};
+use crate::software::StreamBegun;
 use crate::suspects::Suspicion;
 
 /// The target that an attempt is sent to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Destination {
+    /// The version of the target's software, if it states one.
+    pub software: Option<Name>,
     /// The target's name.
     pub target: TargetId,
     /// The incarnation of the target.
@@ -154,6 +157,21 @@
         /// The parts to try.
         parts: Vec<u64>,
     },
+    /// Ask control which version of a service's software began a stream; answered by
+    /// [`Event::OriginAnswered`](crate::event::Event::OriginAnswered).
+    AskOrigin {
+        /// The request, which waits for the answer.
+        id: CallId,
+        /// The service.
+        service: Name,
+        /// The digest of the attempt that brought the stream's first event, if the caller names one.
+        attempt: Option<u64>,
+    },
+    /// Tell control which versions began streams.
+    ReportStreams {
+        /// The streams.
+        streams: Vec<StreamBegun>,
+    },
     /// Report to control which limit a target names.
     ReportLimit {
         /// The target.
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -77,15 +77,12 @@
         }
         self.queue.add_caller_request(&call.request.caller);
         self.timers.insert((call.timer, id));
-        let needs_claim = call.claim == Claim::Asked;
         let is_trial = !call.tried.is_empty();
         self.calls.insert(id, call);
         if is_trial {
             self.ask_trial(id);
-        } else if needs_claim {
-            self.request_claim(id);
         } else {
-            self.enqueue(id);
+            self.advance_admitted(id);
         }
     }
 
@@ -199,7 +196,7 @@
     pub(crate) fn part_rejection(&self, part: u64, request: &Request, run: Run) -> Rejection {
         let retention = Duration::from_secs(self.catalogue.fleet.refusing.quarantine_s);
         let time_left = self.suspects.time_left(part, retention, self.now);
-        let detail = if request.content == Some(part) {
+        let detail = if request.content() == Some(part) {
             format!("targets failed while they ran this request ({part:x})")
         } else {
             format!("targets failed under the prompt section {part:x}")
@@ -267,6 +264,7 @@
             failed: Vec::new(),
             retry_at: Time::ZERO,
             answered: false,
+            origin: None,
             tried: Vec::new(),
             trial_until: Time::ZERO,
             tried_knowing: Knowledge::default(),
@@ -322,7 +320,7 @@
     }
 
     /// Asks control to commit a claim for the request's key.
-    fn request_claim(&mut self, id: CallId) {
+    pub(crate) fn request_claim(&mut self, id: CallId) {
         self.claiming += 1;
         let Some(call) = self.calls.get(&id) else {
             return;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -175,6 +175,7 @@
             return;
         }
         run.progress = Progress::Begun;
+        let run = run.clone();
         let elapsed = now.saturating_sub(run.since);
         let first = call.progress < Progress::Begun;
         call.progress = Progress::Begun;
@@ -185,6 +186,7 @@
         if first {
             self.latencies.record_first_byte(&key, elapsed);
         }
+        self.record_origin(id, &run);
         self.reset_response_timer(id);
         self.actions.push(Action::Deliver { id, attempt });
     }
@@ -237,7 +239,7 @@
         let kind = Kind::from(&call.request);
         self.durations.record(kind, call.age(self.now), self.now);
         let (known, strikes, error) = (run.known, run.strikes, run.error);
-        let (content, sections) = (call.request.content, call.request.sections.clone());
+        let (content, sections) = (call.request.content(), call.request.sections.clone());
         if call.offset == 0 || call.attempts == 1 {
             self.latencies.record_response(&key, elapsed);
         }
@@ -540,6 +542,7 @@
                 }
                 self.send(id, &candidate);
             }
+            _ if self.refuse_stranded(id) => {}
             _ => self.requeue(id, backoff(failure, run.attempt)),
         }
     }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -34,6 +34,7 @@
 use crate::request::{Call, Stage};
 use crate::route::Place;
 use crate::share::Shares;
+use crate::software::Software;
 use crate::suspects::Suspects;
 use crate::target_limits::TargetLimits;
 use crate::target_notices::TargetNotices;
@@ -85,6 +86,7 @@
     pub(crate) caches: PrefixCaches,
     pub(crate) quarantine: Quarantine,
     pub(crate) suspects: Suspects,
+    pub(crate) software: Software,
     pub(crate) cancelled: CancelledAttempts,
     pub(crate) budget: Budget,
     pub(crate) counters: Counters,
@@ -137,6 +139,7 @@
             caches: PrefixCaches::default(),
             quarantine: Quarantine::default(),
             suspects,
+            software: Software::new(now),
             cancelled: CancelledAttempts::default(),
             budget,
             counters: Counters::default(),
@@ -194,6 +197,8 @@
                 incarnation,
                 granted,
             } => self.on_reserved(target, incarnation, granted),
+            Event::Software(software) => self.software.apply(software),
+            Event::OriginAnswered { id, answer } => self.on_origin_answered(id, answer.as_ref()),
             Event::TrialAnswered { id, granted } => self.on_trial_answered(id, granted),
             Event::Probed { target, connected } => self.on_probed(&target, connected),
             Event::Loaded {
@@ -465,6 +470,6 @@
             }
         }
         Stage::Running(_) => row.running += 1,
-        Stage::Claiming | Stage::AskingTrial | Stage::Recording => {}
+        Stage::Claiming | Stage::AskingTrial | Stage::AskingOrigin | Stage::Recording => {}
     }
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -291,6 +291,10 @@
         {
             return false;
         }
+        let candidate = &option.candidate;
+        if !self.has_origin(call, &candidate.place.target, candidate.incarnation) {
+            return false;
+        }
         let fingerprint = call.request.fingerprint;
         let strikes = self.quarantine.strikes(fingerprint);
         let Some(targets) = self.in_flight_fingerprints.get(&fingerprint) else {
@@ -399,6 +403,9 @@
             attempt: call.attempts,
             to: Destination {
                 target: candidate.place.target.clone(),
+                software: self
+                    .software
+                    .version(&candidate.place.target, candidate.incarnation),
                 incarnation: candidate.incarnation,
                 address: candidate.address,
                 replica: candidate.place.replica,
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -5,12 +5,13 @@
 
 use cornelhitch_types::id::{CallerId, ClassId, Incarnation, Name, TargetId, Time, Version};
 use cornelhitch_types::model::Reference;
-use cornelhitch_types::target::{Load, Statement};
+use cornelhitch_types::target::{Load, Statement, TargetSoftware};
 use cornelhitch_types::view::View;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter};
 
 use crate::claim;
+use crate::software::OriginAnswer;
 
 /// A request's number, assigned by the owner; unique within a process.
 pub type CallId = u64;
@@ -64,9 +65,8 @@
     pub repeatable: bool,
     /// The fingerprint of the body and the requested resource; see [`crate::fingerprint::of`].
     pub fingerprint: u64,
-    /// Digest of what a routed request asks for, whoever sends it; see
-    /// [`crate::fingerprint::of_content`].
-    pub content: Option<u64>,
+    /// What tells a routed request from others; `None` if it did not arrive through a route.
+    pub identity: Option<Box<Identity>>,
     /// Digest of the request, to detect a different body under the same key.
     pub digest: Digest,
     /// Digests of the prompt's prefixes, block by block, shortest first.
@@ -82,6 +82,38 @@
     pub terms: Option<Box<RouteLimits>>,
 }
 
+/// What tells a routed request from others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// Digest of what the request asks for, whoever sends it; see
+    /// [`crate::fingerprint::of_content`].
+    pub content: u64,
+    /// Digest of the caller's id for this attempt; see [`crate::fingerprint::of_attempt`].
+    pub attempt: u64,
+    /// The stream that the caller takes up, if it does.
+    pub resumes: Option<Resumes>,
+}
+
+/// Which stream a caller takes up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Resumes {
+    /// It does not say.
+    Unnamed,
+    /// The digest of the attempt that brought the stream's first event.
+    Attempt(u64),
+}
+
+impl Resumes {
+    /// Returns the digest of the attempt, if the caller names it.
+    #[must_use]
+    pub fn attempt(self) -> Option<u64> {
+        match self {
+            Self::Attempt(attempt) => Some(attempt),
+            Self::Unnamed => None,
+        }
+    }
+}
+
 /// The limits under which a route's requests run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteLimits {
@@ -133,7 +165,7 @@
             key: None,
             repeatable: true,
             fingerprint: id,
-            content: None,
+            identity: None,
             digest: Digest::default(),
             prefixes: Vec::new(),
             sections: Vec::new(),
@@ -148,7 +180,19 @@
     #[must_use]
     pub fn parts(&self) -> Vec<u64> {
         let sections = self.sections.iter().copied();
-        self.content.into_iter().chain(sections).collect()
+        self.content().into_iter().chain(sections).collect()
+    }
+
+    /// Returns the digest of what a routed request asks for, whoever sends it.
+    #[must_use]
+    pub fn content(&self) -> Option<u64> {
+        self.identity.as_ref().map(|identity| identity.content)
+    }
+
+    /// Returns which stream the caller takes up, if it does.
+    #[must_use]
+    pub fn resumes(&self) -> Option<Resumes> {
+        self.identity.as_ref()?.resumes
     }
 
     /// Subtracts the time that passed before the request arrived from the caller's deadline and
@@ -310,6 +354,15 @@
         /// Whether this host now holds the reservation.
         granted: bool,
     },
+    /// Control told the software of targets.
+    Software(Vec<TargetSoftware>),
+    /// Control answered which version began the stream that a request takes up.
+    OriginAnswered {
+        /// The request that waits for the answer.
+        id: CallId,
+        /// The answer; `None` if there was none.
+        answer: Option<OriginAnswer>,
+    },
     /// Control answered whether a request may run as a trial of its refused parts.
     TrialAnswered {
         /// The request that waits for the answer.
--- a/crates/entry/src/fingerprint.rs
+++ b/crates/entry/src/fingerprint.rs
@@ -56,6 +56,19 @@
     of_routed("", host, path, body)
 }
 
+/// Returns a 64-bit digest of a caller's id for one attempt.
+///
+/// ```
+/// use cornelhitch_entry::fingerprint;
+///
+/// assert_eq!(fingerprint::of_attempt("9c41"), fingerprint::of_attempt("9c41"));
+/// assert_ne!(fingerprint::of_attempt("9c41"), fingerprint::of_attempt("9c42"));
+/// ```
+#[must_use]
+pub fn of_attempt(id: &str) -> u64 {
+    shortened(blake3::hash(id.as_bytes()).as_bytes())
+}
+
 /// Returns the first 64 bits of a digest.
 fn shortened(digest: &Digest) -> u64 {
     let mut first = [0; 8];
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -271,7 +271,7 @@
         match call.stage {
             Stage::Claiming => self.claiming = self.claiming.saturating_sub(1),
             Stage::Waiting => self.queue.remove(&call.key, call.rank, id),
-            Stage::AskingTrial | Stage::Running(_) | Stage::Recording => {}
+            Stage::AskingTrial | Stage::AskingOrigin | Stage::Running(_) | Stage::Recording => {}
         }
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -50,10 +50,10 @@
 pub mod route;
 pub mod share;
 pub mod sliding_counter;
+pub mod software;
 pub mod suspects;
 pub mod target_limits;
 pub mod target_notices;
-mod trial;
 
 mod admit;
 mod attempt;
@@ -63,7 +63,9 @@
 mod finish;
 mod held;
 mod leave;
+mod resume;
 mod stated;
 #[cfg(test)]
 mod tests;
+mod trial;
 mod updates;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -9,6 +9,7 @@
 use crate::event::{Attempt, Request};
 use crate::queue::{QueueKey, Rank};
 use crate::route::Place;
+use crate::software::Version;
 use crate::suspects::{Knowledge, Suspicion};
 
 /// The progress of a request over all its attempts; it never decreases, except by
@@ -54,6 +55,8 @@
     Claiming,
     /// Control's answer whether it may run as a trial of its refused parts.
     AskingTrial,
+    /// Control's answer which version began the stream that it takes up.
+    AskingOrigin,
     /// A place to run.
     Waiting,
     /// The end of an attempt.
@@ -115,6 +118,8 @@
     pub retry_at: Time,
     /// Whether the caller has its final response or has disconnected.
     pub answered: bool,
+    /// The version of the software that began its stream; `None` before the stream has begun.
+    pub origin: Option<Version>,
     /// The refused parts that it is to try.
     pub tried: Vec<u64>,
     /// Until when it may be sent as their trial.
--- a/crates/entry/src/trial.rs
+++ b/crates/entry/src/trial.rs
@@ -36,7 +36,7 @@
         }
         match self.suspect_rejection(id) {
             Some(rejection) => self.refuse(id, rejection),
-            None => self.enqueue(id),
+            None => self.advance_admitted(id),
         }
     }
 
--- a/crates/entry/src/updates.rs
+++ b/crates/entry/src/updates.rs
@@ -19,6 +19,7 @@
     /// Applies a view, or requests the complete one if changes are missing.
     pub(crate) fn on_view(&mut self, view: View) {
         let settings_before = self.catalogue.version;
+        let term_before = self.fleet_view.term;
         match self.fleet_view.merge(&view) {
             Merge::Stale => return,
             Merge::Gap => {
@@ -55,6 +56,8 @@
         if self.catalogue.version != settings_before {
             self.refuse_unknown();
         }
+        self.watch_software(self.fleet_view.term > term_before);
+        self.refuse_all_stranded();
         self.dirty.extend(self.queue.keys());
     }
 
--- /dev/null
+++ b/crates/entry/tests/versions.rs
@@ -0,0 +1,385 @@
+//! Streams of targets that run several versions of their software: where they go on, and how their
+//! origin is told.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelhitch_entry::event::{Failure, Identity, Resumes, RouteLimits};
+use cornelhitch_entry::prelude::*;
+use cornelhitch_entry::software::{OriginAnswer, StreamBegun};
+use cornelhitch_settings::process::Serving;
+use cornelhitch_types::id::Time;
+use cornelhitch_types::model::Reference;
+use cornelhitch_types::refusal::{Reason, Refusal, Run};
+use cornelhitch_types::route;
+use cornelhitch_types::target::{Kind, Load, TargetSoftware};
+use cornelhitch_types::view::{Change, Replica, State, Target, View};
+
+/// The limit of the streams' route.
+const LIMIT: Duration = Duration::from_secs(4);
+/// The time after which a stream that is taken up cannot have begun before.
+const LONG: Duration = Duration::from_secs(10);
+
+/// An entry host that knows workers `w1`, `w2` and so on.
+struct Host {
+    core: Core,
+    now: Time,
+    sequence: u64,
+}
+
+impl Host {
+    /// Starts a host with one worker of each version.
+    fn new(versions: &[&str]) -> Self {
+        let serving = Serving {
+            quarantine: false,
+            strikes: 3,
+            ..Serving::default()
+        };
+        let now = Time::from_secs(100);
+        let config = Config::new(1).place("perth", "a").serving(serving);
+        let mut host = Self {
+            core: Core::new(config, now),
+            now,
+            sequence: 0,
+        };
+        host.show(vec![Change::Settings(1, "models: []".into()), table()]);
+        let until = now + Duration::from_hours(1);
+        host.handle(Event::Lease { until, version: 1 });
+        for (at, version) in versions.iter().enumerate() {
+            host.start_worker(at + 1, 1, version);
+        }
+        host
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Action> {
+        self.core.handle(event, self.now)
+    }
+
+    /// Applies changes of the view.
+    fn show(&mut self, changes: Vec<Change>) -> Vec<Action> {
+        let from = self.sequence;
+        self.sequence += 1;
+        let to = self.sequence;
+        let term = 1;
+        self.handle(Event::View(View {
+            term,
+            from,
+            to,
+            changes,
+        }))
+    }
+
+    /// Shows a worker's incarnation, which runs a version.
+    fn start_worker(&mut self, number: usize, incarnation: u64, version: &str) -> Vec<Action> {
+        let name = format!("w{number}");
+        self.handle(Event::Software(vec![TargetSoftware {
+            target: name.as_str().into(),
+            incarnation,
+            version: version.into(),
+        }]));
+        let target = Target {
+            target: name.as_str().into(),
+            incarnation,
+            kind: Kind::Worker,
+            address: ([10, 0, 0, 1], 80).into(),
+            region: "perth".into(),
+            zone: "a".into(),
+            services: vec!["engines".into()],
+            open: true,
+            load: Load::default(),
+            slots: Some(8),
+        };
+        let replica = Replica {
+            replica: number as u64,
+            model: route::model_id("engines", "report"),
+            version: None,
+            target: name.as_str().into(),
+            state: State::Ready,
+            ready_in_ms: 0,
+            adapters: Vec::new(),
+        };
+        self.show(vec![Change::Target(target), Change::Replica(replica)])
+    }
+
+    /// Removes a worker from the view.
+    fn remove_worker(&mut self, number: usize) -> Vec<Action> {
+        let name = format!("w{number}").as_str().into();
+        let replica = Change::ReplicaRemoved(number as u64);
+        self.show(vec![replica, Change::TargetRemoved(name)])
+    }
+
+    /// Begins a stream; returns the number of its worker.
+    fn begin(&mut self, id: u64) -> usize {
+        let actions = self.handle(Event::Arrived(stream(id)));
+        let worker = sent_to(&actions).expect("a send");
+        self.handle(Event::Sent { id, attempt: 1 });
+        self.handle(Event::ResponseStarted { id, attempt: 1 });
+        worker
+    }
+
+    /// Ends the target of a stream: its connection breaks, and the target can't be reached again.
+    fn break_off(&mut self, id: u64) -> Vec<Action> {
+        let fail = |attempt, failure| Event::Failed {
+            id,
+            attempt,
+            failure,
+        };
+        let actions = self.handle(fail(1, Failure::Truncated));
+        if sent_to(&actions).is_none() {
+            return actions;
+        }
+        self.handle(fail(2, Failure::Connect))
+    }
+
+    /// Lets a caller take a stream up, with the leader's answer about its origin.
+    fn take_up(&mut self, id: u64, answer: OriginAnswer) -> Vec<Action> {
+        let request = resumed(id, Resumes::Attempt(7));
+        let asked = self.handle(Event::Arrived(request));
+        assert!(matches!(asked[..], [Action::AskOrigin { .. }]), "{asked:?}");
+        self.handle(Event::OriginAnswered {
+            id,
+            answer: Some(answer),
+        })
+    }
+}
+
+/// Returns a route table with a service that runs one model.
+fn table() -> Change {
+    let model = route::Model {
+        name: "report".into(),
+        bytes: 1 << 30,
+        from_store: Duration::from_secs(6),
+        from_disk: Duration::from_millis(500),
+        from_memory: Duration::from_millis(300),
+        adapters: Vec::new(),
+        adapter_bytes: 1 << 20,
+    };
+    let engine = route::WorkerCapacity {
+        slots: 8,
+        kv_cache_tokens: 1_000,
+        memory: 4 << 30,
+        host_memory: 0,
+        disk: 0,
+        adapters: 2,
+        start_interval: Duration::from_millis(500),
+        models: vec![model],
+    };
+    let service = route::Service {
+        name: "engines".into(),
+        connections: 10,
+        engine: Some(engine),
+    };
+    Change::Table(Arc::new(route::RouteTable {
+        version: 1,
+        services: vec![service],
+        ..route::RouteTable::default()
+    }))
+}
+
+/// Returns a request for a stream that may be resumed.
+fn stream(id: u64) -> Request {
+    let what = RequestedResource::Model(Reference::base(route::model_id("engines", "report")));
+    let mut request = Request::new(id, "dealer", what);
+    request.streaming = true;
+    request.identity = Some(Box::new(Identity {
+        attempt: id,
+        ..Identity::default()
+    }));
+    request.deadline = Some(LIMIT);
+    request.terms = Some(Box::new(RouteLimits {
+        route: "chat".into(),
+        attempts: 2,
+        limit: LIMIT,
+        objective: Duration::from_millis(600),
+        rank: 0,
+        sizes: Vec::new(),
+    }));
+    request
+}
+
+/// Returns a request that takes a stream up.
+fn resumed(id: u64, resumes: Resumes) -> Request {
+    let identity = Identity {
+        attempt: id,
+        resumes: Some(resumes),
+        ..Identity::default()
+    };
+    Request {
+        identity: Some(Box::new(identity)),
+        ..stream(id)
+    }
+}
+
+/// Returns the number of the worker that a request is sent to.
+fn sent_to(actions: &[Action]) -> Option<usize> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { to, .. } => to.target[1..].parse().ok(),
+        _ => None,
+    })
+}
+
+/// Returns the refusal among the actions, of a stream that has begun or of one that has not.
+fn refusal(actions: &[Action]) -> Option<&Refusal> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { refusal, .. } | Action::StreamError { refusal, .. } => Some(refusal),
+        _ => None,
+    })
+}
+
+/// Returns the streams that the leader is told of.
+fn reported(actions: &[Action]) -> Vec<u64> {
+    let reports = actions.iter().filter_map(|action| match action {
+        Action::ReportStreams { streams } => Some(streams),
+        _ => None,
+    });
+    reports.flatten().map(|stream| stream.attempt).collect()
+}
+
+fn recorded(version: &str) -> OriginAnswer {
+    OriginAnswer {
+        recorded: Some(StreamBegun {
+            attempt: 7,
+            version: Some(version.into()),
+        }),
+        ..OriginAnswer::default()
+    }
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_another_target_of_its_version() {
+    for id in 1..20 {
+        let mut host = Host::new(&["v1", "v2", "v1", "v2"]);
+        let began = host.begin(id);
+        let actions = host.break_off(id);
+        let next = sent_to(&actions).expect("a target of its version");
+        assert_eq!(next % 2, began % 2, "stream {id}");
+        assert_ne!(next, began, "stream {id}");
+    }
+}
+
+#[test]
+fn a_broken_stream_ends_at_once_if_no_other_target_runs_its_version() {
+    let mut host = Host::new(&["v1", "v2"]);
+    let began = host.begin(1);
+    host.remove_worker(began);
+    let actions = host.break_off(1);
+    let refusal = refusal(&actions).expect("the end of the stream");
+    assert_eq!(refusal.reason, Reason::TargetFailed);
+    assert_eq!(sent_to(&actions), None);
+}
+
+#[test]
+fn a_target_that_is_back_as_another_version_gets_no_stream_of_the_one_before() {
+    let mut host = Host::new(&["v1"]);
+    host.begin(1);
+    let actions = host.break_off(1);
+    assert_eq!(sent_to(&actions), None, "the view does not tell yet");
+    let actions = host.start_worker(1, 2, "v2");
+    assert_eq!(sent_to(&actions), None);
+    assert!(refusal(&actions).is_some(), "{actions:?}");
+}
+
+#[test]
+fn a_waiting_stream_goes_on_when_a_target_of_its_version_is_back() {
+    let mut host = Host::new(&["v1"]);
+    host.begin(1);
+    host.break_off(1);
+    let actions = host.start_worker(1, 2, "v1");
+    assert_eq!(sent_to(&actions), Some(1));
+}
+
+#[test]
+fn a_caller_takes_a_stream_up_at_the_recorded_version_alone() {
+    for id in 1..20 {
+        let mut host = Host::new(&["v1", "v2", "v1", "v2"]);
+        let actions = host.take_up(id, recorded("v1"));
+        let worker = sent_to(&actions).expect("a send");
+        assert_eq!(worker % 2, 1);
+    }
+    let mut host = Host::new(&["v2", "v2"]);
+    let actions = host.take_up(1, recorded("v1"));
+    let refusal = refusal(&actions).expect("a refusal");
+    assert_eq!(
+        (refusal.reason, refusal.run),
+        (Reason::Unavailable, Run::NotRun)
+    );
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn a_stream_without_a_record_goes_on_only_where_one_version_has_run_long_enough() {
+    let v1 = Some("v1".into());
+    let v2 = Some("v2".into());
+    // The versions at this host, how long it has seen them, what the leader has heard and for how
+    // long, and whether the stream goes on.
+    let rows = [
+        (
+            &["v1", "v1"][..],
+            LONG,
+            vec![v1.clone()],
+            Duration::ZERO,
+            true,
+        ),
+        (&["v1", "v1"], LONG, vec![], Duration::ZERO, true),
+        (&["v1", "v1"], Duration::ZERO, vec![v1.clone()], LONG, true),
+        (&["v1", "v1"], LIMIT, vec![v1.clone()], LIMIT, false),
+        (&["v1", "v1"], LONG, vec![v2.clone()], Duration::ZERO, false),
+        (
+            &["v1", "v1"],
+            LONG,
+            vec![v1.clone(), v2.clone()],
+            LONG,
+            false,
+        ),
+        (&["v1", "v2"], LONG, vec![v1.clone()], Duration::ZERO, false),
+        (&["v1", "v2"], LONG, vec![v1, v2], LONG, false),
+    ];
+    for (row, (versions, seen, heard, heard_for, goes_on)) in rows.into_iter().enumerate() {
+        let mut host = Host::new(versions);
+        host.now += seen;
+        let answer = OriginAnswer {
+            recorded: None,
+            versions: heard,
+            unchanged_ms: u64::try_from(heard_for.as_millis()).expect("short"),
+        };
+        let actions = host.take_up(1, answer);
+        assert_eq!(sent_to(&actions).is_some(), goes_on, "row {row}");
+        assert_eq!(refusal(&actions).is_some(), !goes_on, "row {row}");
+    }
+}
+
+#[test]
+fn a_stream_is_refused_if_the_leader_does_not_answer() {
+    let mut host = Host::new(&["v1"]);
+    host.now += LONG;
+    host.handle(Event::Arrived(resumed(1, Resumes::Unnamed)));
+    let answer = None;
+    let actions = host.handle(Event::OriginAnswered { id: 1, answer });
+    assert_eq!(refusal(&actions).map(|it| it.run), Some(Run::NotRun));
+}
+
+#[test]
+fn the_leader_is_told_of_streams_that_began_before_a_second_version_came() {
+    let mut host = Host::new(&["v1", "v1"]);
+    host.begin(1);
+    let actions = host.start_worker(3, 1, "v2");
+    assert_eq!(reported(&actions), [1]);
+    let actions = host.handle(Event::Arrived(stream(2)));
+    assert!(sent_to(&actions).is_some());
+    host.handle(Event::Sent { id: 2, attempt: 1 });
+    let actions = host.handle(Event::ResponseStarted { id: 2, attempt: 1 });
+    assert_eq!(reported(&actions), [2]);
+}
+
+#[test]
+fn a_new_leader_is_told_of_all_streams_while_two_versions_run() {
+    let mut host = Host::new(&["v1", "v2"]);
+    host.begin(1);
+    let actions = host.handle(Event::View(View {
+        term: 2,
+        from: 0,
+        to: 1,
+        changes: vec![Change::Settings(1, "models: []".into())],
+    }));
+    assert_eq!(reported(&actions), [1]);
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -42,6 +42,7 @@
 use crate::metrics::{Count, Metrics};
 use crate::registry::Answer;
 use crate::reservation::Reservations;
+use crate::software::SoftwareRegister;
 use crate::timestamped::TimestampedCommand;
 use crate::trials::Trials;
 
@@ -172,6 +173,8 @@
     pub(crate) reservations: Reservations,
     /// Trials of request parts that this leader granted.
     pub(crate) trials: Trials,
+    /// What this leader knows of the targets' software.
+    pub(crate) software: SoftwareRegister,
     /// The newest settings version in force on all hosts.
     pub(crate) settings_in_force: Version,
     waiters: HashMap<RequestId, Waiter>,
@@ -208,6 +211,7 @@
         renewals: HashMap::new(),
         reservations: Reservations::default(),
         trials: Trials::default(),
+        software: SoftwareRegister::default(),
         settings_in_force: 0,
         waiters: HashMap::new(),
         next: 1,
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -11,12 +11,14 @@
 use cornelhitch_quorum::status::Role;
 use cornelhitch_types::id::{HostId, Incarnation, TargetId, Term, Version};
 use cornelhitch_types::order::{Order, Outcome};
+use cornelhitch_types::target::{AnnouncedHeartbeat, TargetSoftware};
 
 use super::{Control, Lease, TaskMessage, Waiter};
 use crate::message::{Datagram, Downward, Message};
 use crate::metrics::Count;
 use crate::orders;
 use crate::reservation::Reservations;
+use crate::software::SoftwareRegister;
 use crate::trials::Trials;
 
 /// Timeout for querying a worker about its orders.
@@ -38,6 +40,7 @@
             Some(Waiter::Election(term)) if term == self.term && self.role == Role::Leader => {
                 tracing::info!(term, "this host now leads");
                 self.leading = true;
+                self.software = SoftwareRegister::new(self.now());
                 self.handle(Input::Elected { term });
                 self.propose_initial_settings();
                 self.announce_leader(self.setup.me);
@@ -71,6 +74,7 @@
             self.handle(Input::LeadershipLost);
             self.reservations = Reservations::default();
             self.trials = Trials::default();
+            self.software = SoftwareRegister::default();
             self.subscribers.clear();
         }
         if role == Role::Leader {
@@ -96,20 +100,52 @@
         }
     }
 
+    /// Sends a message to the hosts that subscribe to the view.
+    fn publish(&self, to: Audience, downward: Downward) {
+        let message = Message::Downward(downward);
+        match to {
+            Audience::All => {
+                let hosts = self.subscribers.iter().copied();
+                self.setup.links.send_all(hosts, &message);
+            }
+            Audience::Host(host) => self.setup.links.send(host, message),
+        }
+    }
+
+    /// Tells hosts the software of targets.
+    fn publish_software(&self, to: Audience, software: Vec<TargetSoftware>) {
+        if !software.is_empty() {
+            self.publish(to, Downward::Software(software));
+        }
+    }
+
+    /// Records the software that a target states, and tells all hosts if it is new.
+    pub(super) fn hear_software(&mut self, presence: &AnnouncedHeartbeat) {
+        let now = self.now();
+        let Some(software) = self.software.hear(presence, now) else {
+            return;
+        };
+        tracing::info!(
+            target = &*software.target, life = software.incarnation, version = &*software.version,
+            services = ?presence.announcement.services,
+            "target runs a version of its software"
+        );
+        self.publish_software(Audience::All, vec![software]);
+        let fleet = self.state.fleet();
+        self.software.retain(|target| {
+            fleet.get(target).is_some() || *target == presence.announcement.target
+        });
+    }
+
     /// Performs one output of the leader.
     pub(super) fn perform_output(&mut self, output: Output) {
         match output {
             Output::Propose(command) => self.propose(command.encode(), None),
             Output::Order(order) => self.send_order(order),
             Output::Publish { to, view } => {
-                let message = Message::Downward(Downward::View(view));
-                match to {
-                    Audience::All => {
-                        let hosts = self.subscribers.iter().copied();
-                        self.setup.links.send_all(hosts, &message);
-                    }
-                    Audience::Host(host) => self.setup.links.send(host, message),
-                }
+                // Before the view, so that no host sends to a target of unknown software.
+                self.publish_software(to, self.software.of_view(&view));
+                self.publish(to, Downward::View(view));
             }
             Output::Lease {
                 host,
--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -29,6 +29,7 @@
                     presence.heartbeat.target.clone(),
                     presence.heartbeat.incarnation,
                 );
+                self.hear_software(&presence);
                 self.handle(Input::Presence(presence));
                 if leaving {
                     return self.leave(target, Some(incarnation), answer);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -239,6 +239,7 @@
                     .host_state
                     .send_modify(|host| host.settings = settings);
             }
+            session::Event::Software(software) => self.handle_event(Event::Software(software)),
             session::Event::Lease { until, version } => {
                 let until = until.saturating_duration_since(self.setup.epoch);
                 self.handle_event(Event::Lease { until, version });
@@ -339,7 +340,7 @@
             payload: Arc::new(payload),
             fingerprint: request.fingerprint,
             caller: request.caller.clone(),
-            content: request.content,
+            content: request.content(),
             sections: SectionIds::from(&request.sections[..]),
             reply,
             delivered: Arc::new(AtomicU64::new(delivered)),
@@ -439,11 +440,9 @@
             | Action::ClearStrikes { .. }
             | Action::AcquitSections { .. }) => self.report_strikes(strikes),
             Action::Probe { target, address } => self.probe(target, address),
-            Action::Reserve {
-                target,
-                incarnation,
-            } => self.reserve(target, incarnation),
-            Action::AskTrial { id, parts } => self.ask_trial(id, parts),
+            question @ (Action::Reserve { .. }
+            | Action::AskTrial { .. }
+            | Action::AskOrigin { .. }) => self.ask_leader(question),
             Action::Report => self.urgent = true,
             Action::RequestView { .. } => self.setup.session.request_full_view(),
             Action::BadSettings { version, error } => {
@@ -465,6 +464,9 @@
                 target,
                 incarnation,
             }),
+            Action::ReportStreams { streams } => {
+                self.setup.session.send(Upward::StreamsBegun(streams));
+            }
             Action::Unreserve {
                 target,
                 incarnation,
--- a/crates/node/src/entry/background.rs
+++ b/crates/node/src/entry/background.rs
@@ -23,6 +23,9 @@
 /// Timeout for committing a claim; after it the request is refused.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Timeout for the leader's answer about the origin of a stream; after it the request is refused.
+const ORIGIN_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Timeout for committing that a target leaves; targets try another host after a similar time.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -249,8 +252,25 @@
         });
     }
 
+    /// Asks the leader what the core wants to know.
+    pub(super) fn ask_leader(&self, action: Action) {
+        match action {
+            Action::Reserve {
+                target,
+                incarnation,
+            } => self.reserve(target, incarnation),
+            Action::AskTrial { id, parts } => self.ask_trial(id, parts),
+            Action::AskOrigin {
+                id,
+                service,
+                attempt,
+            } => self.ask_origin(id, service, attempt),
+            other => tracing::error!(?other, "unexpected action: not a question"),
+        }
+    }
+
     /// Asks the leader to reserve a target for suspect requests from this host only.
-    pub(super) fn reserve(&self, target: TargetId, incarnation: Incarnation) {
+    fn reserve(&self, target: TargetId, incarnation: Incarnation) {
         let session = self.setup.session.clone();
         let inputs = self.setup.input_sender.clone();
         tokio::spawn(async move {
@@ -269,7 +289,7 @@
     }
 
     /// Asks the leader whether a request may run as a trial of its refused parts.
-    pub(super) fn ask_trial(&self, id: CallId, parts: Vec<u64>) {
+    fn ask_trial(&self, id: CallId, parts: Vec<u64>) {
         let session = self.setup.session.clone();
         let inputs = self.setup.input_sender.clone();
         tokio::spawn(async move {
@@ -279,6 +299,27 @@
         });
     }
 
+    /// Asks the leader which version began the stream that a request takes up.
+    fn ask_origin(&self, id: CallId, service: Name, attempt: Option<u64>) {
+        let session = self.setup.session.clone();
+        let inputs = self.setup.input_sender.clone();
+        tokio::spawn(async move {
+            let named = attempt.is_some();
+            let question = Question::StreamOrigin { service, attempt };
+            let answer = session.ask(question, ORIGIN_TIMEOUT).await;
+            let answer = answer
+                .inspect_err(|error| tracing::info!(%error, "the leader told no stream's origin"))
+                .ok();
+            let answer = answer.and_then(|json| {
+                serde_json::from_slice(&json)
+                    .inspect_err(|error| tracing::warn!(%error, "cannot read a stream's origin"))
+                    .ok()
+            });
+            tracing::info!(call = id, named, ?answer, "caller takes up a stream");
+            let _ = inputs.send(Input::Event(Event::OriginAnswered { id, answer }));
+        });
+    }
+
     /// Checks whether a target accepts TCP connections.
     pub(super) fn probe(&self, target: TargetId, address: std::net::SocketAddr) {
         let inputs = self.setup.input_sender.clone();
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use cornelhitch_entry::entries::{CallerLocation, EntryHosts};
-use cornelhitch_entry::event::{Request as Call, RequestedResource, RouteLimits};
+use cornelhitch_entry::event::{
+    Identity, Request as Call, RequestedResource, Resumes, RouteLimits,
+};
 use cornelhitch_entry::fingerprint;
 use cornelhitch_target::client::RequestId;
 use cornelhitch_types::id::{Name, Version};
@@ -67,6 +69,8 @@
     pub prompt: Vec<PromptSection>,
     /// The id of the last event that the caller has, if it resumes a stream.
     pub resume: Option<u64>,
+    /// The id of the attempt that brought the first event of that stream, if the caller names it.
+    pub resumes: Option<RequestId>,
 }
 
 /// A request that this host answers itself, without a target.
@@ -298,7 +302,11 @@
     let mut call = Call::new(id, from.ip().to_string(), what);
     let host = host_name(&parts).unwrap_or_default();
     call.fingerprint = fingerprint::of_routed(&call.caller, host, path, &body);
-    call.content = Some(fingerprint::of_content(host, path, &body));
+    call.identity = Some(Box::new(Identity {
+        content: fingerprint::of_content(host, path, &body),
+        attempt: fingerprint::of_attempt(&metadata.id),
+        resumes: resumed_stream(route, &metadata),
+    }));
     call.deadline = Some(
         metadata
             .deadline
@@ -337,6 +345,18 @@
     Ok((call, routed))
 }
 
+/// Returns which stream a request takes up, if it does and may.
+fn resumed_stream(route: &Route, metadata: &RequestMetadata) -> Option<Resumes> {
+    let may_resume = route.is_stream && route.retry != RetryPolicy::Never;
+    let has_events = metadata.resume.is_some_and(|last| last > 0);
+    if !(may_resume && has_events) {
+        return None;
+    }
+    let named = metadata.resumes.as_deref();
+    let named = named.map(|id| Resumes::Attempt(fingerprint::of_attempt(id)));
+    Some(named.unwrap_or(Resumes::Unnamed))
+}
+
 /// Returns the requested resource: a model if the service runs models and one is named, or
 /// else the service itself.
 fn requested(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod server;
 pub mod session;
 pub mod socket;
+pub mod software;
 mod startup;
 pub mod timestamped;
 pub mod trials;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use cornelhitch_entry::software::StreamBegun;
 use cornelhitch_settings::process;
 use cornelhitch_types::demand::DemandReport;
 use cornelhitch_types::entry::Host;
-use cornelhitch_types::id::{HostId, Incarnation, TargetId, Term, Time, Version};
-use cornelhitch_types::target::{AnnouncedHeartbeat, Announcement, Heartbeat, RequestRate};
+use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Term, Time, Version};
+use cornelhitch_types::target::{
+    AnnouncedHeartbeat, Announcement, Heartbeat, RequestRate, TargetSoftware,
+};
 use cornelhitch_types::view::View;
 use cornelhitch_wire::hello::ProcessId;
 use serde::{Deserialize, Serialize};
@@ -94,6 +97,8 @@
         /// The time, from now on.
         pause: Time,
     },
+    /// Streams that began at targets of a service that runs several versions of its software.
+    StreamsBegun(Vec<StreamBegun>),
 }
 
 /// A query that only the leader can answer; the answer is JSON.
@@ -118,6 +123,13 @@
     },
     /// Whether one request may run as a trial of these parts.
     Trial(Vec<u64>),
+    /// Which version of a service's software began a stream.
+    StreamOrigin {
+        /// The service.
+        service: Name,
+        /// The digest of the attempt that brought its first event, if the caller names one.
+        attempt: Option<u64>,
+    },
 }
 
 /// A membership change that an operator requests.
@@ -173,6 +185,8 @@
         /// The answer as JSON.
         json: Bytes,
     },
+    /// The software of targets that are in the next view, or that have stated it since.
+    Software(Vec<TargetSoftware>),
 }
 
 /// The content of one datagram, encoded with postcard.
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -44,6 +44,7 @@
                 attempt,
                 target = &*to.target,
                 life = to.incarnation,
+                software = to.software.as_deref(),
                 replica = to.replica,
                 after_ms = elapsed_ms(exchange),
                 left_ms = remaining_ms(exchange),
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -9,6 +9,7 @@
 use cornelhitch_settings::process;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Term, Version};
+use cornelhitch_types::target::TargetSoftware;
 use cornelhitch_types::view::View;
 use cornelhitch_wire::hello::ProcessId;
 use serde::Serialize;
@@ -42,6 +43,8 @@
 pub enum Event {
     /// The view changed.
     View(View),
+    /// The leader told the software of targets.
+    Software(Vec<TargetSoftware>),
     /// The lease was renewed.
     Lease {
         /// When the lease ends.
@@ -339,6 +342,10 @@
                     let _ = self.setup.events.send(Event::View(view));
                 }
             }
+            Downward::Software(software) => {
+                self.record_leader_message(from);
+                let _ = self.setup.events.send(Event::Software(software));
+            }
             Downward::Committed { call, reply } => self.answer(from, call, reply),
             Downward::Answer { call, json } => self.answer(from, call, json),
         }
--- /dev/null
+++ b/crates/node/src/software.rs
@@ -0,0 +1,152 @@
+//! What the leader knows of the targets' software: the versions that they state, and which of them
+//! began the streams of services that run several.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use cornelhitch_entry::software::{ORIGIN_RETENTION, OriginAnswer, StreamBegun, Version};
+use cornelhitch_types::id::{Incarnation, Name, TargetId, Time};
+use cornelhitch_types::target::{AnnouncedHeartbeat, TargetSoftware};
+use cornelhitch_types::view::{Change, View};
+
+/// How long after its last heartbeat a target counts for the versions of its service.
+const HEARD_TIME: Duration = Duration::from_secs(5);
+
+/// Maximum number of streams with a record; the oldest are dropped first.
+const MAX_RECORDS: usize = 200_000;
+
+/// The register of one leader's term.
+///
+/// It is soft state: a new leader hears all targets again, and entry hosts tell it of their streams
+/// again.
+#[derive(Debug, Default)]
+pub struct SoftwareRegister {
+    /// When the leader began to hear targets.
+    since: Time,
+    targets: BTreeMap<TargetId, (Incarnation, Name)>,
+    /// When a target of each version of a service was last heard.
+    heard: BTreeMap<Name, BTreeMap<Version, Time>>,
+    records: HashMap<u64, Version>,
+    /// Records in the order in which they expire.
+    expiries: VecDeque<(Time, u64)>,
+}
+
+impl SoftwareRegister {
+    /// Creates the register of a leader that begins to hear targets.
+    #[must_use]
+    pub fn new(now: Time) -> Self {
+        Self {
+            since: now,
+            ..Self::default()
+        }
+    }
+
+    /// Records what a target states; returns it if it is new.
+    pub fn hear(&mut self, presence: &AnnouncedHeartbeat, now: Time) -> Option<TargetSoftware> {
+        let announcement = &presence.announcement;
+        let (target, incarnation) = (&announcement.target, announcement.incarnation);
+        let known = self.targets.get(target).cloned();
+        if known
+            .as_ref()
+            .is_some_and(|(known, _)| *known > incarnation)
+        {
+            return None;
+        }
+        for service in &announcement.services {
+            let versions = self.heard.entry(service.clone()).or_default();
+            versions.insert(presence.software.clone(), now);
+            versions.retain(|_, heard| now < *heard + ORIGIN_RETENTION);
+        }
+        let version = presence.software.clone()?;
+        let stated = (incarnation, version.clone());
+        if known.as_ref() == Some(&stated) {
+            return None;
+        }
+        self.targets.insert(target.clone(), stated);
+        Some(TargetSoftware {
+            target: target.clone(),
+            incarnation,
+            version,
+        })
+    }
+
+    /// Returns the software of the targets that a view adds or changes.
+    #[must_use]
+    pub fn of_view(&self, view: &View) -> Vec<TargetSoftware> {
+        let targets = view.changes.iter().filter_map(|change| match change {
+            Change::Target(target) => self.targets.get_key_value(&target.target),
+            _ => None,
+        });
+        let software = targets.map(|(target, (incarnation, version))| TargetSoftware {
+            target: target.clone(),
+            incarnation: *incarnation,
+            version: version.clone(),
+        });
+        software.collect()
+    }
+
+    /// Forgets targets that are not registered any more.
+    pub fn retain(&mut self, is_registered: impl Fn(&TargetId) -> bool) {
+        self.targets.retain(|target, _| is_registered(target));
+    }
+
+    /// Records which versions began streams.
+    pub fn record_streams(&mut self, streams: Vec<StreamBegun>, now: Time) {
+        for stream in streams {
+            self.records.insert(stream.attempt, stream.version);
+            let expiry = now + ORIGIN_RETENTION;
+            self.expiries.push_back((expiry, stream.attempt));
+        }
+        while let Some((expiry, attempt)) = self.expiries.front().copied()
+            && (expiry <= now || self.expiries.len() > MAX_RECORDS)
+        {
+            self.expiries.pop_front();
+            // A stream that was recorded again has a later entry.
+            let newer = expiry > now && self.expiries.iter().any(|(_, other)| *other == attempt);
+            if !newer {
+                self.records.remove(&attempt);
+            }
+        }
+    }
+
+    /// Returns what is known of the origin of a stream.
+    #[must_use]
+    pub fn origin(&self, service: &str, attempt: Option<u64>, now: Time) -> OriginAnswer {
+        let recorded = attempt.and_then(|attempt| {
+            let version = self.records.get(&attempt)?.clone();
+            Some(StreamBegun { attempt, version })
+        });
+        let heard = self.heard.get(service).into_iter().flatten();
+        let current = heard
+            .clone()
+            .filter(|(_, heard)| now < **heard + HEARD_TIME);
+        let versions: Vec<Version> = current.map(|(version, _)| version.clone()).collect();
+        let others = heard.filter(|(version, _)| !versions.contains(version));
+        let last = others.map(|(_, heard)| *heard).max();
+        let changed = last.unwrap_or(self.since).max(self.since);
+        let unchanged_ms = now.saturating_sub(changed).as_millis();
+        OriginAnswer {
+            recorded,
+            versions,
+            unchanged_ms: u64::try_from(unchanged_ms).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Returns the versions of each service, with the number of targets of each, for operators.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let targets = self.targets.iter();
+        let targets: BTreeMap<&str, &str> = targets
+            .map(|(target, (_, version))| (&**target, &**version))
+            .collect();
+        let services = self.heard.iter().map(|(service, versions)| {
+            let versions = versions.keys();
+            let versions: Vec<&str> = versions.map(|it| it.as_deref().unwrap_or("")).collect();
+            (&**service, versions)
+        });
+        let services: BTreeMap<&str, Vec<&str>> = services.collect();
+        serde_json::json!({
+            "targets": targets, "services": services, "streams": self.records.len(),
+        })
+    }
+}
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -58,6 +58,10 @@
                 incarnation,
             } => self.reservations.release(from.host, target, incarnation),
             Upward::Propose { call, command } => self.propose(command, Some((from.host, call))),
+            Upward::StreamsBegun(streams) => {
+                let now = self.now();
+                self.software.record_streams(streams, now);
+            }
             Upward::Ask { call, question } => self.answer_question(from.host, call, question),
             about_target => self.on_target_report(from.host, about_target),
         }
@@ -137,6 +141,10 @@
                 let now = self.now();
                 json(&self.reservations.reserve(host, target, incarnation, now))
             }
+            Question::StreamOrigin { service, attempt } => {
+                let now = self.now();
+                json(&self.software.origin(&service, attempt, now))
+            }
             Question::Trial(parts) => {
                 let now = self.now();
                 let granted = self.trials.grant(&parts, now);
@@ -171,6 +179,7 @@
             "in_force": self.settings_in_force,
             "digest": hex(&self.state.digest()),
             "state": self.state.dump(),
+            "software": self.software.dump(),
             "leader": self.setup.leader.dump(&self.state, self.unix_time()),
         })
     }
--- a/crates/node/tests/fleet/simulation.rs
+++ b/crates/node/tests/fleet/simulation.rs
@@ -5,7 +5,7 @@
 
 use cornelhitch_control::prelude::*;
 use cornelhitch_control::sections::{self, Acquittal};
-use cornelhitch_entry::event::{Attempt, CallId, Failure, RouteLimits};
+use cornelhitch_entry::event::{Attempt, CallId, Failure, Identity, RouteLimits};
 use cornelhitch_entry::prelude::*;
 use cornelhitch_node::trials::Trials;
 use cornelhitch_planner::Planner;
@@ -372,7 +372,10 @@
         };
         let mut request = Request::new(id, "dealer", what);
         request.fingerprint = fingerprint;
-        request.content = Some(content);
+        request.identity = Some(Box::new(Identity {
+            content,
+            ..Identity::default()
+        }));
         request.sections = sections.to_vec();
         request.repeatable = true;
         request.deadline = Some(Duration::from_secs(4));
@@ -885,5 +888,6 @@
             cache: Vec::new(),
             leaving: false,
         },
+        software: None,
     }
 }
--- a/crates/types/src/target.rs
+++ b/crates/types/src/target.rs
@@ -238,6 +238,21 @@
     pub announcement: Announcement,
     /// The current state of the target.
     pub heartbeat: Heartbeat,
+    /// The version of the target's software, which is not that of the weights it holds; `None` if it
+    /// states none. Only the leader that receives the message keeps it.
+    #[serde(skip)]
+    pub software: Option<Name>,
+}
+
+/// The version of the software that an incarnation of a target runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetSoftware {
+    /// The target.
+    pub target: TargetId,
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// The version that it states.
+    pub version: Name,
 }
 
 /// A worker's count of orders and its copies, as reported in response to a query.
