--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -9,7 +9,7 @@
 use crate::event::{Attempt, Request};
 use crate::queue::{QueueKey, Rank};
 use crate::route::Place;
-use crate::software::Version;
+use crate::software::SoftwareVersion;
 use crate::suspects::{Knowledge, Suspicion};
 
 /// The progress of a request over all its attempts; it never decreases, except by
@@ -119,7 +119,7 @@
     /// Whether the caller has its final response or has disconnected.
     pub answered: bool,
     /// The version of the software that began its stream; `None` before the stream has begun.
-    pub origin: Option<Version>,
+    pub origin: Option<SoftwareVersion>,
     /// The refused parts that it is to try.
     pub tried: Vec<u64>,
     /// Until when it may be sent as their trial.
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -11,7 +11,7 @@
 use crate::finish::Rejection;
 use crate::queue::QueueKey;
 use crate::request::{Call, Progress, RunningAttempt, Stage};
-use crate::software::{OriginAnswer, StreamBegun, Version};
+use crate::software::{OriginAnswer, SoftwareVersion, StreamBegun};
 
 /// `Retry-After` of a stream that cannot go on now.
 const RESUME_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -159,7 +159,7 @@
 
     /// Whether a target that serves a request runs a version. A closed one counts: it may be open again
     /// with its next heartbeat.
-    fn runs_version(&self, call: &Call, version: &Version) -> bool {
+    fn runs_version(&self, call: &Call, version: &SoftwareVersion) -> bool {
         let view = &self.fleet_view;
         let runs = |target: &Name| {
             let known = view.targets.get(target);
--- a/crates/entry/src/software.rs
+++ b/crates/entry/src/software.rs
@@ -24,7 +24,7 @@
 const ORIGIN_SLACK: Duration = Duration::from_secs(2);
 
 /// A version of a target's software; `None` if the target states none.
-pub type Version = Option<Name>;
+pub type SoftwareVersion = Option<Name>;
 
 /// A stream that began at a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,7 +32,7 @@
     /// The digest of the caller's attempt; see [`crate::fingerprint::of_attempt`].
     pub attempt: u64,
     /// The version of the target's software.
-    pub version: Version,
+    pub version: SoftwareVersion,
 }
 
 /// What the leader knows of the origin of a stream.
@@ -41,7 +41,7 @@
     /// The stream's record, if there is one.
     pub recorded: Option<StreamBegun>,
     /// The versions that targets of the service run now, as far as the leader has heard them.
-    pub versions: Vec<Version>,
+    pub versions: Vec<SoftwareVersion>,
     /// How long it has heard no others, in milliseconds.
     pub unchanged_ms: u64,
 }
@@ -69,7 +69,7 @@
 }
 
 /// Returns the key of a version in [`Software::seen`].
-fn key(version: &Version) -> String {
+fn key(version: &SoftwareVersion) -> String {
     version.as_deref().unwrap_or_default().to_owned()
 }
 
@@ -97,7 +97,7 @@
 
     /// Returns the version that an incarnation of a target runs.
     #[must_use]
-    pub fn version(&self, target: &str, incarnation: Incarnation) -> Version {
+    pub fn version(&self, target: &str, incarnation: Incarnation) -> SoftwareVersion {
         let stated = self.targets.get(target);
         let stated = stated.filter(|stated| stated.incarnation == incarnation);
         stated.map(|stated| stated.version.clone())
@@ -132,7 +132,7 @@
     }
 
     /// Returns the version that all targets of a service have run for a time, if there is one.
-    fn only_version(&self, service: &str, length: Duration, now: Time) -> Option<Version> {
+    fn only_version(&self, service: &str, length: Duration, now: Time) -> Option<SoftwareVersion> {
         let mut present = self.present.iter().filter(|(name, _)| **name == *service);
         let (_, version) = present.next()?;
         if present.next().is_some() {
@@ -156,7 +156,7 @@
         answer: &OriginAnswer,
         limit: Duration,
         now: Time,
-    ) -> Option<Version> {
+    ) -> Option<SoftwareVersion> {
         if let Some(recorded) = &answer.recorded {
             return Some(recorded.version.clone());
         }
--- a/crates/node/src/entry/background.rs
+++ b/crates/node/src/entry/background.rs
@@ -303,6 +303,7 @@
     fn ask_origin(&self, id: CallId, service: Name, attempt: Option<u64>) {
         let session = self.setup.session.clone();
         let inputs = self.setup.input_sender.clone();
+        let metrics = self.setup.metrics.clone();
         tokio::spawn(async move {
             let named = attempt.is_some();
             let question = Question::StreamOrigin { service, attempt };
@@ -315,6 +316,10 @@
                     .inspect_err(|error| tracing::warn!(%error, "cannot read a stream's origin"))
                     .ok()
             });
+            metrics.increment(Count::StreamsTakenUp);
+            if answer.is_none() {
+                metrics.increment(Count::StreamsUntold);
+            }
             tracing::info!(call = id, named, ?answer, "caller takes up a stream");
             let _ = inputs.send(Input::Event(Event::OriginAnswered { id, answer }));
         });
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -25,6 +25,10 @@
     Strikes,
     /// Strikes whose commit was not confirmed.
     StrikesUnconfirmed,
+    /// Streams that callers take up after a break.
+    StreamsTakenUp,
+    /// Those about whose origin the leader did not answer.
+    StreamsUntold,
     /// Requests that were refused.
     Refusals,
     /// Answers whose first byte was forwarded.
--- a/crates/node/src/software.rs
+++ b/crates/node/src/software.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
-use cornelhitch_entry::software::{ORIGIN_RETENTION, OriginAnswer, StreamBegun, Version};
+use cornelhitch_entry::software::{ORIGIN_RETENTION, OriginAnswer, SoftwareVersion, StreamBegun};
 use cornelhitch_types::id::{Incarnation, Name, TargetId, Time};
 use cornelhitch_types::target::{AnnouncedHeartbeat, TargetSoftware};
 use cornelhitch_types::view::{Change, View};
@@ -15,6 +15,13 @@
 /// Maximum number of streams with a record; the oldest are dropped first.
 const MAX_RECORDS: usize = 200_000;
 
+/// The record of a stream.
+#[derive(Debug)]
+struct Record {
+    version: SoftwareVersion,
+    expiry: Time,
+}
+
 /// The register of one leader's term.
 ///
 /// It is soft state: a new leader hears all targets again, and entry hosts tell it of their streams
@@ -25,9 +32,10 @@
     since: Time,
     targets: BTreeMap<TargetId, (Incarnation, Name)>,
     /// When a target of each version of a service was last heard.
-    heard: BTreeMap<Name, BTreeMap<Version, Time>>,
-    records: HashMap<u64, Version>,
-    /// Records in the order in which they expire.
+    heard: BTreeMap<Name, BTreeMap<SoftwareVersion, Time>>,
+    records: HashMap<u64, Record>,
+    /// The streams of the records in the order in which they expire; those recorded again are in it
+    /// more than once.
     expiries: VecDeque<(Time, u64)>,
 }
 
@@ -92,18 +100,19 @@
 
     /// Records which versions began streams.
     pub fn record_streams(&mut self, streams: Vec<StreamBegun>, now: Time) {
+        let expiry = now + ORIGIN_RETENTION;
         for stream in streams {
-            self.records.insert(stream.attempt, stream.version);
-            let expiry = now + ORIGIN_RETENTION;
+            let version = stream.version;
+            let record = Record { version, expiry };
+            self.records.insert(stream.attempt, record);
             self.expiries.push_back((expiry, stream.attempt));
         }
         while let Some((expiry, attempt)) = self.expiries.front().copied()
             && (expiry <= now || self.expiries.len() > MAX_RECORDS)
         {
             self.expiries.pop_front();
-            // A stream that was recorded again has a later entry.
-            let newer = expiry > now && self.expiries.iter().any(|(_, other)| *other == attempt);
-            if !newer {
+            let record = self.records.get(&attempt);
+            if record.is_some_and(|record| record.expiry == expiry) {
                 self.records.remove(&attempt);
             }
         }
@@ -113,14 +122,14 @@
     #[must_use]
     pub fn origin(&self, service: &str, attempt: Option<u64>, now: Time) -> OriginAnswer {
         let recorded = attempt.and_then(|attempt| {
-            let version = self.records.get(&attempt)?.clone();
+            let version = self.records.get(&attempt)?.version.clone();
             Some(StreamBegun { attempt, version })
         });
         let heard = self.heard.get(service).into_iter().flatten();
         let current = heard
             .clone()
             .filter(|(_, heard)| now < **heard + HEARD_TIME);
-        let versions: Vec<Version> = current.map(|(version, _)| version.clone()).collect();
+        let versions: Vec<SoftwareVersion> = current.map(|(version, _)| version.clone()).collect();
         let others = heard.filter(|(version, _)| !versions.contains(version));
         let last = others.map(|(_, heard)| *heard).max();
         let changed = last.unwrap_or(self.since).max(self.since);
--- /dev/null
+++ b/crates/node/tests/software.rs
@@ -0,0 +1,133 @@
+//! What the leader knows of the targets' software and of the streams that they began.
+
+use std::time::Duration;
+
+use cornelhitch_entry::software::{ORIGIN_RETENTION, StreamBegun};
+use cornelhitch_node::software::SoftwareRegister;
+use cornelhitch_types::id::Time;
+use cornelhitch_types::target::{AnnouncedHeartbeat, Announcement, Heartbeat, Kind, Load};
+
+/// The service of all targets.
+const SERVICE: &str = "engines";
+
+fn at(seconds: u64) -> Time {
+    Time::from_secs(seconds)
+}
+
+/// Returns a heartbeat of a target that states its software, if any.
+fn presence(target: &str, incarnation: u64, software: Option<&str>) -> AnnouncedHeartbeat {
+    AnnouncedHeartbeat {
+        announcement: Announcement {
+            target: target.into(),
+            incarnation,
+            kind: Kind::Worker,
+            address: ([10, 0, 0, 1], 80).into(),
+            region: "perth".into(),
+            zone: "a".into(),
+            memory: 0,
+            accelerators: 1,
+            fencing: true,
+            services: vec![SERVICE.into()],
+            slots: Some(8),
+            incarnation_is_start_time: true,
+        },
+        heartbeat: Heartbeat {
+            target: target.into(),
+            incarnation,
+            sequence: 1,
+            fence: 0,
+            inventory: Vec::new(),
+            load: Load::default(),
+            cache: Vec::new(),
+            leaving: false,
+        },
+        software: software.map(Into::into),
+    }
+}
+
+/// Returns the record of a stream.
+fn stream(attempt: u64, version: &str) -> StreamBegun {
+    let version = Some(version.into());
+    StreamBegun { attempt, version }
+}
+
+#[test]
+fn software_is_told_once_for_each_incarnation() {
+    // A heartbeat's incarnation and version, and whether the hosts are told of it.
+    let rows = [
+        (5, Some("v1"), true),
+        (5, Some("v1"), false),
+        (4, Some("v0"), false),
+        (6, Some("v1"), true),
+        (6, Some("v2"), true),
+        (7, None, false),
+    ];
+    let mut register = SoftwareRegister::new(at(0));
+    for (incarnation, version, told) in rows {
+        let new = register.hear(&presence("w1", incarnation, version), at(1));
+        assert_eq!(new.is_some(), told, "{incarnation} {version:?}");
+    }
+}
+
+#[test]
+fn the_versions_that_a_service_runs_are_those_heard_lately() {
+    let mut register = SoftwareRegister::new(at(0));
+    register.hear(&presence("w1", 1, Some("v1")), at(1));
+    register.hear(&presence("w2", 1, Some("v2")), at(3));
+    let versions = |register: &SoftwareRegister, now| {
+        let answer = register.origin(SERVICE, None, at(now));
+        let versions: Vec<_> = answer.versions.into_iter().flatten().collect();
+        (versions.join(" "), answer.unchanged_ms)
+    };
+    assert_eq!(versions(&register, 4), ("v1 v2".to_owned(), 4_000));
+    // The first target was last heard 6 s ago: it has ended.
+    assert_eq!(versions(&register, 7), ("v2".to_owned(), 6_000));
+    assert_eq!(versions(&register, 30), (String::new(), 27_000));
+}
+
+#[test]
+fn a_target_that_states_no_version_counts_as_one_of_its_own() {
+    let mut register = SoftwareRegister::new(at(0));
+    register.hear(&presence("w1", 1, Some("v1")), at(1));
+    register.hear(&presence("w2", 1, None), at(1));
+    assert_eq!(register.origin(SERVICE, None, at(2)).versions.len(), 2);
+}
+
+#[test]
+fn a_stream_is_on_record_until_nobody_can_take_it_up() {
+    let mut register = SoftwareRegister::new(at(0));
+    register.record_streams(vec![stream(7, "v1"), stream(8, "v2")], at(1));
+    // A caller took one of them up since.
+    register.record_streams(vec![stream(7, "v1")], at(20));
+    let first = at(1) + ORIGIN_RETENTION;
+    // The time, and whether each stream is on record.
+    let rows = [
+        (at(30), [true, true]),
+        (first, [true, false]),
+        (at(20) + ORIGIN_RETENTION, [false, false]),
+    ];
+    for (now, on_record) in rows {
+        register.record_streams(Vec::new(), now);
+        let recorded = [7, 8].map(|attempt| {
+            let answer = register.origin(SERVICE, Some(attempt), now);
+            answer.recorded.is_some()
+        });
+        assert_eq!(recorded, on_record, "{now:?}");
+    }
+}
+
+#[test]
+fn records_are_bounded() {
+    let mut register = SoftwareRegister::new(at(0));
+    let streams = (0..200_100).map(|attempt| stream(attempt, "v1"));
+    register.record_streams(streams.collect(), at(1));
+    let recorded = |attempt| {
+        let answer = register.origin(SERVICE, Some(attempt), at(2));
+        answer.recorded.is_some()
+    };
+    assert_eq!(
+        [0, 99, 100, 200_099].map(recorded),
+        [false, false, true, true]
+    );
+    assert!(ORIGIN_RETENTION > Duration::from_secs(13));
+}
