--- a/crates/entry/tests/versions.rs
+++ b/crates/entry/tests/versions.rs
@@ -383,3 +383,13 @@
     }));
     assert_eq!(reported(&actions), [1]);
 }
+
+#[test]
+fn the_record_of_a_stream_is_kept_up_by_each_try_that_names_it() {
+    let mut host = Host::new(&["v1", "v2"]);
+    let actions = host.take_up(1, recorded("v1"));
+    assert!(sent_to(&actions).is_some(), "{actions:?}");
+    host.handle(Event::Sent { id: 1, attempt: 1 });
+    let actions = host.handle(Event::ResponseStarted { id: 1, attempt: 1 });
+    assert_eq!(reported(&actions), [1, 7]);
+}
