--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -144,7 +144,11 @@
             Output::Order(order) => self.send_order(order),
             Output::Publish { to, view } => {
                 // Before the view, so that no host sends to a target of unknown software.
-                self.publish_software(to, self.software.of_view(&view));
+                let software = match to {
+                    Audience::All => self.software.of_first_view(&view),
+                    Audience::Host(_) => self.software.of_view(&view),
+                };
+                self.publish_software(to, software);
                 self.publish(to, Downward::View(view));
             }
             Output::Lease {
--- a/crates/node/src/software.rs
+++ b/crates/node/src/software.rs
@@ -31,6 +31,8 @@
     /// When the leader began to hear targets.
     since: Time,
     targets: BTreeMap<TargetId, (Incarnation, Name)>,
+    /// The incarnations that were in a view for all hosts.
+    published: BTreeMap<TargetId, Incarnation>,
     /// When a target of each version of a service was last heard.
     heard: BTreeMap<Name, BTreeMap<SoftwareVersion, Time>>,
     records: HashMap<u64, Record>,
@@ -78,7 +80,7 @@
         })
     }
 
-    /// Returns the software of the targets that a view adds or changes.
+    /// Returns the software of the targets in a view that goes to one host.
     #[must_use]
     pub fn of_view(&self, view: &View) -> Vec<TargetSoftware> {
         let targets = view.changes.iter().filter_map(|change| match change {
@@ -93,9 +95,20 @@
         software.collect()
     }
 
+    /// Returns the software of the targets in a view that goes to all hosts, of each incarnation once.
+    pub fn of_first_view(&mut self, view: &View) -> Vec<TargetSoftware> {
+        let mut software = self.of_view(view);
+        software.retain(|it| {
+            let published = self.published.insert(it.target.clone(), it.incarnation);
+            published != Some(it.incarnation)
+        });
+        software
+    }
+
     /// Forgets targets that are not registered any more.
     pub fn retain(&mut self, is_registered: impl Fn(&TargetId) -> bool) {
         self.targets.retain(|target, _| is_registered(target));
+        self.published.retain(|target, _| is_registered(target));
     }
 
     /// Records which versions began streams.
--- a/crates/node/tests/software.rs
+++ b/crates/node/tests/software.rs
@@ -6,6 +6,7 @@
 use cornelhitch_node::software::SoftwareRegister;
 use cornelhitch_types::id::Time;
 use cornelhitch_types::target::{AnnouncedHeartbeat, Announcement, Heartbeat, Kind, Load};
+use cornelhitch_types::view::{Change, Target, View};
 
 /// The service of all targets.
 const SERVICE: &str = "engines";
@@ -69,6 +70,41 @@
     }
 }
 
+/// Returns a view that has a target.
+fn view(target: &str, incarnation: u64) -> View {
+    let target = Target {
+        target: target.into(),
+        incarnation,
+        kind: Kind::Worker,
+        address: ([10, 0, 0, 1], 80).into(),
+        region: "perth".into(),
+        zone: "a".into(),
+        services: vec![SERVICE.into()],
+        open: true,
+        load: Load::default(),
+        slots: Some(8),
+    };
+    View {
+        term: 1,
+        from: 1,
+        to: 2,
+        changes: vec![Change::Target(target)],
+    }
+}
+
+#[test]
+fn all_hosts_are_told_of_an_incarnation_with_its_first_view_alone() {
+    let mut register = SoftwareRegister::new(at(0));
+    for incarnation in [1, 2] {
+        register.hear(&presence("w1", incarnation, Some("v1")), at(1));
+        let first = view("w1", incarnation);
+        // Each later change of its load is a view that has the target.
+        let told = [0; 3].map(|_| register.of_first_view(&first).len());
+        assert_eq!(told, [1, 0, 0], "incarnation {incarnation}");
+        assert_eq!(register.of_view(&first).len(), 1, "a host that asks");
+    }
+}
+
 #[test]
 fn the_versions_that_a_service_runs_are_those_heard_lately() {
     let mut register = SoftwareRegister::new(at(0));
