--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -189,7 +189,7 @@
             position,
             hosts: hosts.len(),
         });
-        self.suspects.judge(&request.parts(), turn, self.now)
+        self.suspects.judge(request.parts(), turn, self.now)
     }
 
     /// Returns the refusal for a request with a part under which targets end.
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -431,7 +431,7 @@
         if is_trial && call.progress == Progress::Unsent {
             return None;
         }
-        let part = self.suspects.refused_for(&call.request.parts())?;
+        let part = self.suspects.refused_for(call.request.parts())?;
         let run = match call.progress {
             Progress::Unsent => Run::NotRun,
             _ => Run::Failed,
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -12,6 +12,7 @@
 
 use crate::claim;
 use crate::software::OriginAnswer;
+use crate::suspects::Parts;
 
 /// A request's number, assigned by the owner; unique within a process.
 pub type CallId = u64;
@@ -175,10 +176,18 @@
         }
     }
 
-    /// Returns the ids that ends of targets are counted by: what the request asks for, and the
-    /// sections of its prompt that others may have in common.
+    /// Returns the parts by which ends of targets are counted.
     #[must_use]
-    pub fn parts(&self) -> Vec<u64> {
+    pub fn parts(&self) -> Parts<'_> {
+        Parts {
+            content: self.content(),
+            sections: &self.sections,
+        }
+    }
+
+    /// Returns the ids of the parts: what the request asks for first, then the sections.
+    #[must_use]
+    pub fn part_ids(&self) -> Vec<u64> {
         let sections = self.sections.iter().copied();
         self.content().into_iter().chain(sections).collect()
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -152,7 +152,7 @@
         Suspect {
             fingerprint: self.request.fingerprint,
             suspicion: Suspicion {
-                sections: self.request.parts(),
+                sections: self.request.part_ids(),
                 tried: self.tried.clone(),
             },
             strikes: run.strikes,
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -52,6 +52,35 @@
 /// How long after it was asked for a trial may be sent.
 pub(crate) const TRIAL_SEND_TIME: Duration = Duration::from_secs(2);
 
+/// The parts of a request by which ends of targets are counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Parts<'a> {
+    /// What the whole request asks for, whoever sends it.
+    pub content: Option<u64>,
+    /// The sections of its prompt that others may have in common.
+    pub sections: &'a [u64],
+}
+
+impl Parts<'_> {
+    /// Whether the request has a part.
+    fn holds(self, part: u64) -> bool {
+        self.content == Some(part) || self.sections.contains(&part)
+    }
+}
+
+impl<'a> From<&'a [u64]> for Parts<'a> {
+    fn from(sections: &'a [u64]) -> Self {
+        let content = None;
+        Self { content, sections }
+    }
+}
+
+impl<'a, const N: usize> From<&'a [u64; N]> for Parts<'a> {
+    fn from(sections: &'a [u64; N]) -> Self {
+        Self::from(&sections[..])
+    }
+}
+
 /// Whether the sections of a prompt allow a request to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdict {
@@ -148,21 +177,21 @@
 
     /// Decides whether a request runs. If its sections are refused, it runs only as a trial in this
     /// host's turn, which is recorded.
-    pub fn judge(&mut self, sections: &[u64], turn: Option<Turn>, now: Time) -> Verdict {
-        let Some(first) = self.refused_for(sections) else {
+    pub fn judge(&mut self, parts: Parts, turn: Option<Turn>, now: Time) -> Verdict {
+        let Some(first) = self.refused_for(parts) else {
             return Verdict::Run;
         };
         let waits = self.tried.is_some_and(|tried| now < tried + TRIAL_TIMEOUT);
         let due = turn.and_then(|turn| {
-            let due = self.trial_due(sections)?;
+            let due = self.trial_due(parts)?;
             Some(due + turn.delay(self.newest))
         });
         if waits || due.is_none_or(|due| now < due) {
             return Verdict::Refuse(first);
         }
         self.tried = Some(now);
-        let tried = self.tried_by(sections);
-        let tried = tried.flat_map(|set| &set.sections).copied();
+        let tried = self.tried_by(parts);
+        let tried = tried.into_iter().flat_map(|set| set.sections);
         let tried: BTreeSet<u64> = tried.collect();
         Verdict::Try(tried.into_iter().collect())
     }
@@ -170,28 +199,43 @@
     /// Returns the refused sets that a request would try: those that explain crashes, or if it holds
     /// none of these, those that others explain. If its target ends, nothing more is known of
     /// those that were explained before.
-    fn tried_by(&self, sections: &[u64]) -> impl Iterator<Item = &Refused> {
-        let explains = self.refused_in(sections).any(|set| !set.excused);
-        let sets = self.refused_in(sections);
-        sets.filter(move |set| !(explains && set.excused))
+    fn tried_by(&self, parts: Parts) -> Vec<Refused> {
+        let mut sets = self.refused_in(parts);
+        if sets.iter().any(|set| !set.excused) {
+            sets.retain(|set| !set.excused);
+        }
+        sets
     }
 
-    /// Returns the refused sets that a request holds.
-    fn refused_in(&self, sections: &[u64]) -> impl Iterator<Item = &Refused> {
+    /// Returns the refused sets that a request holds. What a whole request asks for is refused at the
+    /// limit also where others explain its crashes: it can be told from all that is sound.
+    fn refused_in(&self, parts: Parts) -> Vec<Refused> {
+        let is_held = |part: &u64| parts.holds(*part);
         let sets = self.refused.iter();
-        let is_held = |section: &u64| sections.contains(section);
-        sets.filter(move |set| set.sections.iter().all(is_held))
+        let held = sets.filter(|set| set.sections.iter().all(is_held));
+        let mut held: Vec<Refused> = held.cloned().collect();
+        if let Some(content) = parts.content
+            && let Some(record) = self.records.get(&content)
+            && record.crashes.len() >= self.limit as usize
+            && !held.iter().any(|set| set.sections == [content])
+        {
+            held.push(Refused {
+                sections: vec![content],
+                excused: true,
+            });
+        }
+        held
     }
 
     /// Returns when a request may be sent to try its refused sections; `None` if one of them was
     /// tried often enough.
-    fn trial_due(&self, sections: &[u64]) -> Option<Time> {
-        let suspected = sections.iter();
-        let suspected = suspected.filter(|section| self.records.contains_key(section));
+    fn trial_due(&self, parts: Parts) -> Option<Time> {
+        let suspected = parts.content.iter().chain(parts.sections);
+        let suspected = suspected.filter(|part| self.records.contains_key(part));
         let further = u32::try_from(suspected.count()).unwrap_or(u32::MAX);
         let further = FURTHER_SECTION_WAIT.saturating_mul(further.saturating_sub(1));
         let mut latest = Time::ZERO;
-        for set in self.tried_by(sections) {
+        for set in self.tried_by(parts) {
             for section in &set.sections {
                 let record = self.records.get(section)?;
                 let wait = trial_wait(record.trials(), set.excused)?;
@@ -203,9 +247,9 @@
 
     /// Returns a section for which a request is refused outside a trial.
     #[must_use]
-    pub fn refused_for(&self, sections: &[u64]) -> Option<u64> {
-        let set = self.refused_in(sections).next()?;
-        set.sections.first().copied()
+    pub fn refused_for(&self, parts: Parts) -> Option<u64> {
+        let sets = self.refused_in(parts);
+        sets.first()?.sections.first().copied()
     }
 
     /// Records a target that ended with a request's sections in progress.
@@ -342,10 +386,12 @@
         sets.any(|set| set.sections.contains(&section))
     }
 
-    /// Whether any section is refused.
+    /// Whether any part may be refused.
     #[must_use]
     pub fn refuses_any(&self) -> bool {
-        !self.refused.is_empty()
+        let limit = self.limit as usize;
+        let mut records = self.records.values();
+        !self.refused.is_empty() || records.any(|record| record.crashes.len() >= limit)
     }
 
     /// Returns all sections with their targets that ended.
--- a/crates/entry/tests/suspects_of_many_hosts.rs
+++ b/crates/entry/tests/suspects_of_many_hosts.rs
@@ -53,7 +53,7 @@
                 position,
                 hosts: HOSTS,
             };
-            let verdict = host.judge(sections, Some(turn), at(now));
+            let verdict = host.judge(sections.into(), Some(turn), at(now));
             if now >= 8_000 {
                 asked += 1;
                 refused += usize::from(matches!(verdict, Verdict::Refuse(_)));
@@ -75,7 +75,7 @@
         };
         host.strike(&suspicion, &lost, at(10_000));
     }
-    assert!(host.refused_for(&[FIRST, CRASHING]).is_some());
+    assert!(host.refused_for((&[FIRST, CRASHING]).into()).is_some());
 }
 
 #[test]
--- a/crates/node/tests/fleet/crashing_callers.rs
+++ b/crates/node/tests/fleet/crashing_callers.rs
@@ -90,8 +90,9 @@
         }
     }
 
-    /// Plays the schedule; the crashing request comes from a given time after its start.
-    fn run(&mut self, crashing_after: Time) {
+    /// Plays the schedule; the crashing request comes from a given time after its start, some copies
+    /// of it at once.
+    fn run(&mut self, crashing_after: Time, copies: usize) {
         let start = self.fleet.now;
         let intervals = [200, 100, 150].map(|mean| self.random.random_range(mean / 2..mean * 3));
         let mut steps = 0_u64;
@@ -99,8 +100,10 @@
             self.trouble();
             let due = intervals.map(|interval| (steps * 10).is_multiple_of(interval / 10 * 10));
             if due[0] && self.fleet.now >= start + crashing_after {
-                let id = self.send(CRASHING);
-                self.crashing.insert(id);
+                for _ in 0..copies {
+                    let id = self.send(CRASHING);
+                    self.crashing.insert(id);
+                }
             }
             if due[1] {
                 let id = self.send(POLLED);
@@ -147,13 +150,13 @@
     Trouble::Ends,
 ];
 
-#[test]
-fn a_request_that_crashed_three_targets_is_sent_no_more_for_any_caller() {
+/// Returns what broke the bound on late sends, with some copies of the request at once.
+fn too_late(copies: usize) -> Vec<String> {
     let mut broken = Vec::new();
     for trouble in TROUBLES {
         for seed in 0..20 {
             let mut schedule = Schedule::new(seed, trouble);
-            schedule.run(Time::from_secs(5));
+            schedule.run(Time::from_secs(5), copies);
             let (ends, late) = (schedule.fleet.crashes.len(), schedule.late());
             if late > TOLERATED {
                 broken.push(format!(
@@ -162,6 +165,18 @@
             }
         }
     }
+    broken
+}
+
+#[test]
+fn a_request_that_crashed_three_targets_is_sent_no_more_for_any_caller() {
+    let broken = too_late(1);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+#[test]
+fn copies_of_a_crashing_request_that_come_at_once_are_sent_no_more() {
+    let broken = too_late(5);
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
@@ -172,7 +187,7 @@
         for seed in 0..20 {
             let mut schedule = Schedule::new(seed, trouble);
             let start = schedule.fleet.now;
-            schedule.run(Time::from_secs(5));
+            schedule.run(Time::from_secs(5), 1);
             let share = schedule.polled_share(start + LENGTH / 2);
             if share < 0.5 {
                 broken.push(format!("{trouble:?}, seed {seed}: {share:.2} answered"));
--- a/crates/node/tests/trials.rs
+++ b/crates/node/tests/trials.rs
@@ -55,7 +55,7 @@
                 position,
                 hosts: HOSTS,
             };
-            let verdict = host.judge(&[FIRST, CRASHING], Some(turn), at(now));
+            let verdict = host.judge((&[FIRST, CRASHING]).into(), Some(turn), at(now));
             if let Verdict::Try(parts) = verdict
                 && leader.grant(&parts, at(now))
             {
