--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -210,12 +210,18 @@
     reserved: u32,
 }
 
+/// Returns the whole retries that an allowance holds.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole_retries(allowance: f64) -> u32 {
+    allowance as u32
+}
+
 impl Shared {
     /// Creates the budget of a host that has just started.
     fn new(serving: &Serving, window: Duration) -> Self {
         Self {
             ratio: serving.retry_ratio,
-            slack: serving.retry_slack,
+            slack: whole_retries(serving.retry_slack),
             window,
             host_share: HostShare::new(window),
             accounts: BTreeMap::new(),
--- a/crates/entry/tests/repeats/simulation.rs
+++ b/crates/entry/tests/repeats/simulation.rs
@@ -129,7 +129,7 @@
             strikes: 3,
             quarantine: false,
             retry_ratio: RATIO,
-            retry_slack: SLACK,
+            retry_slack: f64::from(SLACK),
             retry_window_ms: WINDOW.as_secs_f64() * 1e3,
             ..Serving::default()
         };
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -154,8 +154,9 @@
     pub quarantine: bool,
     /// Retry budget: retries earned by each first attempt, over all entry hosts.
     pub retry_ratio: f64,
-    /// Retry budget: additional retries per [`Serving::retry_window_ms`], over all entry hosts.
-    pub retry_slack: u32,
+    /// Retry budget: additional retries per [`Serving::retry_window_ms`], over all entry hosts; a
+    /// fraction allows no further retry.
+    pub retry_slack: f64,
     /// Window over which retries are counted, in milliseconds; 0 counts them on each host
     /// separately.
     pub retry_window_ms: f64,
@@ -172,7 +173,7 @@
             section_strikes: 3,
             quarantine: true,
             retry_ratio: 0.2,
-            retry_slack: 64,
+            retry_slack: 64.0,
             retry_window_ms: 0.0,
         }
     }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -251,7 +251,7 @@
         optional("section-strikes", ValueType::Integer(1, MAX_SECTION_STRIKES), "Targets that may fail under a section of prompts before requests with it are refused; 3."),
         optional("quarantine", ValueType::Bool, "Whether a request that took a target down runs again only where no other request does; true."),
         optional("retry-ratio", ValueType::Number(0.0, 10.0), "Retries that each first send earns for the entry hosts together; 0.2."),
-        optional("retry-slack", ValueType::Integer(0, MAX_COUNT), "Retries that all entry hosts together may make besides, in `retry-window-ms`; 64."),
+        optional("retry-slack", ValueType::Number(0.0, 100_000.0), "Retries that all entry hosts together may make besides, in `retry-window-ms`; 64."),
         optional("retry-window-ms", ValueType::Number(0.0, 86_400_000.0), "The time over which retries are counted, in milliseconds; 0, the default, counts them on each host alone."),
     ],
 };
