--- a/crates/control/src/hosting.rs
+++ b/crates/control/src/hosting.rs
@@ -43,6 +43,12 @@
 /// The minimum interval between two plans.
 const MIN_PLAN_INTERVAL: Time = Time::from_millis(40);
 
+/// The minimum interval between two plans for each worker: a plan takes longer with more of them.
+const PLAN_INTERVAL_PER_WORKER: Time = Time::from_millis(1);
+
+/// The longest that two plans are kept apart.
+const MAX_PLAN_INTERVAL: Time = Time::from_secs(1);
+
 /// Moving averages of the demand for a model.
 #[derive(Debug, Clone, Copy)]
 struct MeanDemand {
@@ -88,6 +94,13 @@
         self.workers.remove(target);
     }
 
+    /// Returns the minimum interval between two plans.
+    fn plan_interval(&self) -> Time {
+        let workers = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
+        let interval = PLAN_INTERVAL_PER_WORKER.saturating_mul(workers);
+        interval.clamp(MIN_PLAN_INTERVAL, MAX_PLAN_INTERVAL)
+    }
+
     /// Requests a plan.
     pub(crate) fn request_plan(&mut self) {
         self.plan_requested = true;
@@ -298,7 +311,8 @@
         let Some(table) = ctx.state.current_table().table().cloned() else {
             return;
         };
-        if !self.hosting.plan_requested || ctx.now < self.hosting.last_plan + MIN_PLAN_INTERVAL {
+        let next_plan = self.hosting.last_plan + self.hosting.plan_interval();
+        if !self.hosting.plan_requested || ctx.now < next_plan {
             return;
         }
         self.hosting.plan_requested = false;
--- a/crates/planner/examples/hosting.rs
+++ b/crates/planner/examples/hosting.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 
 /// Numbers of workers and models.
-const SIZES: [(usize, usize); 4] = [(60, 200), (120, 200), (600, 200), (7_900, 59)];
+const SIZES: [(usize, usize); 5] = [(60, 200), (117, 390), (120, 200), (600, 200), (7_900, 59)];
 /// Models in a worker's accelerator memory.
 const HELD: usize = 3;
 /// Models on a worker's disk.
--- a/crates/planner/src/hosting.rs
+++ b/crates/planner/src/hosting.rs
@@ -139,14 +139,7 @@
     /// Returns the next orders, at most one for each worker.
     #[must_use]
     pub fn plan(&mut self, service_state: &ServiceState) -> Vec<PlannedOrder> {
-        let mut pass = PlanningPass {
-            service_state,
-            copies: service_state.copies(),
-            free: service_state.workers.iter().map(Worker::is_free).collect(),
-            orders: Vec::new(),
-            store_loads_in_flight: service_state.store_loads_in_flight,
-            store_open: service_state.store_open,
-        };
+        let mut pass = PlanningPass::new(service_state);
         let store_only = service_state.store_only_models();
         self.resume_planned_loads(&mut pass);
         self.load_waiting(&mut pass, &store_only);
@@ -178,7 +171,9 @@
                 self.planned_loads.insert(target, plan);
                 continue;
             }
-            if let Some(candidate) = pass.candidate(worker_index, &plan.model) {
+            let wanted = pass.wanted(&plan.model);
+            let candidate = wanted.and_then(|wanted| pass.candidate(worker_index, &wanted));
+            if let Some(candidate) = candidate {
                 self.accept(pass, candidate, plan);
             }
         }
@@ -241,7 +236,7 @@
             let copies = pass.copies(model);
             let copy_load = load_per_copy(demand, copies);
             // At most as many copies are being loaded as are serving, so that their effect shows.
-            let ramping_up = pass.service_state.loading_count(model) * 2 >= copies;
+            let ramping_up = pass.loading(model) * 2 >= copies;
             if ramping_up || copy_load <= OVERLOAD_THRESHOLD || self.is_planned(model) {
                 continue;
             }
@@ -290,9 +285,12 @@
             .collect();
         models.sort_by_key(|(_, order)| *order);
         for (model, _) in models {
+            let Some(wanted) = pass.wanted(model) else {
+                continue;
+            };
             let candidates = with_room
                 .iter()
-                .filter_map(|worker_index| pass.candidate(*worker_index, model));
+                .filter_map(|worker_index| pass.candidate(*worker_index, &wanted));
             let candidates = candidates.filter(|candidate| candidate.victim.is_none());
             let Some(candidate) = cheapest(candidates) else {
                 continue;
--- a/crates/planner/src/hosting/pass.rs
+++ b/crates/planner/src/hosting/pass.rs
@@ -1,8 +1,10 @@
 //! One planning pass: the cost of placing a model on a worker, and the orders given so far.
 
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 
 use cornelhitch_types::id::{ModelId, Name};
+use cornelhitch_types::route::Model;
 use cornelhitch_types::target::Stage;
 
 use super::service_state::{DEMAND_HORIZON_S, HeldModel, ModelDemand, ServiceState, Worker};
@@ -52,11 +54,44 @@
     pub(super) from: Stage,
 }
 
+/// A model for which a worker is sought.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Wanted<'a> {
+    model: &'a ModelId,
+    settings: &'a Model,
+    /// The requests that each copy would serve with one more.
+    load: f64,
+}
+
+/// A model on a worker that may be evicted.
+#[derive(Debug, Clone)]
+struct Evictable<'a> {
+    model: &'a ModelId,
+    /// The cost of evicting it.
+    loss: f64,
+    /// The requests that the copy serves.
+    load: f64,
+    /// Whether other copies can serve its requests.
+    redundant: bool,
+}
+
+/// What candidates on a worker have in common, whatever the model.
+#[derive(Debug, Clone)]
+struct WorkerCost<'a> {
+    /// The free accelerator memory in bytes.
+    room: u64,
+    evictable: Vec<Evictable<'a>>,
+}
+
 /// The state of one planning pass.
 pub(super) struct PlanningPass<'a> {
     pub(super) service_state: &'a ServiceState<'a>,
     /// Copies of each model that serve requests or are being loaded.
-    pub(super) copies: BTreeMap<&'a ModelId, u32>,
+    copies: BTreeMap<&'a ModelId, u32>,
+    /// Workers that are loading each model.
+    loading: BTreeMap<&'a ModelId, u32>,
+    /// The costs of each worker, by position; computed on first use.
+    worker_costs: Vec<OnceCell<WorkerCost<'a>>>,
     /// Whether each worker accepts an order, by position.
     pub(super) free: Vec<bool>,
     pub(super) orders: Vec<PlannedOrder>,
@@ -64,12 +99,61 @@
     pub(super) store_open: bool,
 }
 
-impl PlanningPass<'_> {
+impl<'a> PlanningPass<'a> {
+    /// Begins a pass without orders.
+    pub(super) fn new(service_state: &'a ServiceState<'a>) -> Self {
+        Self {
+            service_state,
+            copies: service_state.copies(),
+            loading: service_state.loading_counts(),
+            worker_costs: vec![OnceCell::new(); service_state.workers.len()],
+            free: service_state.workers.iter().map(Worker::is_free).collect(),
+            orders: Vec::new(),
+            store_loads_in_flight: service_state.store_loads_in_flight,
+            store_open: service_state.store_open,
+        }
+    }
+
+    /// Returns the costs of a worker.
+    fn worker_cost(&self, worker_index: usize) -> &WorkerCost<'a> {
+        self.worker_costs[worker_index].get_or_init(|| {
+            let worker = &self.service_state.workers[worker_index];
+            let used = self.service_state.used_bytes(worker);
+            let held = worker.held.iter().filter(|held| !held.unloading);
+            WorkerCost {
+                room: self.service_state.engine.memory.saturating_sub(used),
+                evictable: held.map(|held| self.evictable(&held.model)).collect(),
+            }
+        })
+    }
+
     /// Returns the copies of a model that serve requests or are being loaded.
     pub(super) fn copies(&self, model: &ModelId) -> u32 {
         self.copies.get(model).copied().unwrap_or(0)
     }
 
+    /// Returns the number of workers that are loading a model.
+    pub(super) fn loading(&self, model: &ModelId) -> u32 {
+        self.loading.get(model).copied().unwrap_or(0)
+    }
+
+    /// Returns what candidates for a model have in common; `None` if the service does not have it.
+    pub(super) fn wanted<'m>(&'m self, model: &'m ModelId) -> Option<Wanted<'m>> {
+        let settings = self.service_state.models.get(model)?;
+        let load = self.expected_load(model) / f64::from(self.copies(model) + 1);
+        Some(Wanted {
+            model,
+            settings,
+            load,
+        })
+    }
+
+    /// Returns the requests that a model serves now and is expected to serve soon.
+    fn expected_load(&self, model: &ModelId) -> f64 {
+        let demand = self.service_state.demand.get(model);
+        demand.map_or(0.0, ModelDemand::expected_load)
+    }
+
     /// Returns the workers that accept an order now and have room for the smallest model.
     pub(super) fn workers_with_room(&self) -> Vec<usize> {
         let smallest = self
@@ -109,21 +193,25 @@
 
     /// Returns the cheapest worker for a model, including those that are busy now.
     pub(super) fn best(&self, model: &ModelId) -> Option<Candidate> {
-        cheapest(
-            (0..self.free.len()).filter_map(|worker_index| self.candidate(worker_index, model)),
-        )
+        let wanted = self.wanted(model)?;
+        let workers = 0..self.free.len();
+        cheapest(workers.filter_map(|worker_index| self.candidate(worker_index, &wanted)))
     }
 
     /// Returns the candidates for a model among the workers that accept an order now.
-    pub(super) fn free_candidates(&self, model: &ModelId) -> impl Iterator<Item = Candidate> {
+    pub(super) fn free_candidates<'m>(
+        &'m self,
+        model: &'m ModelId,
+    ) -> impl Iterator<Item = Candidate> + use<'a, 'm> {
+        let wanted = self.wanted(model);
         let free = (0..self.free.len()).filter(|worker_index| self.free[*worker_index]);
-        free.filter_map(|worker_index| self.candidate(worker_index, model))
+        free.filter_map(move |worker_index| self.candidate(worker_index, wanted.as_ref()?))
     }
 
     /// Returns the cost of loading a model on one worker, or `None` if that is not possible.
-    pub(super) fn candidate(&self, worker_index: usize, model: &ModelId) -> Option<Candidate> {
+    pub(super) fn candidate(&self, worker_index: usize, wanted: &Wanted) -> Option<Candidate> {
         let worker = &self.service_state.workers[worker_index];
-        let model_settings = self.service_state.models.get(model)?;
+        let model = wanted.model;
         if !worker.open || worker.holds(model) || worker.loading.as_ref() == Some(model) {
             return None;
         }
@@ -134,21 +222,17 @@
             .copied()
             .unwrap_or(Stage::Remote);
         let load = match from {
-            Stage::Memory => model_settings.from_memory.as_secs_f64(),
-            Stage::Disk => model_settings.from_disk.as_secs_f64(),
+            Stage::Memory => wanted.settings.from_memory.as_secs_f64(),
+            Stage::Disk => wanted.settings.from_disk.as_secs_f64(),
             _ if !self.store_open || self.store_loads_in_flight >= MAX_STORE_LOADS => return None,
-            _ => model_settings.from_store.as_secs_f64(),
+            _ => wanted.settings.from_store.as_secs_f64(),
         };
-        let room = self
-            .service_state
-            .engine
-            .memory
-            .saturating_sub(self.service_state.used_bytes(worker));
-        let (victim, loss) = if model_settings.bytes <= room {
+        let worker_cost = self.worker_cost(worker_index);
+        let (victim, loss) = if wanted.settings.bytes <= worker_cost.room {
             (None, 0.0)
         } else {
-            let (victim, loss) = self.victim(worker, model)?;
-            (Some(victim), loss)
+            let victim = worker_cost.victim(wanted.load)?;
+            (Some(victim.model.clone()), victim.loss)
         };
         let extra_order = if victim.is_some() { EXTRA_ORDER_S } else { 0.0 };
         Some(Candidate {
@@ -160,34 +244,18 @@
         })
     }
 
-    /// Returns the model on a worker that is cheapest to evict for `model`, and its eviction loss.
-    fn victim(&self, worker: &Worker, model: &ModelId) -> Option<(ModelId, f64)> {
-        let held = worker.held.iter().filter(|held| !held.unloading);
-        let held = held.filter(|held| self.may_evict(&held.model, model));
-        let losses = held.map(|held| (held.model.clone(), self.eviction_loss(&held.model)));
-        losses.min_by(|one, other| one.1.total_cmp(&other.1))
-    }
-
-    /// Returns whether a copy of `held` may be evicted for `model`.
-    ///
-    /// The only copy of a model, or one without which the others would be heavily overloaded, stays
-    /// if it serves more requests than the other model would: otherwise two models in high demand
-    /// would evict each other in turn and spend more time loading than serving.
-    fn may_evict(&self, held: &ModelId, model: &ModelId) -> bool {
-        let expected_load = |model| {
-            self.service_state
-                .demand
-                .get(model)
-                .map_or(0.0, ModelDemand::expected_load)
-        };
-        let copies = self.copies(held);
-        let demand = self.service_state.demand.get(held);
+    /// Returns what evicting a copy of a model costs.
+    fn evictable(&self, model: &'a ModelId) -> Evictable<'a> {
+        let copies = self.copies(model);
+        let demand = self.service_state.demand.get(model);
         let load = demand.map_or(0.0, ModelDemand::current_load);
-        if copies > 1 && load / f64::from(copies - 1) <= HEAVY_OVERLOAD_THRESHOLD {
-            return true;
+        let redundant = copies > 1 && load / f64::from(copies - 1) <= HEAVY_OVERLOAD_THRESHOLD;
+        Evictable {
+            model,
+            loss: self.eviction_loss(model),
+            load: self.expected_load(model) / f64::from(copies.max(1)),
+            redundant,
         }
-        let lost = expected_load(held) / f64::from(copies.max(1));
-        lost < expected_load(model) / f64::from(self.copies(model) + 1)
     }
 
     /// Returns the cost of evicting one copy of a model.
@@ -289,6 +357,19 @@
     }
 }
 
+impl<'a> WorkerCost<'a> {
+    /// Returns the model that is cheapest to evict for one that would serve `load` requests.
+    ///
+    /// The only copy of a model, or one without which the others would be heavily overloaded, stays
+    /// if it serves more requests than the other model would: otherwise two models in high demand
+    /// would evict each other in turn and spend more time loading than serving.
+    fn victim(&self, load: f64) -> Option<&Evictable<'a>> {
+        let evictable = self.evictable.iter();
+        let evictable = evictable.filter(|held| held.redundant || held.load < load);
+        evictable.min_by(|one, other| one.loss.total_cmp(&other.loss))
+    }
+}
+
 /// Returns the candidate with the least cost.
 pub(super) fn cheapest(candidates: impl Iterator<Item = Candidate>) -> Option<Candidate> {
     candidates.min_by(|one, other| one.cost.total_cmp(&other.cost))
--- a/crates/planner/src/hosting/service_state.rs
+++ b/crates/planner/src/hosting/service_state.rs
@@ -140,11 +140,14 @@
         store_only
     }
 
-    /// Returns the number of workers that are loading a model.
-    pub(super) fn loading_count(&self, model: &ModelId) -> u32 {
-        let loading = self.workers.iter().filter(|worker| worker.open);
-        let loading = loading.filter(|worker| worker.loading.as_ref() == Some(model));
-        u32::try_from(loading.count()).unwrap_or(u32::MAX)
+    /// Returns the number of workers that are loading each model.
+    pub(super) fn loading_counts(&self) -> BTreeMap<&ModelId, u32> {
+        let mut counts = BTreeMap::new();
+        let open = self.workers.iter().filter(|worker| worker.open);
+        for model in open.filter_map(|worker| worker.loading.as_ref()) {
+            *counts.entry(model).or_default() += 1;
+        }
+        counts
     }
 
     /// Returns the number of open workers with a copy of each model nearer than the weight store.
