--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -203,10 +203,11 @@
         now: Time,
     ) -> Vec<Action> {
         self.now = self.now.max(now);
-        self.run_timers();
         for event in events {
             self.dispatch(event);
         }
+        // After the events: what has arrived counts, though its owner was late to handle it.
+        self.run_timers();
         self.flush();
         let mut actions = std::mem::take(&mut self.actions);
         actions.sort_by_key(|action| !matches!(action, Action::Persist(_)));
--- a/crates/quorum/src/core/progress.rs
+++ b/crates/quorum/src/core/progress.rs
@@ -33,6 +33,8 @@
     pub(super) durable: Index,
     /// The latest stamp that the member echoed.
     pub(super) stamp: Option<Time>,
+    /// When this leader last handled a response of the member.
+    pub(super) heard: Option<Time>,
     /// The last commit index sent to the member.
     pub(super) last_commit_sent: Index,
     /// When the member last made progress.
@@ -47,6 +49,7 @@
             next,
             durable: 0,
             stamp: None,
+            heard: None,
             last_commit_sent: 0,
             advanced_at: now,
         }
--- a/crates/quorum/src/core/replicate.rs
+++ b/crates/quorum/src/core/replicate.rs
@@ -184,6 +184,7 @@
             return false;
         }
         progress.stamp = progress.stamp.max(Some(stamp.min(self.stamp)));
+        progress.heard = Some(self.now);
         true
     }
 
@@ -255,10 +256,24 @@
         self.membership().quorum_value(stamp).flatten()
     }
 
+    /// Returns the last time at which a quorum had responded, counting this member with now.
+    fn quorum_heard(&self) -> Option<Time> {
+        let me = self.me().id;
+        let heard = |id| match id {
+            id if id == me => Some(self.now),
+            id => self.progress.get(&id).and_then(|p| p.heard),
+        };
+        self.membership().quorum_value(heard).flatten()
+    }
+
     /// The time at which the leader steps down unless a quorum responds earlier.
+    ///
+    /// It counts from the handling of the responses and not from the stamps that they echo: a leader
+    /// whose owner was busy or stood still has heard from its quorum once it handles what arrived
+    /// meanwhile. The lease counts from the stamps.
     pub(super) fn quorum_deadline(&self) -> Time {
-        let quorum_stamp = self.quorum_stamp(self.now).unwrap_or_default();
-        quorum_stamp.max(self.leader_since) + self.config.election_timeout
+        let heard = self.quorum_heard().unwrap_or_default();
+        heard.max(self.leader_since) + self.config.election_timeout
     }
 
     /// Steps down if no quorum has responded within an election timeout.
