--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -32,10 +32,12 @@
 use cornelhitch_types::order::{Order, Outcome};
 use cornelhitch_types::target::Inspection;
 use cornelhitch_wire::hello::ProcessId;
+use tokio::sync::mpsc::error::TryRecvError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::backlog::{self, Backlog, Class, Item};
 use crate::datagrams::DatagramSocket;
 use crate::links::Links;
 use crate::message::{Datagram, Downward, Incoming, Message, PeerEvent};
@@ -49,6 +51,10 @@
 /// Interval between ticks of the leader.
 const LEADER_TICK: Duration = Duration::from_millis(50);
 
+/// Time after which the control task lets the tasks of the links run, which read and write the
+/// messages of the replicated log.
+const SLICE: Duration = Duration::from_millis(5);
+
 /// A message to the control task from another task of this process.
 #[derive(Debug)]
 pub enum TaskMessage {
@@ -156,6 +162,10 @@
 /// The state of the control task.
 pub(crate) struct Control {
     pub(crate) setup: Setup,
+    /// The messages that wait to be handled.
+    backlog: Backlog,
+    /// When the leader's periodic work is due next.
+    next_tick: Instant,
     pub(crate) state: State,
     pub(crate) role: Role,
     pub(crate) term: Term,
@@ -200,6 +210,8 @@
 pub async fn run(setup: Setup) {
     let (lease, _) = watch::channel(None);
     let control = Control {
+        backlog: Backlog::default(),
+        next_tick: Instant::now(),
         state: State::default(),
         role: Role::Follower,
         term: 0,
@@ -226,26 +238,95 @@
 
 impl Control {
     /// Processes messages, ticks and timers until the process stops.
+    ///
+    /// Between two looks at the messages of the replicated log it handles other messages for
+    /// [`SLICE`] and then the one at hand to its end.
     async fn serve(mut self) {
-        let mut ticks = tokio::time::interval(LEADER_TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut slice = Instant::now();
         self.quorum_event(Event::Tick);
-        loop {
-            let wake = self.setup.epoch + self.setup.core.next_wake();
-            tokio::select! {
-                () = self.setup.stop.cancelled() => return,
-                incoming = self.setup.incoming.recv() => match incoming {
-                    Some(incoming) => self.peer_event(incoming),
-                    None => return,
-                },
-                message = self.setup.task_messages.recv() => match message {
-                    Some(message) => self.task_message(message),
-                    None => return,
-                },
-                () = tokio::time::sleep_until(wake) => self.quorum_event(Event::Tick),
-                _ = ticks.tick() => self.tick(),
-            }
+        while !self.setup.stop.is_cancelled() && self.collect() {
+            self.run_due();
+            let Some(item) = self.backlog.pop() else {
+                self.renew_lease();
+                if !self.wait().await {
+                    return;
+                }
+                slice = Instant::now();
+                continue;
+            };
+            self.handle_item(item);
             self.renew_lease();
+            if slice.elapsed() >= SLICE {
+                tokio::task::yield_now().await;
+                slice = Instant::now();
+            }
+        }
+    }
+
+    /// Moves the messages that have arrived to the backlog; returns false once none can arrive.
+    fn collect(&mut self) -> bool {
+        let peers = loop {
+            match self.setup.incoming.try_recv() {
+                Ok(incoming) => self.backlog.push(Item::Peer(incoming)),
+                Err(error) => break error != TryRecvError::Disconnected,
+            }
+        };
+        let tasks = loop {
+            match self.setup.task_messages.try_recv() {
+                Ok(message) => self.backlog.push(Item::Task(message)),
+                Err(error) => break error != TryRecvError::Disconnected,
+            }
+        };
+        let superseded = self.backlog.take_superseded();
+        self.setup.metrics.add(Count::ControlSuperseded, superseded);
+        peers && tasks
+    }
+
+    /// Handles the messages of the replicated log that wait, and what is due by the clock.
+    fn run_due(&mut self) {
+        while let Some(item) = self.backlog.pop_consensus() {
+            self.handle_item(item);
+        }
+        if self.now() >= self.setup.core.next_wake() {
+            self.quorum_event(Event::Tick);
+        }
+        let now = Instant::now();
+        if now >= self.next_tick {
+            self.next_tick = now + LEADER_TICK;
+            self.tick();
+        }
+    }
+
+    /// Waits for a message or for what is due by the clock; returns false once no message can arrive.
+    async fn wait(&mut self) -> bool {
+        let wake = self.setup.epoch + self.setup.core.next_wake();
+        tokio::select! {
+            () = self.setup.stop.cancelled() => false,
+            incoming = self.setup.incoming.recv() => {
+                let incoming = incoming.map(Item::Peer);
+                incoming.map(|item| self.backlog.push(item)).is_some()
+            }
+            message = self.setup.task_messages.recv() => {
+                let message = message.map(Item::Task);
+                message.map(|item| self.backlog.push(item)).is_some()
+            }
+            () = tokio::time::sleep_until(wake.min(self.next_tick)) => true,
+        }
+    }
+
+    /// Handles one message of the backlog.
+    fn handle_item(&mut self, item: Item) {
+        let count = match backlog::class(&item) {
+            Class::Consensus => Count::ControlConsensus,
+            Class::Command => Count::ControlCommands,
+            Class::Renewal => Count::ControlRenewals,
+            Class::Heartbeat => Count::ControlHeartbeats,
+            Class::Report => Count::ControlReports,
+        };
+        self.setup.metrics.increment(count);
+        match item {
+            Item::Peer(incoming) => self.peer_event(incoming),
+            Item::Task(message) => self.task_message(message),
         }
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -69,6 +69,18 @@
     OrdersWithheld,
     /// Entries of the replicated log that were applied.
     Applied,
+    /// Messages of the replicated log that the control task handled.
+    ControlConsensus,
+    /// Commands that it handled: all that is none of the others.
+    ControlCommands,
+    /// Lease renewals that it handled.
+    ControlRenewals,
+    /// Heartbeats of targets that it handled.
+    ControlHeartbeats,
+    /// Demand reports that it handled.
+    ControlReports,
+    /// Renewals, heartbeats and reports that newer ones replaced before it came to them.
+    ControlSuperseded,
 }
 
 /// The latency histograms; each variant is exported under its name.
