--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -5,6 +5,7 @@
 use cornelhitch_types::id::{HostId, ReplicaId, TargetId, Term, Time};
 use cornelhitch_types::view::{Change, View};
 
+use crate::full_views::FullViews;
 use crate::output::{Audience, Output};
 use crate::view_builder::ViewBuilder;
 
@@ -35,6 +36,7 @@
     changed_hosts: BTreeSet<HostId>,
     changed_sections: BTreeSet<u64>,
     other_changes: Vec<Change>,
+    full_views: FullViews,
 }
 
 impl Feed {
@@ -52,6 +54,7 @@
             changed_hosts: BTreeSet::new(),
             changed_sections: BTreeSet::new(),
             other_changes: Vec::new(),
+            full_views: FullViews::default(),
         }
     }
 
@@ -137,25 +140,19 @@
         })
     }
 
-    /// Returns the changes that an entry host has missed, or the full view if they are no longer
-    /// kept; `None` before the first full view was published.
-    pub(crate) fn resync(
-        &self,
-        host: HostId,
-        term: Term,
-        sequence: u64,
-        view_builder: &ViewBuilder,
-    ) -> Option<Output> {
-        self.last_published?;
-        let to = Audience::Host(host);
+    /// Returns the changes that an entry host has missed; `None` if it needs the full view, which it
+    /// gets with [`Feed::send_full_views`].
+    pub(crate) fn resync(&mut self, host: HostId, term: Term, sequence: u64) -> Option<Output> {
         let first = self
             .publications
             .front()
             .map_or(self.sequence + 1, |publication| publication.sequence);
         let known = (first.saturating_sub(1)..=self.sequence).contains(&sequence);
-        if term != self.term || !known {
-            return Some(self.full_view(to, view_builder));
+        if term != self.term || !known || !self.is_published() {
+            self.full_views.request(host);
+            return None;
         }
+        let to = Audience::Host(host);
         let missed = self
             .publications
             .iter()
@@ -171,6 +168,18 @@
         Some(Output::Publish { to, view })
     }
 
+    /// Sends the full view to some of the entry hosts that wait for it, once it was published.
+    pub(crate) fn send_full_views(&mut self, view_builder: &ViewBuilder) -> Option<Output> {
+        self.last_published?;
+        let hosts = self.full_views.take_due(view_builder.now);
+        let to = match hosts[..] {
+            [] => return None,
+            [host] => Audience::Host(host),
+            _ => Audience::Hosts(hosts),
+        };
+        Some(self.full_view(to, view_builder))
+    }
+
     /// Builds a publication of the full view.
     fn full_view(&self, to: Audience, view_builder: &ViewBuilder) -> Output {
         let view = View {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod error;
 mod feed;
 pub mod fleet;
+mod full_views;
 mod heartbeats;
 mod hosting;
 pub mod input;
--- a/crates/control/src/output.rs
+++ b/crates/control/src/output.rs
@@ -10,12 +10,14 @@
 use crate::command::Command;
 
 /// The recipients of a view.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Audience {
-    /// Every subscribed entry host.
+    /// Every entry host that has a view of this term.
     All,
     /// One entry host.
     Host(HostId),
+    /// Several entry hosts.
+    Hosts(Vec<HostId>),
 }
 
 /// An action of the leader.
--- a/crates/control/src/term_state.rs
+++ b/crates/control/src/term_state.rs
@@ -187,8 +187,7 @@
                 term,
                 sequence,
             } => {
-                let view_builder = self.view_builder(ctx.state, ctx.now);
-                let answer = self.feed.resync(host, term, sequence, &view_builder);
+                let answer = self.feed.resync(host, term, sequence);
                 ctx.out.extend(answer);
             }
             Input::Tick => self.on_tick(planner, ctx),
@@ -224,6 +223,7 @@
         } else if self.all_targets_reported(ctx) {
             ctx.out.push(self.feed.publish_full(&view_builder));
         }
+        ctx.out.extend(self.feed.send_full_views(&view_builder));
     }
 
     /// Returns whether every target has sent a heartbeat in this term, or the time to wait for the
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+use std::time::Duration;
+
 use common::{Bench, MODELS, entry_host, heartbeat, model_copy, report, worker};
 use cornelhitch_control::claims::Outcome;
 use cornelhitch_control::prelude::*;
@@ -284,3 +287,47 @@
         assert_eq!(loads.count() > 0, !left, "{orders:?}");
     }
 }
+
+/// A new leader that sent all entry hosts the full view at once had no time for the replicated log.
+#[test]
+fn full_views_after_an_election_are_sent_to_a_few_hosts_at_a_time() {
+    const HOSTS: u64 = 191;
+    const STEP: Duration = Duration::from_millis(50);
+    let mut bench = bench();
+    bench.outputs.clear();
+    let mut served = BTreeSet::new();
+    for round in 0..40 {
+        for host in 0..HOSTS {
+            // Hosts ask again while they wait.
+            if round == 0 || round == 10 && !served.contains(&host) {
+                bench.handle(Input::Subscribe {
+                    host,
+                    term: 0,
+                    sequence: 0,
+                });
+            }
+        }
+        bench.now += STEP;
+        bench.handle(Input::Tick);
+        let mut sent = 0;
+        for output in bench.outputs.drain(..) {
+            let hosts = match output {
+                Output::Publish {
+                    to: Audience::Hosts(hosts),
+                    ..
+                } => hosts,
+                Output::Publish {
+                    to: Audience::Host(host),
+                    ..
+                } => vec![host],
+                _ => continue,
+            };
+            sent += hosts.len();
+            for host in hosts {
+                assert!(served.insert(host), "host {host} is served twice");
+            }
+        }
+        assert!(sent <= 16, "{sent} at once, in round {round}");
+    }
+    assert_eq!(served.len() as u64, HOSTS, "within 2 s");
+}
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -100,20 +100,30 @@
         }
     }
 
-    /// Sends a message to the hosts that subscribe to the view.
-    fn publish(&self, to: Audience, downward: Downward) {
+    /// Sends a message to the hosts that it is for.
+    fn publish(&self, to: &Audience, downward: Downward) {
         let message = Message::Downward(downward);
+        let links = &self.setup.links;
         match to {
-            Audience::All => {
-                let hosts = self.subscribers.iter().copied();
-                self.setup.links.send_all(hosts, &message);
+            Audience::All => links.send_all(self.subscribers.iter().copied(), &message),
+            Audience::Host(host) => links.send(*host, message),
+            Audience::Hosts(hosts) => links.send_all(hosts.iter().copied(), &message),
+        }
+    }
+
+    /// Sends the hosts that have just got a view all further changes.
+    fn subscribe(&mut self, to: Audience) {
+        match to {
+            Audience::All => {}
+            Audience::Host(host) => {
+                self.subscribers.insert(host);
             }
-            Audience::Host(host) => self.setup.links.send(host, message),
+            Audience::Hosts(hosts) => self.subscribers.extend(hosts),
         }
     }
 
     /// Tells hosts the software of targets.
-    fn publish_software(&self, to: Audience, software: Vec<TargetSoftware>) {
+    fn publish_software(&self, to: &Audience, software: Vec<TargetSoftware>) {
         if !software.is_empty() {
             self.publish(to, Downward::Software(software));
         }
@@ -130,7 +140,7 @@
             services = ?presence.announcement.services,
             "target runs a version of its software"
         );
-        self.publish_software(Audience::All, vec![software]);
+        self.publish_software(&Audience::All, vec![software]);
         let fleet = self.state.fleet();
         self.software.retain(|target| {
             fleet.get(target).is_some() || *target == presence.announcement.target
@@ -146,10 +156,11 @@
                 // Before the view, so that no host sends to a target of unknown software.
                 let software = match to {
                     Audience::All => self.software.of_first_view(&view),
-                    Audience::Host(_) => self.software.of_view(&view),
+                    Audience::Host(_) | Audience::Hosts(_) => self.software.of_view(&view),
                 };
-                self.publish_software(to, software);
-                self.publish(to, Downward::View(view));
+                self.publish_software(&to, software);
+                self.publish(&to, Downward::View(view));
+                self.subscribe(to);
             }
             Output::Lease {
                 host,
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -29,6 +29,9 @@
 /// Time without a message from the leader after which another voter is tried.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_600);
 
+/// Time after which a view that the leader had, and that has not arrived, is asked for again.
+const CATCH_UP_TIME: Duration = Duration::from_secs(1);
+
 /// Time after which an unanswered call is sent again.
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -178,6 +181,15 @@
     sent: Instant,
 }
 
+/// A view that the leader had.
+#[derive(Debug, Clone, Copy)]
+struct WantedView {
+    term: Term,
+    view: u64,
+    /// When this host heard of it.
+    since: Instant,
+}
+
 /// The state of the session's task.
 struct Session {
     setup: Setup,
@@ -186,6 +198,8 @@
     term: Term,
     view: u64,
     last_subscribe: Instant,
+    /// A view that the leader had, if it has not arrived yet.
+    wanted_view: Option<WantedView>,
     peers: HashMap<HostId, ProcessId>,
     /// Send times of recent lease renewals, by sequence number.
     renewals: BTreeMap<u64, Instant>,
@@ -209,6 +223,7 @@
         term: 0,
         view: 0,
         last_subscribe: Instant::now(),
+        wanted_view: None,
         peers: HashMap::new(),
         renewals: BTreeMap::new(),
         sequence: 0,
@@ -378,8 +393,23 @@
             let until = *sent + length;
             let _ = self.setup.events.send(Event::Lease { until, version });
         }
-        let behind = term != self.term || view > self.view;
-        if behind && self.last_subscribe.elapsed() > RENEWAL_INTERVAL {
+        self.check_view(term, view);
+    }
+
+    /// Subscribes again if this host has not caught up with a view that the leader had some time ago.
+    fn check_view(&mut self, term: Term, view: u64) {
+        let now = Instant::now();
+        let is_behind = |wanted: &WantedView| (self.term, self.view) < (wanted.term, wanted.view);
+        let wanted = self.wanted_view.filter(is_behind);
+        let newest = WantedView {
+            term,
+            view,
+            since: now,
+        };
+        let wanted = wanted.unwrap_or(newest);
+        self.wanted_view = Some(wanted).filter(is_behind);
+        let age = now.saturating_duration_since(wanted.since.max(self.last_subscribe));
+        if self.wanted_view.is_some() && age >= CATCH_UP_TIME {
             self.subscribe();
         }
     }
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -41,7 +41,6 @@
         }
         match upward {
             Upward::Subscribe { term, sequence } => {
-                self.subscribers.insert(from.host);
                 self.send_voters(from.host);
                 self.handle(Input::Subscribe {
                     host: from.host,
--- a/crates/node/tests/fleet/simulation.rs
+++ b/crates/node/tests/fleet/simulation.rs
@@ -476,7 +476,7 @@
         for output in leader.handle(input, &self.state, self.now) {
             match output {
                 Output::Propose(command) => self.commit(&command),
-                Output::Publish { to, view } => self.publish(to, &view),
+                Output::Publish { to, view } => self.publish(&to, &view),
                 Output::Lease {
                     host,
                     length,
@@ -514,11 +514,12 @@
     }
 
     /// Passes a view to the entry hosts that it is for.
-    fn publish(&mut self, to: Audience, view: &View) {
+    fn publish(&mut self, to: &Audience, view: &View) {
         for at in 0..self.hosts.len() {
             let wanted = match to {
                 Audience::All => true,
-                Audience::Host(host) => host == host_number(at),
+                Audience::Host(host) => *host == host_number(at),
+                Audience::Hosts(hosts) => hosts.contains(&host_number(at)),
             };
             if wanted {
                 let due = self.now + self.publication;
