--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -10,7 +10,7 @@
 use crate::view_builder::ViewBuilder;
 
 /// The minimum interval between two urgent publications, for each entry host.
-const URGENT_INTERVAL_PER_HOST: Time = Time::from_micros(300);
+const URGENT_INTERVAL_PER_HOST: Time = Time::from_millis(1);
 
 /// The maximum number of changes kept for entry hosts that missed them.
 const MAX_KEPT_CHANGES: usize = 20_000;
--- a/crates/control/src/hosting.rs
+++ b/crates/control/src/hosting.rs
@@ -34,8 +34,12 @@
 /// How far an accepted order may be overdue before the worker is inspected.
 const OVERDUE_GRACE: Time = Time::from_millis(1_500);
 
-/// How long an inspection may take before it is repeated.
-const INSPECTION_TIMEOUT: Time = Time::from_secs(2);
+/// The least number of inspections that may be in progress at once.
+const MIN_CONCURRENT_INSPECTIONS: usize = 8;
+
+/// The share of the workers that may be inspected at once, so that a new leader, which has to inspect
+/// all of them, has time for other work.
+const INSPECTED_SHARE: usize = 16;
 
 /// How long a new leader waits for workers to report which models they have on local storage.
 const STORAGE_REPORT_TIMEOUT: Time = Time::from_secs(4);
@@ -101,6 +105,14 @@
         interval.clamp(MIN_PLAN_INTERVAL, MAX_PLAN_INTERVAL)
     }
 
+    /// Returns how many more workers may be inspected now.
+    fn inspections_allowed(&self, now: Time) -> usize {
+        let limit = (self.workers.len() / INSPECTED_SHARE).max(MIN_CONCURRENT_INSPECTIONS);
+        let workers = self.workers.values();
+        let running = workers.filter(|worker_orders| worker_orders.is_inspected(now));
+        limit.saturating_sub(running.count())
+    }
+
     /// Requests a plan.
     pub(crate) fn request_plan(&mut self) {
         self.plan_requested = true;
@@ -500,23 +512,25 @@
     /// Inspects workers whose accepted count is unknown or whose order is overdue.
     fn inspect_workers(&mut self, ctx: &mut Context) {
         let now = ctx.now;
+        let mut allowed = self.hosting.inspections_allowed(now);
         for (target, worker_orders) in &mut self.hosting.workers {
+            if allowed == 0 {
+                return;
+            }
             let loadable = self.workers.get(target).is_some_and(Worker::is_loadable);
             let overdue = worker_orders.in_flight.as_ref();
             let overdue = overdue
                 .is_some_and(|in_flight| in_flight.accepted && now > in_flight.due + OVERDUE_GRACE);
             let unknown = worker_orders.in_flight.is_none() && worker_orders.accepted.is_none();
-            let inspecting = worker_orders
-                .inspected
-                .is_some_and(|at| now < at + INSPECTION_TIMEOUT);
             if !loadable
-                || inspecting
+                || worker_orders.is_inspected(now)
                 || worker_orders.pause(now) > Time::ZERO
                 || !(overdue || unknown)
             {
                 continue;
             }
             worker_orders.inspected = Some(now);
+            allowed -= 1;
             ctx.out.push(Output::Inspect {
                 target: target.clone(),
                 incarnation: worker_orders.incarnation,
--- a/crates/control/src/hosting/worker_orders.rs
+++ b/crates/control/src/hosting/worker_orders.rs
@@ -16,6 +16,9 @@
 /// Usual delay from an order's expected end to the heartbeat or inspection that shows it done.
 const COMPLETION_DELAY: Time = Time::from_millis(100);
 
+/// How long an inspection may take before it is repeated.
+const INSPECTION_TIMEOUT: Time = Time::from_secs(2);
+
 /// Usual time for an inspection to return how many orders a worker has accepted.
 const INSPECTION_ESTIMATE: Time = Time::from_millis(500);
 
@@ -128,6 +131,12 @@
         until.saturating_sub(now)
     }
 
+    /// Returns whether an inspection is in progress.
+    pub(super) fn is_inspected(&self, now: Time) -> bool {
+        let inspected = self.inspected;
+        inspected.is_some_and(|at| now < at + INSPECTION_TIMEOUT)
+    }
+
     /// Records the end of an inspection, with an answer or without.
     pub(super) fn on_inspection_done(&mut self, answered: bool) {
         self.inspected = None;
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -9,11 +9,19 @@
 use crate::mutation::{self, Mutation};
 use crate::output::Output;
 
+/// Requests by which the load of a host has to differ from the published one to be published.
+const MIN_LOAD_CHANGE: u32 = 8;
+
+/// The share of the published load by which it has to differ besides.
+const LOAD_CHANGE_SHARE: u32 = 4;
+
 /// An entry host and its leases.
 #[derive(Debug, Clone)]
 pub(crate) struct Lease {
     /// The newest renewal of the host.
     pub(crate) host: entry::Host,
+    /// The load of the host when its state was last published.
+    published_load: u32,
     /// When the renewal arrived.
     pub(crate) last_renewal: Time,
     /// Versions of the settings that it may act on, and until when.
@@ -28,6 +36,19 @@
         self.grants.values().any(|until| now <= *until)
     }
 
+    /// Returns whether a renewal changes what is published of the host. Every change goes to every
+    /// entry host, so small ones of the load are left out.
+    fn is_changed_by(&self, host: &entry::Host, now: Time) -> bool {
+        let load = self.published_load;
+        let expected = entry::Host {
+            load: host.load,
+            ..self.host.clone()
+        };
+        let change = host.load.abs_diff(load);
+        let load_changed = change >= MIN_LOAD_CHANGE && change > load / LOAD_CHANGE_SHARE;
+        expected != *host || load_changed || !self.is_valid(now)
+    }
+
     /// Returns whether the host may act on settings older than a version.
     fn is_behind(&self, version: Version, now: Time) -> bool {
         let older = self.grants.range(..version);
@@ -80,9 +101,11 @@
             self.hosts.insert(host.host, newer.clone());
             return false;
         }
-        let changed = old
+        let published = old
             .as_ref()
-            .is_none_or(|old| old.host != host || !old.is_valid(ctx.now));
+            .filter(|old| !old.is_changed_by(&host, ctx.now));
+        let changed = published.is_none();
+        let published_load = published.map_or(host.load, |old| old.published_load);
         let same = old.filter(|old| old.host.incarnation == host.incarnation);
         let mut grants = same.map(|old| old.grants).unwrap_or_default();
         grants.retain(|granted, _| *granted >= host.settings);
@@ -96,6 +119,7 @@
             version,
         });
         let lease = Lease {
+            published_load,
             last_renewal: ctx.now,
             expiry_reported: version == 0,
             grants,
--- a/crates/control/tests/hosting/main.rs
+++ b/crates/control/tests/hosting/main.rs
@@ -505,3 +505,47 @@
         .sum();
     assert!(orders_sent > 200, "{orders_sent} orders");
 }
+
+/// A new leader queried all workers at once, beside all else that an election brings.
+#[test]
+fn new_leader_inspects_a_few_workers_at_a_time() {
+    const WORKERS: usize = 117;
+    let mut bench = Bench::new();
+    bench.commit(&Command::PublishTable(table()));
+    let mut workers: Vec<SimulatedWorker> = (0..WORKERS)
+        .map(|at| SimulatedWorker::new(&format!("w{at:03}"), 1_000, &[]))
+        .collect();
+    let beat = |bench: &mut Bench, workers: &mut [SimulatedWorker]| {
+        for worker in workers {
+            bench.handle(Input::Presence(Box::new(worker.presence(false))));
+        }
+    };
+    beat(&mut bench, &mut workers);
+    bench.elect();
+    let mut inspected = BTreeSet::new();
+    for round in 0..60 {
+        if round % 20 == 0 {
+            beat(&mut bench, &mut workers);
+        }
+        step(&mut bench, Duration::from_millis(50));
+        let outputs = std::mem::take(&mut bench.outputs).into_iter();
+        let targets: Vec<_> = outputs
+            .filter_map(|output| match output {
+                Output::Inspect { target, .. } => Some(target),
+                _ => None,
+            })
+            .collect();
+        assert!(targets.len() <= 8, "{} at once", targets.len());
+        for target in targets {
+            let worker = workers.iter().find(|worker| *worker.name == *target);
+            let inspection = worker.map(SimulatedWorker::inspection);
+            inspected.insert(target.clone());
+            bench.handle(Input::Inspected {
+                target,
+                incarnation: 1_000,
+                inspection,
+            });
+        }
+    }
+    assert_eq!(inspected.len(), WORKERS, "within 3 s");
+}
--- a/crates/control/tests/hosting/worker.rs
+++ b/crates/control/tests/hosting/worker.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Returns the worker's port, from the number in its name.
+    fn port(&self) -> u16 {
+        9_000 + self.name[1..].parse::<u16>().expect("a number")
+    }
+
     /// Handles an order as the platform's workers do; one that exceeds its capacity crashes it.
     pub fn handle_order(&mut self, order: &Order, now: Time) -> Outcome {
         let refused = |reason: &str| {
@@ -179,7 +184,7 @@
                 target: self.name.clone(),
                 incarnation: self.incarnation,
                 kind: Kind::Worker,
-                address: ([10, 0, 0, 1], 9_000 + u16::from(self.name.as_bytes()[1])).into(),
+                address: ([10, 0, 0, 1], self.port()).into(),
                 region: "r".into(),
                 zone: "z".into(),
                 memory: 0,
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -10,6 +10,7 @@
 use cornelhitch_control::prelude::*;
 use cornelhitch_control::strikes::Strike;
 use cornelhitch_control::{claims, current_settings};
+use cornelhitch_types::entry::Host;
 use cornelhitch_types::order::Action;
 use cornelhitch_types::target::{Heartbeat, Holding, Load, Stage};
 use cornelhitch_types::view::{Change, View};
@@ -331,3 +332,38 @@
     }
     assert_eq!(served.len() as u64, HOSTS, "within 2 s");
 }
+
+/// Every change goes to every entry host, so their loads would cost the square of their number.
+#[test]
+fn small_changes_of_a_hosts_load_are_not_published() {
+    // The load of each renewal, and whether it is published.
+    let rows = [
+        (0, true),
+        (3, false),
+        (7, false),
+        (8, true),
+        (15, false),
+        (17, true),
+        (0, true),
+    ];
+    let mut bench = bench();
+    for (load, published) in rows {
+        bench.changes();
+        bench.handle(Input::Renewal(Host {
+            load,
+            ..entry_host(1, 1)
+        }));
+        bench.now += Duration::from_secs(1);
+        bench.handle(Input::Tick);
+        let is_host = |change: &Change| matches!(change, Change::Entry(host) if host.host == 1);
+        assert_eq!(bench.changes().iter().any(is_host), published, "{load}");
+    }
+    bench.handle(Input::Renewal(Host {
+        draining: true,
+        ..entry_host(1, 1)
+    }));
+    bench.now += Duration::from_secs(1);
+    bench.handle(Input::Tick);
+    let drains = |change: &Change| matches!(change, Change::Entry(host) if host.draining);
+    assert!(bench.changes().iter().any(drains));
+}
