--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cornelhitch_types::demand;
-use cornelhitch_types::id::{Incarnation, ModelId, Name, TargetId, Time};
+use cornelhitch_types::id::{Incarnation, ModelId, Name, TargetId, Time, Version};
 use cornelhitch_types::route::RouteTable;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -165,11 +165,7 @@
         match event {
             Event::Arrived(request) => self.on_arrived(request),
             Event::View(view) => self.on_view(view),
-            Event::Lease { until, version } => {
-                self.lease.renew(until, version, self.now);
-                self.budget.renew_lease(until, self.now);
-                self.target_limits.renew_lease(until, self.now);
-            }
+            Event::Lease { until, version } => self.on_lease(until, version),
             Event::Claimed { id, reply } => self.on_claimed(id, reply),
             Event::Recorded { id } => self.on_recorded(id),
             Event::Sent { id, attempt } => self.on_sent(id, attempt),
@@ -221,6 +217,16 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Applies a renewal of this host's lease.
+    fn on_lease(&mut self, until: Time, version: Version) {
+        if !self.lease.is_live(self.now) {
+            self.software.lose_touch(self.now);
+        }
+        self.lease.renew(until, version, self.now);
+        self.budget.renew_lease(until, self.now);
+        self.target_limits.renew_lease(until, self.now);
+    }
+
     /// Returns when the core needs the next [`Event::Tick`], or `None` if only other events can
     /// change its state.
     #[must_use]
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// Whether the lease has not expired, whatever the settings.
+    #[must_use]
+    pub fn is_live(&self, now: Time) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
     /// Whether the lease is valid for a host that acts on the settings of version `applied`.
     ///
     /// ```
@@ -44,7 +50,7 @@
     /// ```
     #[must_use]
     pub fn holds(&self, applied: Version, now: Time) -> bool {
-        let live = self.until.is_some_and(|until| now < until);
+        let live = self.is_live(now);
         let current = applied >= self.version || now < self.since + SETTINGS_GRACE;
         live && current && applied > 0
     }
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -11,7 +11,7 @@
 use crate::finish::Rejection;
 use crate::queue::QueueKey;
 use crate::request::{Call, Progress, RunningAttempt, Stage};
-use crate::software::{OriginAnswer, SoftwareVersion, StreamBegun};
+use crate::software::{OriginAnswer, SoftwareVersion, StreamBegun, TakenUp};
 
 /// `Retry-After` of a stream that cannot go on now.
 const RESUME_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -55,10 +55,14 @@
         if call.stage != Stage::AskingOrigin {
             return;
         }
-        let limit = call.request.terms.as_ref().map(|terms| terms.limit);
         let service = call.key.service();
-        let limit = limit.unwrap_or_default();
-        let origin = answer.and_then(|it| self.software.origin(&service, it, limit, self.now));
+        let taken_up = TakenUp {
+            service: &service,
+            attempt: call.request.resumes().and_then(Resumes::attempt),
+            limit: call.request.terms.as_ref().map(|terms| terms.limit),
+            position: self.view_position(),
+        };
+        let origin = answer.and_then(|it| self.software.origin(&taken_up, it, self.now));
         let Some(origin) = origin else {
             let detail = "the version that began this stream is not known; begin it anew";
             let rejection = Rejection::not_run(Reason::Unavailable, detail);
@@ -89,13 +93,14 @@
         let named = identity.resumes.and_then(Resumes::attempt);
         let attempts = [Some(identity.attempt), named];
         let service = call.key.service();
+        let limit = call.request.terms.as_ref().map(|terms| terms.limit);
         let mut told = Vec::new();
         for attempt in attempts.into_iter().flatten() {
             let version = version.clone();
             let stream = StreamBegun { attempt, version };
             let stream = self
                 .software
-                .record_stream(service.clone(), stream, self.now);
+                .record_stream(service.clone(), stream, limit, self.now);
             told.extend(stream);
         }
         if !told.is_empty() {
@@ -106,11 +111,11 @@
     /// Records the versions in the view, and tells the leader of streams that it may not know: those
     /// that began before it led, or before their service ran several versions.
     pub(crate) fn watch_software(&mut self, new_leader: bool) {
-        let mixed = self.software.mixed_services();
+        let mixed = self.software.mixed_services(self.now);
         self.software.watch(&self.fleet_view, self.now);
-        let more_mixed = self.software.mixed_services() > mixed;
+        let more_mixed = self.software.mixed_services(self.now) > mixed;
         if new_leader || more_mixed {
-            let streams = self.software.mixed_streams();
+            let streams = self.software.mixed_streams(self.now);
             if !streams.is_empty() {
                 self.actions.push(Action::ReportStreams { streams });
             }
--- a/crates/entry/src/software.rs
+++ b/crates/entry/src/software.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use cornelhitch_types::id::{Incarnation, Name, TargetId, Time};
+use cornelhitch_types::id::{Incarnation, Name, TargetId, Term, Time};
 use cornelhitch_types::target::TargetSoftware;
 use serde::{Deserialize, Serialize};
 
@@ -20,8 +20,13 @@
 /// Maximum number of streams that one host keeps; the oldest are dropped first.
 const MAX_STREAMS: usize = 20_000;
 
-/// Time beyond the limit of its route within which a stream that is taken up has begun.
-const ORIGIN_SLACK: Duration = Duration::from_secs(2);
+/// How long it is kept when a service ran a version.
+pub const VERSION_RETENTION: Duration = Duration::from_hours(1);
+
+/// Time beyond the limit of its route within which a stream that is taken up has begun: targets get
+/// requests for some seconds after the last that was heard of them, and callers wait before they try
+/// again.
+const ORIGIN_SLACK: Duration = Duration::from_secs(8);
 
 /// A version of a target's software; `None` if the target states none.
 pub type SoftwareVersion = Option<Name>;
@@ -44,6 +49,45 @@
     pub versions: Vec<SoftwareVersion>,
     /// How long it has heard no others, in milliseconds.
     pub unchanged_ms: u64,
+    /// How long ago it last heard another version, in milliseconds; `None` if it has heard none.
+    #[serde(default)]
+    pub other_heard_ms: Option<u64>,
+    /// The term of the leader, and the sequence number of its view; 0 if it did not tell.
+    #[serde(default)]
+    pub term: Term,
+    /// See [`OriginAnswer::term`].
+    #[serde(default)]
+    pub view: u64,
+}
+
+impl OriginAnswer {
+    /// Returns the version that the service has run for a time by what the leader has heard.
+    fn only_version(&self, length: Duration) -> Option<&SoftwareVersion> {
+        let lasted = Duration::from_millis(self.unchanged_ms) >= length;
+        match &self.versions[..] {
+            [only] if lasted => Some(only),
+            _ => None,
+        }
+    }
+
+    /// Whether the leader has heard several versions in a time, so that nobody else knows better.
+    fn is_mixed(&self, length: Duration) -> bool {
+        let other = self.other_heard_ms.map(Duration::from_millis);
+        self.versions.len() > 1 || other.is_some_and(|ago| ago < length)
+    }
+}
+
+/// What a stream is taken up with.
+#[derive(Debug, Clone, Copy)]
+pub struct TakenUp<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The digest of the attempt that brought its first event, if the caller names one.
+    pub attempt: Option<u64>,
+    /// The limit of the stream's route; `None` if it has none.
+    pub limit: Option<Duration>,
+    /// The position of this host's view.
+    pub position: (Term, u64),
 }
 
 /// The software that an incarnation runs.
@@ -120,15 +164,21 @@
             versions.insert(version.clone(), now);
         }
         for versions in self.seen.values_mut() {
-            versions.retain(|_, seen| now < *seen + ORIGIN_RETENTION);
+            versions.retain(|_, seen| now < *seen + VERSION_RETENTION);
         }
     }
 
+    /// Forgets how long versions have run: this host was out of touch, and may have missed others.
+    pub(crate) fn lose_touch(&mut self, now: Time) {
+        self.since = now;
+    }
+
     /// Whether the targets of a service have run several versions lately.
     #[must_use]
-    pub fn is_mixed(&self, service: &str) -> bool {
-        let versions = self.seen.get(service);
-        versions.is_some_and(|versions| versions.len() > 1)
+    pub fn is_mixed(&self, service: &str, now: Time) -> bool {
+        let versions = self.seen.get(service).into_iter().flatten();
+        let lately = versions.filter(|(_, seen)| now < **seen + ORIGIN_RETENTION);
+        lately.count() > 1
     }
 
     /// Returns the version that all targets of a service have run for a time, if there is one.
@@ -147,35 +197,55 @@
         lasted.then_some(version)
     }
 
-    /// Returns the version that began a stream, if the leader's answer and what this host has seen
-    /// leave no doubt; `limit` is that of the stream's route.
+    /// Returns the version that began a stream, if the leader's answer and what this host knows leave
+    /// no doubt.
+    ///
+    /// | evidence | what follows |
+    /// | --- | --- |
+    /// | a record of the stream, here or at the leader | its version |
+    /// | the leader has heard one version alone since before the stream can have begun | that one |
+    /// | the leader has heard another since then | unknown, whatever this host has seen |
+    /// | the leader has not led for so long | this host's view, if it is as new as the leader's and in touch since then |
     #[must_use]
     pub fn origin(
         &self,
-        service: &str,
+        taken_up: &TakenUp,
         answer: &OriginAnswer,
-        limit: Duration,
         now: Time,
     ) -> Option<SoftwareVersion> {
         if let Some(recorded) = &answer.recorded {
             return Some(recorded.version.clone());
         }
-        let length = limit + ORIGIN_SLACK;
-        if let [only] = &answer.versions[..]
-            && Duration::from_millis(answer.unchanged_ms) >= length
-        {
+        if let Some(own) = self.own_record(taken_up) {
+            return Some(own.version.clone());
+        }
+        let length = origin_length(taken_up.limit);
+        if let Some(only) = answer.only_version(length) {
             return Some(only.clone());
         }
-        let own = self.only_version(service, length, now)?;
+        let told = answer.term > 0 && taken_up.position >= (answer.term, answer.view);
+        if answer.is_mixed(length) || !told {
+            return None;
+        }
+        let own = self.only_version(taken_up.service, length, now)?;
         let agrees = answer.versions.iter().all(|version| *version == own);
         agrees.then_some(own)
     }
 
+    /// Returns this host's own record of a stream.
+    fn own_record(&self, taken_up: &TakenUp) -> Option<&StreamBegun> {
+        let attempt = taken_up.attempt?;
+        let mut newest_first = self.streams.iter().rev();
+        let own = newest_first.find(|(.., stream)| stream.attempt == attempt)?;
+        (*own.1 == *taken_up.service).then_some(&own.2)
+    }
+
     /// Keeps the origin of a stream; returns what the leader is to know now.
     pub(crate) fn record_stream(
         &mut self,
         service: Name,
         stream: StreamBegun,
+        limit: Option<Duration>,
         now: Time,
     ) -> Option<StreamBegun> {
         let oldest_kept = now.saturating_sub(ORIGIN_RETENTION);
@@ -184,7 +254,10 @@
         {
             self.streams.pop_front();
         }
-        let told = self.is_mixed(&service).then(|| stream.clone());
+        // Where no host could tell without a record, the leader needs one.
+        let length = origin_length(limit);
+        let doubtful = self.only_version(&service, length, now).is_none();
+        let told = (doubtful || self.is_mixed(&service, now)).then(|| stream.clone());
         self.streams.push_back((now, service, stream));
         told
     }
@@ -192,15 +265,25 @@
     /// Returns the streams of services that run several versions, for a leader that has no record of
     /// them.
     #[must_use]
-    pub(crate) fn mixed_streams(&self) -> Vec<StreamBegun> {
+    pub(crate) fn mixed_streams(&self, now: Time) -> Vec<StreamBegun> {
         let streams = self.streams.iter();
-        let streams = streams.filter(|(_, service, _)| self.is_mixed(service));
+        let streams = streams.filter(|(_, service, _)| self.is_mixed(service, now));
         streams.map(|(.., stream)| stream.clone()).collect()
     }
 
     /// Returns the services whose targets have run several versions lately.
-    pub(crate) fn mixed_services(&self) -> usize {
-        let mixed = self.seen.values().filter(|versions| versions.len() > 1);
-        mixed.count()
+    pub(crate) fn mixed_services(&self, now: Time) -> usize {
+        let services = self.seen.keys();
+        services
+            .filter(|service| self.is_mixed(service, now))
+            .count()
     }
 }
+
+/// Returns the time for which a service must have run one version for a stream without a record to
+/// go on; `limit` is that of its route.
+fn origin_length(limit: Option<Duration>) -> Duration {
+    limit
+        .unwrap_or(VERSION_RETENTION)
+        .saturating_add(ORIGIN_SLACK)
+}
--- a/crates/entry/tests/versions.rs
+++ b/crates/entry/tests/versions.rs
@@ -17,8 +17,9 @@
 
 /// The limit of the streams' route.
 const LIMIT: Duration = Duration::from_secs(4);
+const SECOND: Duration = Duration::from_secs(1);
 /// The time after which a stream that is taken up cannot have begun before.
-const LONG: Duration = Duration::from_secs(10);
+const LONG: Duration = Duration::from_secs(13);
 
 /// An entry host that knows workers `w1`, `w2` and so on.
 struct Host {
@@ -306,48 +307,139 @@
     assert!(refusal.retry_after.is_some());
 }
 
+/// What the leader has heard of a service: the versions now, for how long it has heard no others, and
+/// how long ago it last heard another.
+struct Heard {
+    versions: &'static [&'static str],
+    unchanged: Duration,
+    other: Option<Duration>,
+}
+
+impl Heard {
+    /// What a leader says that has led for `led`, and heard no other version.
+    const fn only(versions: &'static [&'static str], led: Duration) -> Self {
+        Self {
+            versions,
+            unchanged: led,
+            other: None,
+        }
+    }
+
+    /// What a leader says that has heard another version until `ago`.
+    const fn other(versions: &'static [&'static str], ago: Duration) -> Self {
+        Self {
+            versions,
+            unchanged: ago,
+            other: Some(ago),
+        }
+    }
+
+    /// Returns the answer of a leader whose view a host has.
+    fn answer(&self, host: &Host) -> OriginAnswer {
+        let ms = |time: Duration| u64::try_from(time.as_millis()).expect("short");
+        let (term, view) = host.core.view_position();
+        OriginAnswer {
+            recorded: None,
+            versions: self.versions.iter().map(|it| Some((*it).into())).collect(),
+            unchanged_ms: ms(self.unchanged),
+            other_heard_ms: self.other.map(ms),
+            term,
+            view,
+        }
+    }
+}
+
 #[test]
 fn a_stream_without_a_record_goes_on_only_where_one_version_has_run_long_enough() {
-    let v1 = Some("v1".into());
-    let v2 = Some("v2".into());
-    // The versions at this host, how long it has seen them, what the leader has heard and for how
-    // long, and whether the stream goes on.
+    const NOW: Duration = Duration::ZERO;
+    // The versions at this host, how long it has seen them, what the leader has heard, and whether
+    // the stream goes on.
     let rows = [
-        (
-            &["v1", "v1"][..],
-            LONG,
-            vec![v1.clone()],
-            Duration::ZERO,
-            true,
-        ),
-        (&["v1", "v1"], LONG, vec![], Duration::ZERO, true),
-        (&["v1", "v1"], Duration::ZERO, vec![v1.clone()], LONG, true),
-        (&["v1", "v1"], LIMIT, vec![v1.clone()], LIMIT, false),
-        (&["v1", "v1"], LONG, vec![v2.clone()], Duration::ZERO, false),
+        (&["v1", "v1"][..], LONG, Heard::only(&["v1"], NOW), true),
+        (&["v1", "v1"], LONG, Heard::only(&[], NOW), true),
+        (&["v1", "v1"], NOW, Heard::only(&["v1"], LONG), true),
+        (&["v1", "v1"], LIMIT, Heard::only(&["v1"], LIMIT), false),
+        (&["v1", "v1"], LONG, Heard::only(&["v2"], NOW), false),
+        (&["v1", "v1"], LONG, Heard::only(&["v1", "v2"], LONG), false),
+        (&["v1", "v2"], LONG, Heard::only(&["v1"], NOW), false),
+        (&["v1", "v2"], LONG, Heard::only(&["v1", "v2"], LONG), false),
+        // The host was out of step while the other version came and went.
         (
             &["v1", "v1"],
             LONG,
-            vec![v1.clone(), v2.clone()],
-            LONG,
+            Heard::other(&["v1"], 6 * SECOND),
             false,
         ),
-        (&["v1", "v2"], LONG, vec![v1.clone()], Duration::ZERO, false),
-        (&["v1", "v2"], LONG, vec![v1, v2], LONG, false),
+        (&["v1", "v1"], LONG, Heard::other(&[], 6 * SECOND), false),
+        (&["v1", "v1"], LONG, Heard::other(&["v1"], LONG), true),
     ];
-    for (row, (versions, seen, heard, heard_for, goes_on)) in rows.into_iter().enumerate() {
+    for (row, (versions, seen, heard, goes_on)) in rows.into_iter().enumerate() {
         let mut host = Host::new(versions);
         host.now += seen;
-        let answer = OriginAnswer {
-            recorded: None,
-            versions: heard,
-            unchanged_ms: u64::try_from(heard_for.as_millis()).expect("short"),
-        };
+        let answer = heard.answer(&host);
         let actions = host.take_up(1, answer);
         assert_eq!(sent_to(&actions).is_some(), goes_on, "row {row}");
         assert_eq!(refusal(&actions).is_some(), !goes_on, "row {row}");
     }
 }
 
+/// A leader that has just begun does not know what its predecessor heard, so that the host's own view
+/// decides: it has to be the one of that leader, and in touch since the stream can have begun.
+#[test]
+fn a_host_that_was_out_of_step_does_not_rely_on_its_view() {
+    let young = Heard::only(&["v1"], Duration::from_millis(300));
+    let mut host = Host::new(&["v1", "v1"]);
+    host.now += LONG;
+    let mut newer = young.answer(&host);
+    newer.view += 1;
+    let mut next_term = young.answer(&host);
+    next_term.term += 1;
+    let mut untold = young.answer(&host);
+    (untold.term, untold.view) = (0, 0);
+    for (id, answer) in [newer, next_term, untold].into_iter().enumerate() {
+        let actions = host.take_up(id as u64 + 1, answer);
+        assert!(refusal(&actions).is_some(), "answer {id}");
+    }
+    // Its lease has run out and is renewed.
+    host.now += Duration::from_hours(1);
+    let until = host.now + Duration::from_hours(1);
+    host.handle(Event::Lease { until, version: 1 });
+    let answer = young.answer(&host);
+    let actions = host.take_up(4, answer);
+    assert!(refusal(&actions).is_some(), "just in touch again");
+    host.now += LONG;
+    let answer = young.answer(&host);
+    let actions = host.take_up(5, answer);
+    assert!(sent_to(&actions).is_some(), "in touch for long enough");
+}
+
+#[test]
+fn a_host_knows_the_origin_of_its_own_streams() {
+    let mut host = Host::new(&["v1", "v2", "v1", "v2"]);
+    // The digest of the attempt is its id; see `stream`.
+    let worker = host.begin(7);
+    host.break_off(7);
+    let unknown = Heard::only(&["v1", "v2"], LONG).answer(&host);
+    let actions = host.take_up(8, unknown);
+    let next = sent_to(&actions).expect("a target of its version");
+    assert_eq!(next % 2, worker % 2);
+}
+
+#[test]
+fn the_leader_is_told_of_streams_while_no_host_could_tell_without_a_record() {
+    // The time since this host began to watch, and whether the leader is told.
+    let rows = [(Duration::ZERO, true), (LIMIT, true), (LONG, false)];
+    for (watched, told) in rows {
+        let mut host = Host::new(&["v1", "v1"]);
+        host.now += watched;
+        let actions = host.handle(Event::Arrived(stream(1)));
+        assert!(sent_to(&actions).is_some());
+        host.handle(Event::Sent { id: 1, attempt: 1 });
+        let actions = host.handle(Event::ResponseStarted { id: 1, attempt: 1 });
+        assert_eq!(!reported(&actions).is_empty(), told, "{watched:?}");
+    }
+}
+
 #[test]
 fn a_stream_is_refused_if_the_leader_does_not_answer() {
     let mut host = Host::new(&["v1"]);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,6 +3,7 @@
 
 mod leading;
 mod members;
+pub(crate) mod origins;
 mod requests;
 mod strike_log;
 
@@ -144,6 +145,8 @@
     Leader,
     /// Start leading in this term: this is a new leader's first read barrier.
     Election(Term),
+    /// Answer the hosts' questions about origins of streams.
+    Origins,
     /// Promote this learner to voter once it has caught up.
     Learner(HostId),
     /// Answer a host's call to change the membership.
@@ -185,6 +188,8 @@
     pub(crate) trials: Trials,
     /// What this leader knows of the targets' software.
     pub(crate) software: SoftwareRegister,
+    /// Questions about origins of streams that wait for a confirmation.
+    pub(crate) origins: origins::Questions,
     /// The newest settings version in force on all hosts.
     pub(crate) settings_in_force: Version,
     waiters: HashMap<RequestId, Waiter>,
@@ -224,6 +229,7 @@
         reservations: Reservations::default(),
         trials: Trials::default(),
         software: SoftwareRegister::default(),
+        origins: origins::Questions::default(),
         settings_in_force: 0,
         waiters: HashMap::new(),
         next: 1,
@@ -527,6 +533,7 @@
                 let json = format!("{{\"done\":false,\"reason\":\"{reason}\"}}");
                 self.send_answer(host, call, json.into());
             }
+            Waiter::Origins => self.refuse_origins(leader),
             // Local requesters treat a dropped sender as an unknown outcome.
             Waiter::Local(_)
             | Waiter::Read(_)
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -45,6 +45,7 @@
                 self.propose_initial_settings();
                 self.announce_leader(self.setup.me);
             }
+            Some(Waiter::Origins) => self.origins_confirmed(),
             Some(Waiter::Read(answer)) => {
                 let text = self.state.current_table().text().cloned();
                 let _ = answer.send(Ok(text));
@@ -75,6 +76,7 @@
             self.reservations = Reservations::default();
             self.trials = Trials::default();
             self.software = SoftwareRegister::default();
+            self.refuse_origins(leader);
             self.subscribers.clear();
         }
         if role == Role::Leader {
--- a/crates/node/src/software.rs
+++ b/crates/node/src/software.rs
@@ -4,7 +4,9 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
-use cornelhitch_entry::software::{ORIGIN_RETENTION, OriginAnswer, SoftwareVersion, StreamBegun};
+use cornelhitch_entry::software::{
+    ORIGIN_RETENTION, OriginAnswer, SoftwareVersion, StreamBegun, VERSION_RETENTION,
+};
 use cornelhitch_types::id::{Incarnation, Name, TargetId, Time};
 use cornelhitch_types::target::{AnnouncedHeartbeat, TargetSoftware};
 use cornelhitch_types::view::{Change, View};
@@ -15,6 +17,11 @@
 /// Maximum number of streams with a record; the oldest are dropped first.
 const MAX_RECORDS: usize = 200_000;
 
+/// Returns a time in milliseconds.
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// The record of a stream.
 #[derive(Debug)]
 struct Record {
@@ -65,7 +72,7 @@
         for service in &announcement.services {
             let versions = self.heard.entry(service.clone()).or_default();
             versions.insert(presence.software.clone(), now);
-            versions.retain(|_, heard| now < *heard + ORIGIN_RETENTION);
+            versions.retain(|_, heard| now < *heard + VERSION_RETENTION);
         }
         let version = presence.software.clone()?;
         let stated = (incarnation, version.clone());
@@ -131,7 +138,7 @@
         }
     }
 
-    /// Returns what is known of the origin of a stream.
+    /// Returns what is known of the origin of a stream; the position of the view is left out.
     #[must_use]
     pub fn origin(&self, service: &str, attempt: Option<u64>, now: Time) -> OriginAnswer {
         let recorded = attempt.and_then(|attempt| {
@@ -146,11 +153,12 @@
         let others = heard.filter(|(version, _)| !versions.contains(version));
         let last = others.map(|(_, heard)| *heard).max();
         let changed = last.unwrap_or(self.since).max(self.since);
-        let unchanged_ms = now.saturating_sub(changed).as_millis();
         OriginAnswer {
             recorded,
             versions,
-            unchanged_ms: u64::try_from(unchanged_ms).unwrap_or(u64::MAX),
+            unchanged_ms: milliseconds(now.saturating_sub(changed)),
+            other_heard_ms: last.map(|last| milliseconds(now.saturating_sub(last))),
+            ..OriginAnswer::default()
         }
     }
 
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -12,7 +12,7 @@
 use cornelhitch_wire::hello::ProcessId;
 use serde::Serialize;
 
-use crate::control::{Control, Renewal};
+use crate::control::{Control, Renewal, origins};
 use crate::message::{Membership, Question, Upward};
 use crate::section_ids::SectionIds;
 
@@ -141,8 +141,12 @@
                 json(&self.reservations.reserve(host, target, incarnation, now))
             }
             Question::StreamOrigin { service, attempt } => {
-                let now = self.now();
-                json(&self.software.origin(&service, attempt, now))
+                return self.ask_origin(origins::Question {
+                    host,
+                    call,
+                    service,
+                    attempt,
+                });
             }
             Question::Trial(parts) => {
                 let now = self.now();
--- a/crates/node/tests/software.rs
+++ b/crates/node/tests/software.rs
@@ -167,3 +167,19 @@
     );
     assert!(ORIGIN_RETENTION > Duration::from_secs(13));
 }
+
+/// Streams may last longer than their records: a version that ran since must not be forgotten.
+#[test]
+fn a_version_that_ran_is_remembered_for_longer_than_records() {
+    let mut register = SoftwareRegister::new(at(0));
+    register.hear(&presence("w2", 1, Some("v2")), at(200));
+    for second in (200..=290).step_by(2) {
+        register.hear(&presence("w1", 1, Some("v1")), at(second));
+    }
+    let answer = register.origin(SERVICE, None, at(290));
+    assert_eq!(answer.versions, [Some("v1".into())]);
+    assert_eq!(answer.unchanged_ms, 90_000);
+    assert_eq!(answer.other_heard_ms, Some(90_000));
+    let answer = register.origin("other", None, at(290));
+    assert_eq!(answer.other_heard_ms, None);
+}
