--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -344,7 +344,8 @@
             } else {
                 ctx.timing.suspect_after
             };
-            if silence < limit {
+            let excused = ctx.now < worker.excused_until && !worker.reported_lost;
+            if silence < limit || excused {
                 continue;
             }
             let first = !worker.suspected;
@@ -362,6 +363,15 @@
         }
     }
 
+    /// Gives targets time to send their heartbeats to another control host.
+    pub(crate) fn on_heartbeats_delayed(&mut self, targets: &[TargetId], ctx: &Context) {
+        for target in targets {
+            if let Some(worker) = self.workers.get_mut(target).filter(|it| !it.suspected) {
+                worker.excused_until = ctx.now + ctx.timing.heartbeat_move;
+            }
+        }
+    }
+
     /// Publishes that a target gets no new work, and sends the due orders of its replicas.
     fn close_target(&mut self, target: &TargetId, ctx: &mut Context) {
         self.feed.mark_target(target, true);
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -89,6 +89,11 @@
         /// The sequence number that it has.
         sequence: u64,
     },
+    /// The control host that took the heartbeats of these targets has fallen silent.
+    HeartbeatsDelayed {
+        /// The targets.
+        targets: Vec<TargetId>,
+    },
     /// Time has passed; due at least every 100 ms.
     Tick,
 }
--- a/crates/control/src/term_state.rs
+++ b/crates/control/src/term_state.rs
@@ -190,6 +190,7 @@
                 let answer = self.feed.resync(host, term, sequence);
                 ctx.out.extend(answer);
             }
+            Input::HeartbeatsDelayed { targets } => self.on_heartbeats_delayed(&targets, ctx),
             Input::Tick => self.on_tick(planner, ctx),
         }
         self.flush(ctx);
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -16,6 +16,9 @@
     /// How long a target must be silent before it is suspected if entry hosts report it lost while
     /// their reports are ignored.
     pub suspect_reported_after: Duration,
+    /// How long a target may take to send its heartbeats to another control host after the one that
+    /// took them has fallen silent.
+    pub heartbeat_move: Duration,
     /// How long reports of a lost target are ignored after one that proved wrong.
     pub report_distrust: Duration,
     /// How long a target must be silent before it no longer counts against models' limits.
@@ -66,6 +69,7 @@
             initial_heartbeat_wait: ms(1_100),
             suspect_after: s(2),
             suspect_reported_after: ms(1_200),
+            heartbeat_move: ms(2_500),
             report_distrust: s(30),
             silent_after: s(6),
             dismiss_after: s(3_600),
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -98,6 +98,8 @@
     pub(crate) incarnation: Incarnation,
     /// When its last heartbeat arrived; before the first, when the leader began to track it.
     pub(crate) last_contact: Time,
+    /// Until when its silence says nothing, since the host that took its heartbeats is silent itself.
+    pub(crate) excused_until: Time,
     /// Its newest heartbeat in this term.
     pub(crate) last_heartbeat: Option<LastHeartbeat>,
     /// Whether it is suspected to have failed.
@@ -142,6 +144,7 @@
         Self {
             incarnation,
             last_contact: now,
+            excused_until: Time::ZERO,
             last_heartbeat: None,
             suspected: false,
             limit: None,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,6 +1,7 @@
 //! The task that owns the replicated log, the replicated state and, while this host leads, the
 //! leader's decisions.
 
+mod heartbeats;
 mod leading;
 mod members;
 pub(crate) mod origins;
@@ -40,6 +41,7 @@
 
 use crate::backlog::{self, Backlog, Class, Item};
 use crate::datagrams::DatagramSocket;
+use crate::intake::{Forwards, Intake};
 use crate::links::Links;
 use crate::message::{Datagram, Downward, Incoming, Message, PeerEvent};
 use crate::metrics::{Count, Metrics};
@@ -188,6 +190,10 @@
     pub(crate) trials: Trials,
     /// What this leader knows of the targets' software.
     pub(crate) software: SoftwareRegister,
+    /// Heartbeats that this host takes while another one leads.
+    pub(crate) intake: Intake,
+    /// Heartbeats that other control hosts have taken for this leader.
+    pub(crate) forwards: Forwards,
     /// Questions about origins of streams that wait for a confirmation.
     pub(crate) origins: origins::Questions,
     /// The newest settings version in force on all hosts.
@@ -229,6 +235,8 @@
         reservations: Reservations::default(),
         trials: Trials::default(),
         software: SoftwareRegister::default(),
+        intake: Intake::default(),
+        forwards: Forwards::default(),
         origins: origins::Questions::default(),
         settings_in_force: 0,
         waiters: HashMap::new(),
@@ -346,12 +354,15 @@
         self.setup.started + self.now()
     }
 
-    /// Does the leader's periodic work.
+    /// Does the periodic work of a leader, or of a host that takes heartbeats for one.
     fn tick(&mut self) {
         if self.leading {
+            self.excuse_delayed_heartbeats();
             self.handle(Input::Tick);
             self.send_changed_voters();
             self.adjust_membership();
+        } else {
+            self.forward_heartbeats();
         }
     }
 
@@ -372,6 +383,10 @@
                 };
                 self.lease_renewal(renewal, host);
             }
+            PeerEvent::Message(Message::Downward(Downward::HeartbeatsTaken { term, missing })) => {
+                let now = self.now();
+                self.intake.on_answer(term, &missing, now);
+            }
             PeerEvent::Message(Message::Downward(_))
             | PeerEvent::Datagram(..)
             | PeerEvent::Linked => {}
--- /dev/null
+++ b/crates/node/src/control/heartbeats.rs
@@ -0,0 +1,93 @@
+//! Heartbeats that control hosts take for the leader.
+
+use std::time::Duration;
+
+use cornelhitch_control::input::Input;
+use cornelhitch_quorum::status::Role;
+use cornelhitch_types::id::{HostId, Term};
+use cornelhitch_types::target::AnnouncedHeartbeat;
+
+use super::Control;
+use crate::intake::Forwarded;
+use crate::message::{Downward, Message, Upward};
+use crate::metrics::Count;
+
+/// Age up to which a new leader uses the heartbeats that it took before: targets send one more often.
+const MAX_AGE: Duration = Duration::from_secs(2);
+
+impl Control {
+    /// Returns the leader that gets the heartbeats which this host takes.
+    fn heartbeat_leader(&self) -> Option<HostId> {
+        let leader = self.known_leader.filter(|_| self.role == Role::Follower);
+        leader.filter(|leader| *leader != self.setup.me)
+    }
+
+    /// Takes a target's heartbeat for the leader; returns false if this host cannot.
+    pub(super) fn take_heartbeat(&mut self, presence: &AnnouncedHeartbeat) -> bool {
+        let now = self.now();
+        let takes = self.heartbeat_leader().is_some() && self.intake.is_open(now);
+        if takes && !presence.heartbeat.leaving {
+            self.intake.take(presence.clone(), now);
+            self.setup.metrics.increment(Count::HeartbeatsTaken);
+            return true;
+        }
+        false
+    }
+
+    /// Sends the leader the heartbeats that this host has taken.
+    pub(super) fn forward_heartbeats(&mut self) {
+        let Some(leader) = self.heartbeat_leader() else {
+            return;
+        };
+        let (term, now) = (self.term, self.now());
+        if let Some(batch) = self.intake.batch(term, now) {
+            let upward = Upward::Heartbeats { term, batch };
+            self.setup.links.send(leader, Message::Upward(upward));
+        }
+    }
+
+    /// Handles a batch of another control host.
+    pub(crate) fn heartbeats_forwarded(&mut self, from: HostId, term: Term, batch: Vec<Forwarded>) {
+        if term != self.term {
+            return;
+        }
+        let now = self.now();
+        let unpacked = self.forwards.unpack(from, batch, now);
+        for presence in unpacked.heartbeats {
+            self.hear(presence);
+        }
+        let fleet = self.state.fleet();
+        self.forwards.retain(|target| fleet.get(target).is_some());
+        let missing = unpacked.missing;
+        let downward = Downward::HeartbeatsTaken { term, missing };
+        self.setup.links.send(from, Message::Downward(downward));
+    }
+
+    /// Handles a heartbeat as the leader.
+    pub(super) fn hear(&mut self, presence: AnnouncedHeartbeat) {
+        self.setup.metrics.increment(Count::ControlHeartbeats);
+        self.hear_software(&presence);
+        self.handle(Input::Presence(Box::new(presence)));
+    }
+
+    /// Uses the heartbeats that this host took before it led.
+    pub(super) fn hear_taken(&mut self) {
+        let now = self.now();
+        for presence in self.intake.drain(MAX_AGE, now) {
+            self.hear(presence);
+        }
+    }
+
+    /// Gives the targets of a control host that has fallen silent time to find another one.
+    pub(super) fn excuse_delayed_heartbeats(&mut self) {
+        let now = self.now();
+        let targets = self.forwards.newly_silent(now);
+        if !targets.is_empty() {
+            tracing::info!(
+                targets = targets.len(),
+                "the control host that took these targets' heartbeats is silent"
+            );
+            self.handle(Input::HeartbeatsDelayed { targets });
+        }
+    }
+}
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -14,6 +14,7 @@
 use cornelhitch_types::target::{AnnouncedHeartbeat, TargetSoftware};
 
 use super::{Control, Lease, TaskMessage, Waiter};
+use crate::intake::Forwards;
 use crate::message::{Datagram, Downward, Message};
 use crate::metrics::Count;
 use crate::orders;
@@ -44,6 +45,7 @@
                 self.handle(Input::Elected { term });
                 self.propose_initial_settings();
                 self.announce_leader(self.setup.me);
+                self.hear_taken();
             }
             Some(Waiter::Origins) => self.origins_confirmed(),
             Some(Waiter::Read(answer)) => {
@@ -77,6 +79,7 @@
             self.trials = Trials::default();
             self.software = SoftwareRegister::default();
             self.refuse_origins(leader);
+            self.forwards = Forwards::default();
             self.subscribers.clear();
         }
         if role == Role::Leader {
--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -15,7 +15,11 @@
     /// Handles a target's message.
     pub(super) fn target_message(&mut self, message: inbound::Message, answer: Answer<()>) {
         if !self.leading {
-            let _ = answer.send(Err(NotLeader));
+            let taken = match &message {
+                inbound::Message::Presence(presence) => self.take_heartbeat(presence),
+                _ => false,
+            };
+            let _ = answer.send(if taken { Ok(()) } else { Err(NotLeader) });
             return;
         }
         match message {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod exposition;
 pub mod header;
 pub mod ingress;
+pub mod intake;
 pub mod latency;
 pub mod links;
 pub mod log_limit;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -21,7 +21,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use crate::message::{Incoming, Message, PeerEvent};
+use crate::message::{Downward, Incoming, Message, PeerEvent};
 use crate::metrics::{Count, Metrics};
 
 /// Maximum number of messages queued for a link; further ones are dropped.
@@ -54,7 +54,11 @@
     /// Delivers a message to the task that it is meant for.
     pub fn deliver(&self, incoming: Incoming) {
         let upward = match &incoming.event {
-            PeerEvent::Message(Message::Quorum(_) | Message::Upward(_)) => true,
+            PeerEvent::Message(
+                Message::Quorum(_)
+                | Message::Upward(_)
+                | Message::Downward(Downward::HeartbeatsTaken { .. }),
+            ) => true,
             PeerEvent::Datagram(datagram, _) => {
                 matches!(datagram, crate::message::Datagram::Renew { .. })
             }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -15,6 +15,8 @@
 use cornelhitch_wire::hello::ProcessId;
 use serde::{Deserialize, Serialize};
 
+use crate::intake::Forwarded;
+
 /// A message over a link, encoded with postcard.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -99,6 +101,13 @@
     },
     /// Streams that began at targets of a service that runs several versions of its software.
     StreamsBegun(Vec<StreamBegun>),
+    /// Heartbeats that a control host has taken from targets.
+    Heartbeats {
+        /// The term of the leader that they are for.
+        term: Term,
+        /// The heartbeats.
+        batch: Vec<Forwarded>,
+    },
 }
 
 /// A query that only the leader can answer; the answer is JSON.
@@ -187,6 +196,13 @@
     },
     /// The software of targets that are in the next view, or that have stated it since.
     Software(Vec<TargetSoftware>),
+    /// Heartbeats that a control host has taken have arrived.
+    HeartbeatsTaken {
+        /// The term of the leader.
+        term: Term,
+        /// Targets whose heartbeats the leader needs in full.
+        missing: Vec<TargetId>,
+    },
 }
 
 /// The content of one datagram, encoded with postcard.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -79,6 +79,8 @@
     ControlHeartbeats,
     /// Demand reports that it handled.
     ControlReports,
+    /// Heartbeats of targets that this host took for the leader.
+    HeartbeatsTaken,
     /// Renewals, heartbeats and reports that newer ones replaced before it came to them.
     ControlSuperseded,
 }
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -361,6 +361,7 @@
                 self.record_leader_message(from);
                 let _ = self.setup.events.send(Event::Software(software));
             }
+            Downward::HeartbeatsTaken { .. } => {}
             Downward::Committed { call, reply } => self.answer(from, call, reply),
             Downward::Answer { call, json } => self.answer(from, call, json),
         }
