--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -101,7 +101,9 @@
     pub(crate) fn publish_full(&mut self, view_builder: &ViewBuilder) -> Output {
         self.last_published = Some(view_builder.now);
         self.clear_pending();
-        self.full_view(Audience::All, view_builder)
+        let to = Audience::All;
+        let view = self.full_view(view_builder);
+        Output::Publish { to, view }
     }
 
     /// Publishes pending changes, if the interval has passed; urgent ones wait for a shorter
@@ -171,24 +173,29 @@
     /// Sends the full view to some of the entry hosts that wait for it, once it was published.
     pub(crate) fn send_full_views(&mut self, view_builder: &ViewBuilder) -> Option<Output> {
         self.last_published?;
-        let hosts = self.full_views.take_due(view_builder.now);
+        if !self.full_views.is_due(view_builder.now) {
+            return None;
+        }
+        let view = self.full_view(view_builder);
+        let hosts = self
+            .full_views
+            .take_due(view.changes.len(), view_builder.now);
         let to = match hosts[..] {
             [] => return None,
             [host] => Audience::Host(host),
             _ => Audience::Hosts(hosts),
         };
-        Some(self.full_view(to, view_builder))
+        Some(Output::Publish { to, view })
     }
 
-    /// Builds a publication of the full view.
-    fn full_view(&self, to: Audience, view_builder: &ViewBuilder) -> Output {
-        let view = View {
+    /// Builds the full view.
+    fn full_view(&self, view_builder: &ViewBuilder) -> View {
+        View {
             term: self.term,
             from: 0,
             to: self.sequence,
             changes: view_builder.full_view(),
-        };
-        Output::Publish { to, view }
+        }
     }
 
     /// Returns the changes since the last publication, and clears them.
--- a/crates/control/src/full_views.rs
+++ b/crates/control/src/full_views.rs
@@ -10,6 +10,10 @@
 /// The most full views that are sent in one [`INTERVAL`].
 const MAX_HOSTS: usize = 8;
 
+/// The changes in full views that are sent in one [`INTERVAL`], or one view if it has more: encoding,
+/// authenticating and writing them takes a third of a small processor.
+const MAX_CHANGES: usize = 8_000;
+
 /// The time over which full views are counted.
 const INTERVAL: Time = Time::from_millis(50);
 
@@ -31,13 +35,23 @@
         }
     }
 
-    /// Takes the hosts that get the full view now.
-    pub(crate) fn take_due(&mut self, now: Time) -> Vec<HostId> {
+    /// Returns whether a host may get the full view now.
+    pub(crate) fn is_due(&self, now: Time) -> bool {
+        !self.waiting.is_empty() && (now >= self.since + INTERVAL || self.sent < MAX_HOSTS)
+    }
+
+    /// Takes the hosts that get the full view now, which has this many changes.
+    pub(crate) fn take_due(&mut self, changes: usize, now: Time) -> Vec<HostId> {
         if now >= self.since + INTERVAL {
             self.since = now;
             self.sent = 0;
         }
-        let due = self.waiting.len().min(MAX_HOSTS - self.sent);
+        let allowed = (MAX_CHANGES / changes.max(1)).clamp(1, MAX_HOSTS);
+        let due = self.waiting.len().min(allowed.saturating_sub(self.sent));
+        if due == 0 {
+            // None until the next interval, so that the view is not built in vain.
+            self.sent = MAX_HOSTS;
+        }
         self.sent += due;
         self.waiting.drain(..due).collect()
     }
--- a/crates/control/src/term_state.rs
+++ b/crates/control/src/term_state.rs
@@ -346,6 +346,10 @@
     /// Removes targets that were dismissed because a new incarnation took over their address.
     fn forget_removed_targets(&mut self, ctx: &Context) {
         let fleet = ctx.state.fleet();
+        if self.workers.len() == fleet.len() {
+            // Each registered target has a worker, so no other has one.
+            return;
+        }
         let removed = |target: &&TargetId| fleet.get(target).is_none();
         let removed: Vec<TargetId> = self.workers.keys().filter(removed).cloned().collect();
         for target in removed {
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -402,3 +402,42 @@
         assert_eq!(closed, Some(closed_after), "{delayed}, {lost}");
     }
 }
+
+/// Large views to several hosts at once took all of the leader's time.
+#[test]
+fn large_full_views_are_sent_to_fewer_hosts_at_a_time() {
+    let mut bench = bench();
+    for target in 0..2_100 {
+        let name = format!("t{target}");
+        let mut announcement = worker(&name, 1, 100, false);
+        let port = 10_000 + target;
+        announcement.address = ([127, 0, 0, 1], port).into();
+        bench.handle(Input::Announcement(announcement));
+    }
+    bench.outputs.clear();
+    for host in 0..10 {
+        bench.handle(Input::Subscribe {
+            host,
+            term: 0,
+            sequence: 0,
+        });
+    }
+    let mut served = 0;
+    for round in 0..10 {
+        let mut hosts = 0;
+        for output in bench.outputs.drain(..) {
+            if let Output::Publish { to, .. } = output {
+                hosts += match to {
+                    Audience::All => 0,
+                    Audience::Host(_) => 1,
+                    Audience::Hosts(hosts) => hosts.len(),
+                };
+            }
+        }
+        assert!(hosts <= 3, "{hosts} at once, in round {round}");
+        served += hosts;
+        bench.now += Duration::from_millis(50);
+        bench.handle(Input::Tick);
+    }
+    assert_eq!(served, 10, "hosts in 0.5 s");
+}
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Term, Time};
-use cornelhitch_types::target::AnnouncedHeartbeat;
+use cornelhitch_types::target::{AnnouncedHeartbeat, Holding};
 use serde::{Deserialize, Serialize};
 
 /// Time between two batches.
@@ -58,10 +58,15 @@
 }
 
 impl TakenHeartbeat {
-    /// Returns a digest of all that it says but its number.
+    /// Returns a digest of all that it says but its number, and the order of what the target holds.
     fn digest(&self) -> u64 {
         let mut same = self.clone();
         same.presence.heartbeat.sequence = 0;
+        let inventory = &mut same.presence.heartbeat.inventory;
+        inventory.sort_by(|one, other| {
+            let key = |it: &Holding| (it.stage, it.model.model.clone(), it.replica);
+            key(one).cmp(&key(other))
+        });
         let bytes = postcard::to_stdvec(&same).unwrap_or_default();
         let mut hasher = DefaultHasher::new();
         bytes.hash(&mut hasher);
