--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -373,7 +373,7 @@
 fn targets_are_not_suspected_while_their_heartbeats_move_to_another_host() {
     // Whether the leader knows that their host is silent, whether an entry host has lost the target,
     // and after how many tenths of a second the target gets no new work.
-    let rows = [(false, false, 20), (true, false, 32), (true, true, 20)];
+    let rows = [(false, false, 20), (true, false, 32), (true, true, 5)];
     for (delayed, lost, closed_after) in rows {
         let mut bench = bench();
         bench.now += Duration::from_secs(1);
@@ -386,7 +386,7 @@
                 let targets = vec!["w1".into()];
                 bench.handle(Input::HeartbeatsDelayed { targets });
             }
-            if lost && tenth == 20 {
+            if lost && tenth == 5 {
                 bench.handle(Input::ConnectionLost {
                     target: "w1".into(),
                     incarnation: 1,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -235,7 +235,7 @@
         reservations: Reservations::default(),
         trials: Trials::default(),
         software: SoftwareRegister::default(),
-        intake: Intake::default(),
+        intake: Intake::new(setup.epoch.elapsed()),
         forwards: Forwards::default(),
         origins: origins::Questions::default(),
         settings_in_force: 0,
--- a/crates/node/src/control/heartbeats.rs
+++ b/crates/node/src/control/heartbeats.rs
@@ -25,8 +25,7 @@
     /// Takes a target's heartbeat for the leader; returns false if this host cannot.
     pub(super) fn take_heartbeat(&mut self, presence: &AnnouncedHeartbeat) -> bool {
         let now = self.now();
-        let takes = self.heartbeat_leader().is_some() && self.intake.is_open(now);
-        if takes && !presence.heartbeat.leaving {
+        if self.intake.is_open(now) && !presence.heartbeat.leaving {
             self.intake.take(presence.clone(), now);
             self.setup.metrics.increment(Count::HeartbeatsTaken);
             return true;
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -3,7 +3,8 @@
 //! The host answers its targets, and tells the leader in batches what they say: in full what has
 //! changed, otherwise only that the target goes on. So the leader handles a batch of each control host
 //! in place of a connection of each target. A host whose batches the leader does not answer takes
-//! nothing.
+//! nothing. While nobody leads it goes on for a moment: targets that are turned away try all control
+//! hosts in turn, and that load would delay the election.
 
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -23,6 +24,10 @@
 /// silent.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after the start of the process for which heartbeats are taken without an answer: an election
+/// usually takes less.
+const START_TIME: Duration = Duration::from_secs(2);
+
 /// Time after which a target that sends its heartbeats elsewhere is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
@@ -105,21 +110,32 @@
 }
 
 /// The heartbeats that a host takes while another one leads.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Intake {
     targets: BTreeMap<TargetId, Taken>,
     /// The term of the leader that gets the batches.
     term: Term,
     last_batch: Option<Time>,
-    last_answer: Option<Time>,
+    /// Until when heartbeats are taken.
+    open_until: Time,
 }
 
 impl Intake {
-    /// Whether heartbeats may be taken: the leader has answered lately.
+    /// Creates the intake of a process that has just started.
+    #[must_use]
+    pub fn new(now: Time) -> Self {
+        Self {
+            targets: BTreeMap::new(),
+            term: 0,
+            last_batch: None,
+            open_until: now + START_TIME,
+        }
+    }
+
+    /// Whether heartbeats may be taken: the leader has answered lately, or an election is due.
     #[must_use]
     pub fn is_open(&self, now: Time) -> bool {
-        let answered = self.last_answer;
-        answered.is_some_and(|answered| now < answered + ANSWER_TIMEOUT)
+        now < self.open_until
     }
 
     /// Takes a heartbeat; an older one than the newest is dropped.
@@ -130,14 +146,13 @@
         if known.is_some_and(|known| position(&presence) <= position(&known.newest.presence)) {
             return;
         }
-        let has_events = !presence.heartbeat.cache.is_empty();
         let newest = TakenHeartbeat::from(presence);
         let digest = newest.digest();
         let told = known.is_some_and(|known| known.told && known.digest == digest);
         let taken = Taken {
             newest,
             digest,
-            told: told && !has_events,
+            told,
             fresh: true,
             at: now,
         };
@@ -147,7 +162,7 @@
     /// Returns the batch that is due for the leader of a term.
     pub fn batch(&mut self, term: Term, now: Time) -> Option<Vec<Forwarded>> {
         if term != self.term {
-            self.begin_term(term);
+            self.begin_term(term, now);
         }
         self.targets
             .retain(|_, taken| now < taken.at + FORGET_AFTER);
@@ -175,7 +190,7 @@
         if term != self.term {
             return;
         }
-        self.last_answer = Some(now);
+        self.open_until = self.open_until.max(now + ANSWER_TIMEOUT);
         for target in missing {
             if let Some(taken) = self.targets.get_mut(target) {
                 taken.told = false;
@@ -186,17 +201,16 @@
 
     /// Takes all heartbeats that are not older than `age`, for a host that leads from now on.
     pub fn drain(&mut self, age: Duration, now: Time) -> Vec<AnnouncedHeartbeat> {
-        self.last_answer = None;
         let targets = std::mem::take(&mut self.targets).into_values();
         let newest = targets.filter(|taken| now < taken.at + age);
         newest.map(|taken| taken.newest.into()).collect()
     }
 
     /// Begins to tell another leader, which has nothing in full.
-    fn begin_term(&mut self, term: Term) {
+    fn begin_term(&mut self, term: Term, now: Time) {
         self.term = term;
-        self.last_answer = None;
         self.last_batch = None;
+        self.open_until = self.open_until.max(now + ANSWER_TIMEOUT);
         for taken in self.targets.values_mut() {
             taken.told = false;
         }
--- a/crates/node/tests/intake.rs
+++ b/crates/node/tests/intake.rs
@@ -47,13 +47,22 @@
 }
 
 /// A host that takes heartbeats, and the leader that gets them.
-#[derive(Default)]
 struct Pair {
     now: Time,
     intake: Intake,
     forwards: Forwards,
 }
 
+impl Default for Pair {
+    fn default() -> Self {
+        Self {
+            now: Time::ZERO,
+            intake: Intake::new(Time::ZERO),
+            forwards: Forwards::default(),
+        }
+    }
+}
+
 impl Pair {
     /// Takes a heartbeat and passes the batch on; returns what the leader hears, and how many of the
     /// batch were in full.
@@ -138,20 +147,46 @@
 }
 
 #[test]
-fn heartbeats_are_taken_only_while_the_leader_answers() {
-    let mut intake = Intake::default();
+fn change_in_a_lost_batch_is_made_up_for_too() {
+    let mut pair = Pair::default();
+    pair.beat(presence("w1", 1, 1));
+    let changed = |sequence| {
+        let mut changed = presence("w1", 1, sequence);
+        changed.announcement.slots = Some(9);
+        changed
+    };
+    pair.now += HEARTBEAT;
+    pair.intake.take(changed(2), pair.now);
+    pair.intake
+        .batch(TERM, pair.now)
+        .expect("a batch that is lost");
+    let (heard, _) = pair.beat(changed(3));
+    assert!(heard.is_empty(), "the leader has another: {heard:?}");
+    let (heard, full) = pair.pass_on(A);
+    assert_eq!((heard, full), (vec![changed(3)], 1));
+}
+
+/// Targets that are turned away while nobody leads try all control hosts in turn.
+#[test]
+fn heartbeats_are_taken_while_an_election_is_due_or_the_leader_answers() {
     let at = Duration::from_millis;
-    assert!(!intake.is_open(at(0)), "no leader has answered");
-    assert!(intake.batch(TERM, at(0)).is_some_and(|it| it.is_empty()));
-    intake.on_answer(TERM, &[], at(100));
-    assert!(intake.is_open(at(1_099)));
-    assert!(!intake.is_open(at(1_100)), "the leader is silent");
-    intake.on_answer(TERM, &[], at(2_000));
-    intake.batch(TERM + 1, at(2_100));
-    assert!(!intake.is_open(at(2_100)), "another leader");
-    intake.on_answer(TERM, &[], at(2_200));
+    let mut intake = Intake::new(at(5_000));
+    assert!(intake.is_open(at(6_999)), "the process has just started");
+    assert!(!intake.is_open(at(7_000)), "nobody leads");
+    assert!(
+        intake
+            .batch(TERM, at(8_000))
+            .is_some_and(|it| it.is_empty())
+    );
+    assert!(intake.is_open(at(8_999)), "a leader has just been elected");
+    assert!(!intake.is_open(at(9_000)), "it does not answer");
+    intake.on_answer(TERM, &[], at(9_500));
+    assert!(intake.is_open(at(10_499)));
+    assert!(!intake.is_open(at(10_500)), "it has fallen silent");
+    intake.batch(TERM + 1, at(12_000));
+    intake.on_answer(TERM, &[], at(12_900));
     assert!(
-        !intake.is_open(at(2_200)),
+        !intake.is_open(at(13_000)),
         "a late answer of the one before"
     );
 }
@@ -188,7 +223,7 @@
     let mut forwards = Forwards::default();
     let at = Duration::from_millis;
     let full = |target: &str| {
-        let mut intake = Intake::default();
+        let mut intake = Intake::new(Time::ZERO);
         intake.take(presence(target, 1, 1), at(0));
         intake.batch(TERM, at(0)).expect("a batch")
     };
@@ -208,7 +243,7 @@
 
 #[test]
 fn host_that_is_elected_uses_what_it_took() {
-    let mut intake = Intake::default();
+    let mut intake = Intake::new(Time::ZERO);
     let at = Duration::from_secs;
     intake.take(presence("w1", 1, 1), at(1));
     intake.take(presence("w2", 1, 1), at(3));
