--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -114,6 +114,8 @@
     pub initial_settings: Option<Bytes>,
     /// The address at which this host accepts messages from targets and operators.
     pub registry: Option<SocketAddr>,
+    /// The addresses of the other hosts that take targets' heartbeats while this one leads.
+    pub takers: watch::Sender<Vec<SocketAddr>>,
     /// Decides on membership changes, on clusters whose hosts join and leave without an operator.
     pub membership_policy: Option<MembershipPolicy>,
     /// Cancelled when the process stops.
--- a/crates/node/src/control/heartbeats.rs
+++ b/crates/node/src/control/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Heartbeats that control hosts take for the leader.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cornelhitch_control::input::Input;
@@ -40,28 +41,53 @@
         };
         let (term, now) = (self.term, self.now());
         if let Some(batch) = self.intake.batch(term, now) {
-            let upward = Upward::Heartbeats { term, batch };
+            let registry = self.setup.registry;
+            let upward = Upward::Heartbeats {
+                term,
+                registry,
+                batch,
+            };
             self.setup.links.send(leader, Message::Upward(upward));
         }
     }
 
     /// Handles a batch of another control host.
-    pub(crate) fn heartbeats_forwarded(&mut self, from: HostId, term: Term, batch: Vec<Forwarded>) {
+    pub(crate) fn heartbeats_forwarded(
+        &mut self,
+        from: HostId,
+        term: Term,
+        registry: Option<SocketAddr>,
+        batch: Vec<Forwarded>,
+    ) {
         if term != self.term {
             return;
         }
         let now = self.now();
         let unpacked = self.forwards.unpack(from, batch, now);
+        self.forwards.set_address(from, registry);
+        self.publish_takers();
         for presence in unpacked.heartbeats {
             self.hear(presence);
         }
         let fleet = self.state.fleet();
-        self.forwards.retain(|target| fleet.get(target).is_some());
+        if self.forwards.len() > fleet.len() {
+            self.forwards.retain(|target| fleet.get(target).is_some());
+        }
         let missing = unpacked.missing;
         let downward = Downward::HeartbeatsTaken { term, missing };
         self.setup.links.send(from, Message::Downward(downward));
     }
 
+    /// Tells the registry's listener which hosts take heartbeats for this leader.
+    pub(super) fn publish_takers(&self) {
+        let takers = self.forwards.addresses();
+        self.setup.takers.send_if_modified(|known| {
+            let changed = *known != takers;
+            *known = takers;
+            changed
+        });
+    }
+
     /// Handles a heartbeat as the leader.
     pub(super) fn hear(&mut self, presence: AnnouncedHeartbeat) {
         self.setup.metrics.increment(Count::ControlHeartbeats);
@@ -81,6 +107,7 @@
     pub(super) fn excuse_delayed_heartbeats(&mut self) {
         let now = self.now();
         let targets = self.forwards.newly_silent(now);
+        self.publish_takers();
         if !targets.is_empty() {
             tracing::info!(
                 targets = targets.len(),
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -80,6 +80,7 @@
             self.software = SoftwareRegister::default();
             self.refuse_origins(leader);
             self.forwards = Forwards::default();
+            self.publish_takers();
             self.subscribers.clear();
         }
         if role == Role::Leader {
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Term, Time};
@@ -250,6 +251,8 @@
     known: BTreeMap<TargetId, Known>,
     /// When each host last sent a batch; those that were found silent are left out.
     heard: BTreeMap<HostId, Time>,
+    /// The addresses at which these hosts accept messages from targets.
+    addresses: BTreeMap<HostId, SocketAddr>,
 }
 
 /// What follows from a batch.
@@ -307,12 +310,39 @@
         let mut targets = Vec::new();
         for host in hosts {
             self.heard.remove(&host);
+            self.addresses.remove(&host);
             let its = self.known.iter().filter(|(_, known)| known.host == host);
             targets.extend(its.map(|(target, _)| target.clone()));
         }
         targets
     }
 
+    /// Records the address at which a host accepts messages from targets.
+    pub fn set_address(&mut self, host: HostId, address: Option<SocketAddr>) {
+        match address {
+            Some(address) => self.addresses.insert(host, address),
+            None => self.addresses.remove(&host),
+        };
+    }
+
+    /// Returns the addresses of the hosts that send batches, by their ids.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.addresses.values().copied().collect()
+    }
+
+    /// Returns the number of targets that other hosts have told of.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Returns whether no other host has told of a target.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// Forgets targets that are not registered any more.
     pub fn retain(&mut self, is_registered: impl Fn(&TargetId) -> bool) {
         self.known.retain(|target, _| is_registered(target));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod socket;
 pub mod software;
 mod startup;
+pub mod takers;
 pub mod timestamped;
 pub mod trials;
 mod upward;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -105,6 +105,8 @@
     Heartbeats {
         /// The term of the leader that they are for.
         term: Term,
+        /// The address at which the sender accepts messages from targets.
+        registry: Option<SocketAddr>,
         /// The heartbeats.
         batch: Vec<Forwarded>,
     },
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -90,13 +90,14 @@
         let startup = Startup::connect(
             process, protocols, addresses, peer_links, datagrams, inbox, blocked,
         )?;
-        let control = control_inbox.map(|inbox| startup.start_control(inbox));
+        let (taker_sender, takers) = watch::channel(Vec::new());
+        let control = control_inbox.map(|inbox| startup.start_control(inbox, taker_sender));
         let (control, control_task) = control.transpose()?.unzip();
         let (host_state, host) = watch::channel(startup.host());
         let (events, event_receiver) = mpsc::unbounded_channel();
         let session = startup.start_session(session_inbox, host, events);
         if let (Some(control), Some(listener)) = (&control, registry) {
-            startup.start_registry(control.clone(), session.clone(), listener);
+            startup.start_registry(control.clone(), session.clone(), takers.clone(), listener);
         }
         if let Some(listener) = metrics {
             startup.start_exposition(listener);
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -15,6 +15,7 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use crate::body::{self, Body};
 use crate::callers::collect;
@@ -22,6 +23,7 @@
 use crate::problem::Problem;
 use crate::server::Service;
 use crate::session;
+use crate::takers::Takers;
 
 /// The largest message in bytes; a table of a few thousand routes is smaller.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
@@ -92,6 +94,10 @@
     pub address: SocketAddr,
     /// The availability zones with their regions.
     pub zones: Vec<Zone>,
+    /// Where targets' next heartbeats go.
+    pub takers: Takers,
+    /// The instant from which this listener measures time.
+    pub epoch: Instant,
 }
 
 impl Service for Registry {
@@ -175,7 +181,13 @@
 
     /// Passes a target's message to the control task, with the region of its zone filled in.
     async fn forward_message(&self, mut message: Message) -> Receipt {
+        let mut next = self.address;
         if let Message::Presence(presence) = &mut message {
+            if !presence.heartbeat.leaving {
+                let target = &presence.announcement.target;
+                let taker = self.takers.next(target, self.epoch.elapsed());
+                next = taker.unwrap_or(next);
+            }
             let announcement = &mut presence.announcement;
             let mut zones = self.zones.iter();
             if let Some(zone) = zones.find(|zone| zone.name == announcement.zone) {
@@ -186,7 +198,7 @@
             .ask_control(|answer| TaskMessage::Target(Box::new(message), answer))
             .await;
         match (taken, self.leader()) {
-            (Some(()), _) => Receipt::AcceptedRedirect(self.address),
+            (Some(()), _) => Receipt::AcceptedRedirect(next),
             (None, Some(leader)) => Receipt::Redirect(leader),
             (None, None) => Receipt::Unavailable,
         }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -1,6 +1,7 @@
 //! Starts the tasks of a process from their shared state.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -44,6 +45,7 @@
 use crate::server;
 use crate::session;
 use crate::socket::Addresses;
+use crate::takers::Takers;
 
 /// Election timeout of a cluster that runs without operators: several round trips between regions,
 /// and less than callers wait.
@@ -165,6 +167,7 @@
     pub(crate) fn start_control(
         &self,
         incoming: mpsc::UnboundedReceiver<Incoming>,
+        takers: watch::Sender<Vec<SocketAddr>>,
     ) -> Result<(mpsc::UnboundedSender<TaskMessage>, JoinHandle<()>), Error> {
         let folder = self.process.data.clone().context(DataSnafu)?;
         let disk = DiskStore::open(
@@ -209,6 +212,7 @@
             metrics: self.metrics.clone(),
             initial_settings: self.initial_settings()?,
             registry: self.process.registry,
+            takers,
             membership_policy: seeded.then(|| MembershipPolicy {
                 target_voters: 2 * self.process.losses as usize + 1,
                 ..MembershipPolicy::default()
@@ -342,6 +346,7 @@
         &self,
         control: mpsc::UnboundedSender<TaskMessage>,
         session: session::Handle,
+        takers: watch::Receiver<Vec<SocketAddr>>,
         listener: TcpListener,
     ) {
         let Some(address) = self.process.registry else {
@@ -354,6 +359,8 @@
             route_tables: self.protocols.route_tables.clone(),
             address,
             zones: self.process.zones.clone(),
+            takers: Takers::new(takers),
+            epoch: self.epoch,
         };
         tokio::spawn(server::run(listener, Arc::new(registry), self.stop.clone()));
     }
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -57,7 +57,11 @@
                 incarnation,
             } => self.reservations.release(from.host, target, incarnation),
             Upward::Propose { call, command } => self.propose(command, Some((from.host, call))),
-            Upward::Heartbeats { term, batch } => self.heartbeats_forwarded(from.host, term, batch),
+            Upward::Heartbeats {
+                term,
+                registry,
+                batch,
+            } => self.heartbeats_forwarded(from.host, term, registry, batch),
             Upward::StreamsBegun(streams) => {
                 let now = self.now();
                 self.software.record_streams(streams, now);
