--- a/crates/node/tests/backlog.rs
+++ b/crates/node/tests/backlog.rs
@@ -1,5 +1,7 @@
 //! The control task handles the replicated log first, and only the newest level of each sender.
 
+mod common;
+
 use std::net::{Ipv4Addr, SocketAddr};
 
 use cornelhitch_node::backlog::{Backlog, Class, Item, class};
@@ -9,9 +11,7 @@
 use cornelhitch_types::demand::DemandReport;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::HostId;
-use cornelhitch_types::target::{
-    AnnouncedHeartbeat, Announcement, CacheEvent, Heartbeat, Kind, Load,
-};
+use cornelhitch_types::target::CacheEvent;
 use cornelhitch_wire::hello::ProcessId;
 use tokio::sync::oneshot;
 
@@ -72,35 +72,9 @@
 }
 
 fn presence(target: &str, sequence: u64, leaving: bool, cache: Vec<CacheEvent>) -> Item {
-    let announcement = Announcement {
-        target: target.into(),
-        incarnation: 1,
-        kind: Kind::Worker,
-        address: ADDRESS,
-        region: "perth".into(),
-        zone: "a".into(),
-        memory: 0,
-        accelerators: 1,
-        fencing: true,
-        services: vec!["engines".into()],
-        slots: Some(8),
-        incarnation_is_start_time: true,
-    };
-    let heartbeat = Heartbeat {
-        target: target.into(),
-        incarnation: 1,
-        sequence,
-        fence: 0,
-        inventory: Vec::new(),
-        load: Load::default(),
-        cache,
-        leaving,
-    };
-    let presence = AnnouncedHeartbeat {
-        announcement,
-        heartbeat,
-        software: None,
-    };
+    let mut presence = common::presence(target, 1, sequence);
+    presence.heartbeat.leaving = leaving;
+    presence.heartbeat.cache = cache;
     let message = inbound::Message::Presence(Box::new(presence));
     let (answer, _) = oneshot::channel();
     Item::Task(TaskMessage::Target(Box::new(message), answer))
--- a/crates/node/tests/intake.rs
+++ b/crates/node/tests/intake.rs
@@ -1,12 +1,12 @@
 //! Control hosts take heartbeats for the leader, which hears in full only what has changed.
 
+mod common;
+
 use std::time::Duration;
 
 use cornelhitch_node::intake::{Forwarded, Forwards, Intake};
 use cornelhitch_types::id::Time;
-use cornelhitch_types::target::{
-    AnnouncedHeartbeat, Announcement, CacheEvent, Heartbeat, Kind, Load,
-};
+use cornelhitch_types::target::{AnnouncedHeartbeat, CacheEvent};
 
 /// The hosts that take heartbeats.
 const A: u64 = 1;
@@ -16,33 +16,11 @@
 /// Time between two heartbeats of a target.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// Returns a heartbeat of a worker that states its software.
 fn presence(target: &str, incarnation: u64, sequence: u64) -> AnnouncedHeartbeat {
     AnnouncedHeartbeat {
-        announcement: Announcement {
-            target: target.into(),
-            incarnation,
-            kind: Kind::Worker,
-            address: ([10, 0, 0, 1], 80).into(),
-            region: "perth".into(),
-            zone: "a".into(),
-            memory: 0,
-            accelerators: 1,
-            fencing: true,
-            services: vec!["engines".into()],
-            slots: Some(8),
-            incarnation_is_start_time: true,
-        },
-        heartbeat: Heartbeat {
-            target: target.into(),
-            incarnation,
-            sequence,
-            fence: 0,
-            inventory: Vec::new(),
-            load: Load::default(),
-            cache: Vec::new(),
-            leaving: false,
-        },
         software: Some("v1".into()),
+        ..common::presence(target, incarnation, sequence)
     }
 }
 
--- a/crates/node/tests/software.rs
+++ b/crates/node/tests/software.rs
@@ -1,15 +1,16 @@
 //! What the leader knows of the targets' software and of the streams that they began.
 
+mod common;
+
 use std::time::Duration;
 
 use cornelhitch_entry::software::{ORIGIN_RETENTION, StreamBegun};
 use cornelhitch_node::software::SoftwareRegister;
 use cornelhitch_types::id::Time;
-use cornelhitch_types::target::{AnnouncedHeartbeat, Announcement, Heartbeat, Kind, Load};
+use cornelhitch_types::target::{AnnouncedHeartbeat, Kind, Load};
 use cornelhitch_types::view::{Change, Target, View};
 
-/// The service of all targets.
-const SERVICE: &str = "engines";
+use common::SERVICE;
 
 fn at(seconds: u64) -> Time {
     Time::from_secs(seconds)
@@ -18,31 +19,8 @@
 /// Returns a heartbeat of a target that states its software, if any.
 fn presence(target: &str, incarnation: u64, software: Option<&str>) -> AnnouncedHeartbeat {
     AnnouncedHeartbeat {
-        announcement: Announcement {
-            target: target.into(),
-            incarnation,
-            kind: Kind::Worker,
-            address: ([10, 0, 0, 1], 80).into(),
-            region: "perth".into(),
-            zone: "a".into(),
-            memory: 0,
-            accelerators: 1,
-            fencing: true,
-            services: vec![SERVICE.into()],
-            slots: Some(8),
-            incarnation_is_start_time: true,
-        },
-        heartbeat: Heartbeat {
-            target: target.into(),
-            incarnation,
-            sequence: 1,
-            fence: 0,
-            inventory: Vec::new(),
-            load: Load::default(),
-            cache: Vec::new(),
-            leaving: false,
-        },
         software: software.map(Into::into),
+        ..common::presence(target, incarnation, 1)
     }
 }
 
