--- a/crates/control/src/full_views.rs
+++ b/crates/control/src/full_views.rs
@@ -10,8 +10,8 @@
 /// The most full views that are sent in one [`INTERVAL`].
 const MAX_HOSTS: usize = 8;
 
-/// The changes in full views that are sent in one [`INTERVAL`], or one view if it has more: encoding,
-/// authenticating and writing them takes a third of a small processor.
+/// The changes in full views that are sent in one [`INTERVAL`], or one view if it has more: each is
+/// encoded once and authenticated and written for each host.
 const MAX_CHANGES: usize = 8_000;
 
 /// The time over which full views are counted.
