--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,42 +1,53 @@
 #!/bin/bash
-# Three control hosts, one entry host and three workers. Callers send requests with bodies of 4,000,000 bytes on kept
-# connections, 8 a second, each of which a worker works on for 2 s; for 6 s there are 19 a second (2.4 times as many).
-# The platform ends a process that uses more than its memory (260 MB for an entry host) and starts it again.
+# Six control hosts (two may be lost at once, so five vote), of which all settings files name the first three as seeds.
+# The processes that lead are killed and started again until one leads that is no seed. Then two hosts lose their disks
+# and are back 1 s later, empty; 9 s after that two others do. 18 s later the operator reads the configuration back.
 # Exit code: 0 held, 1 broken, 2 could not run.
 . "$(dirname "$0")/../common.sh"
-LIMIT_KB=$((260 * 1024))
-three_controls true
-settings entry-1 $NET.11 perth-a entry "$SEEDS" true
-for i in 1 2 3; do daemon control-$i; done
-daemon entry-1; ENTRY=$PID
+SEEDS="$NET.1:$((PORT + 3)),$NET.2:$((PORT + 3)),$NET.3:$((PORT + 3))"
+ALL="$SEEDS,$NET.4:$((PORT + 3)),$NET.5:$((PORT + 3)),$NET.6:$((PORT + 3))"
+ZONES=(perth-a bunbury-a kalgoorlie-a perth-a bunbury-a kalgoorlie-a)
+CONTROL=()
+host() { settings control-$1 $NET.$1 ${ZONES[$(($1 - 1))]} control "$SEEDS" $2; sed -i 's/^losses: 1/losses: 2/' "$WORK/control-$1.yaml"; }
+start() { daemon control-$1; CONTROL[$1]=$PID; }
+# leader: the number of the host that returns the configuration.
+leader() {
+    $STANDIN read-back --registry "$ALL" --config "$WORK/config.json" --for-s 8 > "$WORK/read.txt"
+    sed -n "s/.*operator: $NET\.\([0-9]*\):.* returns a configuration.*/\1/p" "$WORK/read.txt"
+}
+# wipe HOSTS: they lose their disks at once (TROUBLE=0: they are killed and keep them) and are back 1 s later.
+wipe() {
+    local i
+    for i in "$@"; do
+        kill -KILL "${CONTROL[$i]}"
+        [ "$TROUBLE" = 0 ] || rm -rf "$WORK/control-$i.data"
+    done
+    [ "$TROUBLE" = 0 ] && note "hosts $* are killed" || note "hosts $* lose their disks"
+    sleep 1
+    for i in "$@"; do host $i false; start $i; done
+}
+for i in 1 2 3 4 5 6; do host $i true; done
+for i in 1 2 3 4 5 6; do start $i; done
 write_config
-$STANDIN operator --registry "$SEEDS" --config "$WORK/config.json" --for-s 20 >> "$RECORD" || verdict 2 "no acknowledgement"
-for n in 1 2 3; do
-    standin worker --id i-$n --service wuno96b --address $NET.2$n:$((PORT + 9)) --zone perth-a --registry "$SEEDS" --slots 64 --work-ms 2000
+$STANDIN operator --registry "$ALL" --config "$WORK/config.json" --for-s 20 >> "$RECORD" || verdict 2 "no acknowledgement"
+sleep 9
+for try in 1 2 3 4 5; do
+    leads=$(leader); note "host ${leads:-none} leads"
+    [ -n "$leads" ] || verdict 2 "nobody leads before any disk is lost"
+    [ "$leads" -gt 3 ] && break
+    kill -KILL "${CONTROL[$leads]}"; sleep 1; host $leads false; start $leads; sleep 8
 done
-sleep 4
-[ "$TROUBLE" != 0 ] && burst=6 || burst=0
-$STANDIN callers --entry $NET.11:$((PORT + 5)) --host ficu95.example --path /puxa403/2f --bytes 4000000 --deadline-ms 6000 \
-    --rate 8 --burst-rate 19 --burst-at-s 6 --burst-s $burst --for-s 16 >> "$RECORD" 2>&1 &
-callers=$!; PIDS="$PIDS $callers"
-peak=0; ended=0
-while kill -0 $callers 2>/dev/null; do
-    used=$(awk '/VmRSS/ { print $2 }' /proc/$ENTRY/status 2>/dev/null); used=${used:-0}
-    [ "$used" -gt "$peak" ] && peak=$used
-    if [ "$used" -gt $LIMIT_KB ]; then
-        kill -KILL $ENTRY; ended=$((ended + 1))
-        note "entry-1 uses $used KiB, more than its memory: ended by the platform"
-        sleep 0.5; daemon entry-1; ENTRY=$PID
-    fi
-    sleep 0.05
-done
-# Requests on kept connections that a worker ran and whose connection ended without an answer.
-lost=0
-for id in $(sed -n 's/.*caller: \(r[0-9]*-[0-9]*\) ended: connection closed without an answer/\1/p' "$RECORD"); do
-    grep -q "runs $id," "$RECORD" && lost=$((lost + 1))
-done
-served=$(grep -c "ended: 200" "$RECORD")
-note "peak $peak KiB; ended by the platform $ended times; $served requests answered 200; $lost passed on to a worker and closed without an answer"
-[ "$served" -gt 0 ] || verdict 2 "no request was served"
-[ "$lost" -gt 3 ] && verdict 1 "broken: more than three requests were passed on and their connections closed without an answer"
-verdict 0 "held"
+[ "$leads" -gt 3 ] || verdict 2 "only seeds were elected"
+wipe 2 3
+sleep 9
+still=$(leader); note "host ${still:-none} leads"
+[ "$still" = "$leads" ] || verdict 2 "another host leads now"
+others=$(for i in 1 4 5 6; do [ $i != "$leads" ] && echo $i; done | head -2)
+wipe $others
+sleep 18
+for i in 1 2 3 4 5 6; do kill -0 "${CONTROL[$i]}" 2>/dev/null || verdict 2 "control-$i does not run"; done
+note "all six control hosts run; the operator reads back"
+if $STANDIN read-back --registry "$ALL" --config "$WORK/config.json" --for-s 8 >> "$RECORD"; then
+    verdict 0 "held: the acknowledged configuration came back"
+fi
+verdict 1 "broken: the acknowledged configuration does not come back"
