--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -64,6 +64,8 @@
     votes: BTreeSet<MemberId>,
     /// Peers that reported that they belong to no group.
     without_group: BTreeSet<MemberId>,
+    /// Members that still address an earlier incarnation of this member, which has lost its storage.
+    contacts: BTreeSet<MemberId>,
     /// Replication progress of the other members; only on a leader.
     progress: BTreeMap<MemberId, Progress>,
     heartbeat_at: Time,
@@ -150,6 +152,7 @@
             leader_stamp: Time::ZERO,
             votes: BTreeSet::new(),
             without_group: BTreeSet::new(),
+            contacts: BTreeSet::new(),
             progress: BTreeMap::new(),
             heartbeat_at: now,
             leader_since: now,
--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -93,12 +93,13 @@
         self.count_votes();
     }
 
-    /// Sends a join request to all known members and peers, since this member receives nothing from
+    /// Sends a join request to all known members, peers and contacts, since this member receives nothing from
     /// a leader: it may have been removed while it was offline and must then be admitted again.
     fn send_join_requests(&mut self) {
         let me = self.me().id;
         let known = self.membership().keys().copied();
-        let all: BTreeSet<MemberId> = known.chain(self.config.peers.iter().copied()).collect();
+        let told = self.config.peers.iter().chain(&self.contacts).copied();
+        let all: BTreeSet<MemberId> = known.chain(told).collect();
         for id in all.into_iter().filter(|id| *id != me) {
             self.send_in_term(id, None, self.hard_state.term, Message::Join);
         }
@@ -276,14 +277,34 @@
         self.bootstrap_if_allowed();
     }
 
+    /// Handles a join request: the leader raises it to its owner, another member passes it on to the
+    /// leader, since the sender may know none of the hosts that lead.
     pub(super) fn on_join(&mut self, from: Peer) {
         let without_group = self.membership().is_empty();
-        if self.role == Role::Leader && !self.membership().admits(from) {
-            self.actions.push(Action::JoinRequested(from));
+        if !self.membership().admits(from) {
+            self.request_admission(from);
         }
         self.send(from, Message::NoGroup(without_group));
     }
 
+    fn request_admission(&mut self, joiner: Peer) {
+        match self.leader {
+            _ if self.role == Role::Leader => self.actions.push(Action::JoinRequested(joiner)),
+            Some(leader) => self.send(leader, Message::ForwardedJoin(joiner)),
+            None => {}
+        }
+    }
+
+    /// Handles a join request that a member passed on. A host that no longer leads drops it, so that
+    /// it cannot travel in a circle.
+    pub(super) fn on_forwarded_join(&mut self, from: Peer, joiner: Peer) {
+        let members = self.membership();
+        let passed_on_by_member = members.admits(from) && !members.admits(joiner);
+        if self.role == Role::Leader && passed_on_by_member {
+            self.request_admission(joiner);
+        }
+    }
+
     pub(super) fn on_no_group(&mut self, from: Peer, without_group: bool) {
         if without_group {
             self.without_group.insert(from.id);
--- a/crates/quorum/src/core/route.rs
+++ b/crates/quorum/src/core/route.rs
@@ -11,6 +11,9 @@
 /// reached after 146,000 years.
 pub(super) const MAX_TERM_OR_INDEX: u64 = 1 << 62;
 
+/// Maximum number of members that a host without a group remembers besides its configured peers.
+const MAX_CONTACTS: usize = 64;
+
 impl Core {
     pub(super) fn send(&mut self, to: Peer, message: Message) {
         self.send_in_term(to.id, Some(to.incarnation), self.hard_state.term, message);
@@ -68,9 +71,25 @@
             && (lineages.contains(&0) || lineages[0] == lineages[1])
     }
 
+    /// Notes the sender of a message that was meant for an earlier incarnation of this member: its
+    /// group still counts this member in, which lost its storage and may know no other way to it.
+    fn learn_contact(&mut self, from: MemberId, envelope: &Envelope) {
+        let Identity { cluster, group, .. } = self.identity;
+        let outdated = envelope
+            .incarnation
+            .is_some_and(|i| i != self.me().incarnation);
+        let same_group = envelope.cluster == cluster && envelope.group == group;
+        let authentic = envelope.from.id == from && envelope.to == self.me().id;
+        let outside = self.membership().is_empty();
+        if outside && outdated && same_group && authentic && self.contacts.len() < MAX_CONTACTS {
+            self.contacts.insert(from);
+        }
+    }
+
     pub(super) fn receive(&mut self, from: MemberId, envelope: Envelope) {
         if !self.is_for_this_member(from, &envelope) {
             self.dropped += 1;
+            self.learn_contact(from, &envelope);
             return;
         }
         let Envelope {
@@ -97,6 +116,7 @@
             Message::AppendRejected(response) => self.on_append_rejected(from, term, response),
             Message::ChunkReceived(response) => self.on_chunk_received(from, term, response),
             Message::Join => self.on_join(from),
+            Message::ForwardedJoin(joiner) => self.on_forwarded_join(from, joiner),
             Message::NoGroup(without_group) => self.on_no_group(from, without_group),
         }
     }
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -68,6 +68,8 @@
     #[serde(rename = "Outside")]
     #[strum(serialize = "outside")]
     NoGroup(bool),
+    /// Passes on the [`Message::Join`] of another host to the leader.
+    ForwardedJoin(Peer),
 }
 
 /// A `RequestVote` request (Ongaro's thesis §3.4) or, with `pre_vote`, a pre-vote request (§9.6).
--- a/crates/quorum/tests/messages.rs
+++ b/crates/quorum/tests/messages.rs
@@ -143,6 +143,8 @@
         })
     });
     let outside = any::<bool>().prop_map(Message::NoGroup);
+    let joiner = (number(), number()).prop_map(|(id, incarnation)| Peer { id, incarnation });
+    let forwarded = joiner.prop_map(Message::ForwardedJoin);
     prop_oneof![
         append(),
         chunk(),
@@ -152,6 +154,7 @@
         refused,
         received,
         outside,
+        forwarded,
         Just(Message::Join)
     ]
 }
--- /dev/null
+++ b/crates/quorum/tests/repair.rs
@@ -0,0 +1,163 @@
+//! Tests that a group on a cluster with seeds returns to its number of live voters after members,
+//! disks and leaders are lost, with the membership policy of the product.
+
+mod schedule;
+
+use std::time::Duration;
+
+use cornelhitch_quorum::membership_policy::MembershipPolicy;
+use cornelhitch_quorum::prelude::*;
+
+use schedule::Schedule;
+use schedule::simulation::{Seeded, Simulation};
+
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(10);
+
+/// Time after which a host that was lost, or its successor, no longer counts as lost (the users'
+/// `catchUpS`).
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+
+/// Maximum message delay in milliseconds; the users' regions are 30 ms apart.
+const DELAY_MS: u16 = 40;
+
+/// Time from the loss of a host to the start of its successor.
+const SUCCESSOR_DELAY: Duration = Duration::from_millis(100);
+
+/// Number of hosts that may replace lost ones during a test.
+const SPARES: usize = 24;
+
+/// A group whose hosts come and go.
+struct Group {
+    sim: Simulation,
+    /// The number of voters that the policy keeps.
+    target: usize,
+    /// The hosts that have started and are not lost for good.
+    hosts: Vec<usize>,
+    /// The next host that replaces a lost one.
+    spare: usize,
+}
+
+/// Creates a stable group on `hosts` hosts that tolerates the loss of `losses` of them.
+fn group(seed: u64, hosts: usize, losses: usize) -> Group {
+    let target = 2 * losses + 1;
+    let schedule = Schedule {
+        seed,
+        voters: u8::try_from(target).unwrap(),
+        joiners: u8::try_from(hosts - target + SPARES).unwrap(),
+        loss: 0,
+        duplicated: 0,
+        delay: DELAY_MS,
+        steps: Vec::new(),
+        fault: None,
+    };
+    let policy = MembershipPolicy {
+        target_voters: target,
+        ..MembershipPolicy::default()
+    };
+    let seeds = vec![0, 1, 2];
+    let mut sim = Simulation::seeded(schedule, Seeded { policy, seeds });
+    for spare in hosts..hosts + SPARES {
+        sim.lose(spare);
+    }
+    let mut group = Group {
+        sim,
+        target,
+        hosts: (0..hosts).collect(),
+        spare: hosts,
+    };
+    group.run(10 * SECOND);
+    assert!(group.is_repaired(), "{}", group.describe("not founded"));
+    group
+}
+
+impl Group {
+    fn run(&mut self, time: Duration) {
+        self.sim.run_for(time).unwrap();
+    }
+
+    fn leader(&self) -> Option<usize> {
+        self.sim.leader_with_lease()
+    }
+
+    fn members(&self) -> Membership {
+        self.leader()
+            .map(|leader| self.sim.members(leader))
+            .unwrap_or_default()
+    }
+
+    /// Whether a member leads, and as many voters as asked for are there and alive.
+    fn is_repaired(&self) -> bool {
+        let members = self.members();
+        let lives = |id: &MemberId| {
+            let node = &self.sim.nodes[usize::try_from(*id).unwrap()];
+            node.core.is_some() && members.admits(node.peer)
+        };
+        let voters: Vec<MemberId> = members.voters().collect();
+        voters.len() == self.target && voters.iter().all(lives)
+    }
+
+    /// Runs until the group is repaired, for at most the given time.
+    fn repair(&mut self, within: Duration, what: &str) {
+        let end = self.sim.now + within;
+        while !self.is_repaired() {
+            assert!(self.sim.now < end, "{}", self.describe(what));
+            self.run(STEP);
+        }
+    }
+
+    fn describe(&self, what: &str) -> String {
+        let at = self.sim.now;
+        self.sim.describe(&format!("{what}, at {at:?}"))
+    }
+
+    /// Loses a host for good; another one starts in its place.
+    fn replace(&mut self, host: usize) {
+        self.sim.lose(host);
+        self.hosts.retain(|other| *other != host);
+        self.run(SUCCESSOR_DELAY);
+        self.sim.restart(self.spare);
+        self.hosts.push(self.spare);
+        self.spare += 1;
+    }
+
+    /// A voter that doesn't lead.
+    fn follower(&self) -> usize {
+        let leader = self.leader().unwrap();
+        let members = self.members();
+        let is_follower =
+            |host: &&usize| **host != leader && members.is_voter(u64::try_from(**host).unwrap());
+        *self.hosts.iter().find(is_follower).unwrap()
+    }
+}
+
+/// Guards against an empty host that is never admitted because the seeds that it asks do not lead.
+#[test]
+fn wiped_members_are_admitted_while_a_member_leads_that_is_no_seed() {
+    for seed in 0..20 {
+        let mut group = group(seed, 6, 2);
+        while group.leader().is_none_or(|leader| leader < 3) {
+            if let Some(leader) = group.leader() {
+                group.sim.restart(leader);
+            }
+            group.run(2 * SECOND);
+        }
+        group.sim.lose_disk(1);
+        group.sim.lose_disk(2);
+        group.repair(CATCH_UP_TIME, "the disks of two seeds were lost");
+    }
+}
+
+/// Guards against an empty host that is never admitted because all of its seeds are gone.
+#[test]
+fn a_wiped_member_is_admitted_when_its_seeds_are_gone() {
+    let mut group = group(1, 9, 2);
+    for seed in 0..3 {
+        group.replace(seed);
+        group.run(CATCH_UP_TIME + 2 * SECOND);
+        group.repair(SECOND, "a seed was replaced");
+    }
+    let wiped = group.follower();
+    group.sim.lose_disk(wiped);
+    group.repair(CATCH_UP_TIME, "a disk was lost after all seeds");
+}
--- a/crates/quorum/tests/schedule/node.rs
+++ b/crates/quorum/tests/schedule/node.rs
@@ -8,6 +8,7 @@
 use cornelhitch_quorum::action::Entry;
 use cornelhitch_quorum::config::{Config, DRIFT_PPM, Fault};
 use cornelhitch_quorum::log::Payload;
+use cornelhitch_quorum::membership_policy::JoinRequests;
 use cornelhitch_quorum::memory::MemoryStore;
 use cornelhitch_quorum::prelude::*;
 
@@ -100,6 +101,8 @@
     pub wake: Duration,
     /// Commit index up to which entries have been checked.
     pub checked: Index,
+    /// The requests to join that this member received as leader.
+    pub join_requests: JoinRequests,
     started: Duration,
     /// Deviation of the clock rate from real time, in parts per million.
     drift_ppm: i64,
@@ -141,6 +144,7 @@
             paused_until: Duration::ZERO,
             wake: Duration::ZERO,
             checked: 0,
+            join_requests: JoinRequests::default(),
             started: Duration::ZERO,
             drift_ppm: 0,
         }
@@ -154,6 +158,7 @@
         self.started = now;
         self.start_count += 1;
         self.checked = 0;
+        self.join_requests = JoinRequests::default();
         self.state = State::default();
         self.wake = Duration::MAX;
         self.core = Some(Core::new(
--- a/crates/quorum/tests/schedule/simulation.rs
+++ b/crates/quorum/tests/schedule/simulation.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cornelhitch_quorum::membership_policy::MembershipPolicy;
 use cornelhitch_quorum::message::Envelope;
 use cornelhitch_quorum::prelude::*;
 use rand::rngs::SmallRng;
@@ -19,12 +20,31 @@
 
 const CLUSTER: u64 = 7;
 
+/// Election timeout on clusters with seeds.
+const SEEDED_ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Interval between heartbeats on clusters with seeds.
+const SEEDED_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval between two checks of the membership by a member's owner.
+const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How the owners of a cluster whose hosts join and leave without an operator act.
+#[derive(Clone, Debug)]
+pub struct Seeded {
+    /// The policy by which the leader's owner changes the membership.
+    pub policy: MembershipPolicy,
+    /// The members that every member is told at its start.
+    pub seeds: Vec<MemberId>,
+}
+
 /// A pending simulation event.
 #[derive(Debug)]
 enum Pending {
     Tick { node: usize },
     Message(Envelope),
     Synced { node: usize, start_count: u64 },
+    MembershipCheck { node: usize, start_count: u64 },
 }
 
 /// A running schedule.
@@ -44,6 +64,8 @@
     faults_disabled: bool,
     /// Whether the leader's owner admits members that ask to join.
     pub admit_joiners: bool,
+    /// How the owners change the membership; without it, they admit whoever asks to join.
+    seeded: Option<Seeded>,
     /// Records all sent messages if set.
     pub sent: Option<Vec<Envelope>>,
 }
@@ -60,6 +82,15 @@
 
 impl Simulation {
     pub fn new(schedule: Schedule) -> Self {
+        Self::with_owners(schedule, None)
+    }
+
+    /// Creates a simulation in which the owners act as on a cluster with seeds.
+    pub fn seeded(schedule: Schedule, seeded: Seeded) -> Self {
+        Self::with_owners(schedule, Some(seeded))
+    }
+
+    fn with_owners(schedule: Schedule, seeded: Option<Seeded>) -> Self {
         let voters: Vec<Peer> = (0..u64::from(schedule.voters))
             .map(|id| Peer { id, incarnation: 1 })
             .collect();
@@ -93,6 +124,7 @@
             incarnations: 1,
             faults_disabled: false,
             admit_joiners: true,
+            seeded,
             sent: None,
             schedule,
         };
@@ -104,9 +136,40 @@
         let may_bootstrap = self.schedule.voters == 0 && index == 0;
         let mut config = config(may_bootstrap, self.schedule.fault);
         config.peers = self.nodes.iter().map(|node| node.peer.id).collect();
+        if let Some(seeded) = &self.seeded {
+            config.peers.clone_from(&seeded.seeds);
+            config.election_timeout = SEEDED_ELECTION_TIMEOUT;
+            config.heartbeat_interval = SEEDED_HEARTBEAT_INTERVAL;
+        }
         let seed = self.rng.random();
         self.nodes[index].start(config, seed, self.now);
         self.wake(index);
+        if self.seeded.is_some() {
+            self.schedule_membership_check(index);
+        }
+    }
+
+    fn schedule_membership_check(&mut self, node: usize) {
+        let start_count = self.nodes[node].start_count;
+        let check = Pending::MembershipCheck { node, start_count };
+        self.push(self.now + MEMBERSHIP_CHECK_INTERVAL, check);
+    }
+
+    /// Starts the membership change that the policy finds due, as the leader's owner does.
+    fn check_membership(&mut self, index: usize) -> Check {
+        self.schedule_membership_check(index);
+        let node = &self.nodes[index];
+        let (Some(core), Some(seeded)) = (&node.core, &self.seeded) else {
+            return Ok(());
+        };
+        let change = seeded
+            .policy
+            .next_change(&core.status(), &node.join_requests);
+        let Some(change) = change else {
+            return Ok(());
+        };
+        let id = self.request();
+        self.handle(index, Event::ChangeMembership { id, change })
     }
 
     fn push(&mut self, due_at: Duration, pending: Pending) {
@@ -144,7 +207,9 @@
 
     fn process(&mut self, pending: Pending) -> Check {
         let index = match &pending {
-            Pending::Tick { node } | Pending::Synced { node, .. } => *node,
+            Pending::Tick { node }
+            | Pending::Synced { node, .. }
+            | Pending::MembershipCheck { node, .. } => *node,
             Pending::Message(message) => usize::try_from(message.to).unwrap(),
         };
         if index >= self.nodes.len() || self.nodes[index].core.is_none() {
@@ -165,9 +230,12 @@
                 }
                 self.handle(index, Event::Receive { from, message })
             }
-            Pending::Synced { start_count, .. } if start_count != self.nodes[index].start_count => {
+            Pending::Synced { start_count, .. } | Pending::MembershipCheck { start_count, .. }
+                if start_count != self.nodes[index].start_count =>
+            {
                 Ok(())
             }
+            Pending::MembershipCheck { .. } => self.check_membership(index),
             Pending::Synced { .. } => {
                 let event = self.nodes[index].disk.finish();
                 self.start_sync(index);
@@ -242,6 +310,10 @@
                     .map_or(0, |c| c.status().applied);
                 self.checker.read_completed(id, applied)?;
             }
+            Action::JoinRequested(peer) if self.seeded.is_some() => {
+                let requests = &mut self.nodes[index].join_requests;
+                requests.insert(peer.id, peer.incarnation);
+            }
             Action::JoinRequested(peer) if self.admit_joiners => {
                 return Ok(Some(self.admit(index, peer)));
             }
@@ -442,18 +514,33 @@
         self.handle(index, Event::Barrier { id })
     }
 
-    fn restart(&mut self, index: usize) {
+    pub fn restart(&mut self, index: usize) {
         self.nodes[index].crash(1);
         self.start(index);
     }
 
+    /// Ends a member for good.
+    pub fn lose(&mut self, index: usize) {
+        self.nodes[index].crash(0);
+    }
+
+    /// Wipes a disk and restarts its member, whatever is left of the group.
+    pub fn lose_disk(&mut self, index: usize) {
+        self.incarnations += 1;
+        self.nodes[index].wipe(self.incarnations);
+        self.start(index);
+    }
+
+    /// Changes the loss of messages, in thousandths.
+    pub fn set_loss(&mut self, loss: u16) {
+        self.schedule.loss = loss;
+    }
+
     /// Wipes a disk, unless the other voters of some membership known to any member would not form
     /// a quorum.
     fn wipe(&mut self, index: usize) {
         if self.quorum_without(Some(index)) {
-            self.incarnations += 1;
-            self.nodes[index].wipe(self.incarnations);
-            self.start(index);
+            self.lose_disk(index);
         }
     }
 
@@ -482,7 +569,7 @@
         self.blocked_links.insert(ids);
     }
 
-    fn isolate(&mut self, index: usize, direction: Direction) {
+    pub fn isolate(&mut self, index: usize, direction: Direction) {
         for other in 0..self.nodes.len() {
             match direction {
                 Direction::In => self.cut(other, index),
