--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -151,6 +151,8 @@
     Election(Term),
     /// Answer the hosts' questions about origins of streams.
     Origins,
+    /// Check the membership again: the membership policy started the change.
+    MembershipPolicy,
     /// Promote this learner to voter once it has caught up.
     Learner(HostId),
     /// Answer a host's call to change the membership.
@@ -556,6 +558,7 @@
             | Waiter::Read(_)
             | Waiter::Leader
             | Waiter::Election(_)
+            | Waiter::MembershipPolicy
             | Waiter::Learner(_) => {}
         }
     }
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -12,8 +12,8 @@
 use super::{Control, Waiter};
 use crate::message::{Downward, Message};
 
-/// Interval between membership checks.
-const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between membership checks, each of which starts at most one step of a repair.
+const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Control {
     /// Starts the next membership change if the membership policy finds one due.
@@ -21,7 +21,8 @@
         let Some(membership_policy) = self.setup.membership_policy else {
             return;
         };
-        if self.last_membership_check.elapsed() < MEMBERSHIP_CHECK_INTERVAL {
+        let is_due = self.last_membership_check.elapsed() >= MEMBERSHIP_CHECK_INTERVAL;
+        if !is_due || self.is_changing_membership() {
             return;
         }
         self.last_membership_check = Instant::now();
@@ -37,11 +38,17 @@
                 ?change, silent = ?status.unresponsive_for,
                 "starting an automatic membership change"
             );
-            let id = self.register_waiter(Waiter::Leader);
+            let id = self.register_waiter(Waiter::MembershipPolicy);
             self.quorum_event(Event::ChangeMembership { id, change });
         }
     }
 
+    /// Whether a change that the membership policy started is neither complete nor rejected.
+    fn is_changing_membership(&self) -> bool {
+        let is_own = |waiter: &Waiter| matches!(waiter, Waiter::MembershipPolicy);
+        self.waiters.values().any(is_own)
+    }
+
     /// Sends all subscribers the voters when these or an address of one has changed.
     pub(super) fn send_changed_voters(&mut self) {
         let voters = self.reachable_voters();
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -54,6 +54,10 @@
 /// Interval between the leader's heartbeats in such a cluster.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time without progress after which a membership change is given up on a cluster with seeds, where
+/// the membership policy decides anew.
+const MEMBERSHIP_CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The state that the tasks of a process share when they are started.
 pub(crate) struct Startup {
     pub(crate) process: ProcessSettings,
@@ -237,6 +241,7 @@
         if seeded {
             config.election_timeout = ELECTION_TIMEOUT;
             config.heartbeat_interval = HEARTBEAT_INTERVAL;
+            config.catch_up_timeout = MEMBERSHIP_CHANGE_TIMEOUT;
         }
         config
     }
--- a/crates/quorum/src/core/change.rs
+++ b/crates/quorum/src/core/change.rs
@@ -4,7 +4,7 @@
 use crate::action::{Action, RejectReason};
 use crate::config::Fault;
 use crate::event::MembershipChange;
-use crate::id::{MemberId, Peer, RequestId, Time};
+use crate::id::{Index, MemberId, Peer, RequestId, Time};
 use crate::log::Payload;
 use crate::member::{MemberKind, Membership};
 use crate::status::Role;
@@ -15,6 +15,16 @@
     pub(super) id: RequestId,
     change: MembershipChange,
     since: Time,
+    /// The round of catching up in progress, while a learner is promoted.
+    round: Option<Round>,
+}
+
+/// A round in which a learner catches up with what was committed at its start (Ongaro's thesis
+/// §4.2.1).
+#[derive(Clone, Copy, Debug)]
+struct Round {
+    target: Index,
+    since: Time,
 }
 
 /// The next step of a membership change.
@@ -106,6 +116,7 @@
             id,
             change,
             since: self.now,
+            round: None,
         });
     }
 
@@ -174,13 +185,14 @@
         recent || id == self.me().id
     }
 
-    /// Promotes a learner to voter once it has synced every committed entry.
+    /// Promotes a learner to voter once it has caught up within one election timeout. Entries that
+    /// are committed meanwhile do not keep it waiting.
     fn promote_if_caught_up(&mut self, id: RequestId, since: Time, peer: Peer) {
         let Some(progress) = self.progress.get(&peer.id) else {
             return;
         };
-        let advanced_at = progress.advanced_at.max(since);
-        if progress.durable >= self.commit {
+        let (durable, advanced_at) = (progress.durable, progress.advanced_at.max(since));
+        if self.completes_round(durable) {
             let members = self.membership().with(peer, MemberKind::Voter);
             return self.append_if_quorum_responsive(id, advanced_at, members);
         }
@@ -189,4 +201,25 @@
             self.reject(id, RejectReason::Stalled);
         }
     }
+
+    /// Whether a learner that has synced the log up to `durable` has just caught up within an
+    /// election timeout; begins the next round if it took longer.
+    fn completes_round(&mut self, durable: Index) -> bool {
+        let current = Round {
+            target: self.commit,
+            since: self.now,
+        };
+        let Some(pending) = &mut self.pending_change else {
+            return false;
+        };
+        let round = pending.round.get_or_insert(current);
+        if durable < round.target {
+            return false;
+        }
+        let in_time = self.now <= round.since + self.config.election_timeout;
+        if !in_time {
+            pending.round = Some(current);
+        }
+        in_time || durable >= self.commit
+    }
 }
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -1,17 +1,25 @@
 //! Automatic membership changes for groups whose hosts join and leave without an operator.
 //!
-//! The policy keeps the number of voters constant. A host that asks to join becomes a learner first
-//! and then replaces a voter that has not responded for a while. A voter that returns with wiped
-//! storage replaces itself.
+//! The policy keeps the number of voters constant. It is level-triggered: each change is a single
+//! step, a function of the membership in the log, of who responds and of who asks to join. So a
+//! change of leader interrupts nothing: the next leader finds the remaining steps due.
+//!
+//! A voter that is lost is removed first, and a learner is promoted in the next step. In between the
+//! group bears as many losses as before the removal, and what is left to do, a voter too few, can be
+//! read off the membership alone, without having waited for the lost voter.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::event::MembershipChange;
-use crate::id::{Incarnation, MemberId, Peer};
+use crate::id::{Incarnation, Index, MemberId, Peer};
 use crate::member::MemberKind;
 use crate::status::{Role, Status};
 
+/// Maximum number of committed entries that a learner may lack and still count as caught up. The
+/// promotion waits for it to sync them.
+const MAX_LAG_ENTRIES: Index = 64;
+
 /// The policy that decides on membership changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MembershipPolicy {
@@ -47,74 +55,141 @@
         if status.role != Role::Leader {
             return None;
         }
-        self.replace_silent_voter(status)
-            .or_else(|| self.promote_learner(status))
-            .or_else(|| admit_joiner(status, join_requests))
-            .or_else(|| self.remove_silent_learner(status))
+        let view = View {
+            policy: self,
+            status,
+            join_requests,
+        };
+        view.remove_surplus_voter()
+            .or_else(|| view.promote_learner())
+            .or_else(|| view.remove_lost_voter())
+            .or_else(|| view.admit_joiner())
+            .or_else(|| view.remove_learner())
     }
+}
 
-    /// Replaces a voter that stopped responding with a responsive learner.
-    fn replace_silent_voter(&self, status: &Status) -> Option<MembershipChange> {
-        let is_silent = |id: &MemberId| silence(status, *id) >= self.replace_after;
-        let old = status.members.voters().find(is_silent)?;
-        let new = self.responsive_learner(status)?;
-        Some(MembershipChange::Replace { old, new })
+/// What the leader knows of the group when it decides.
+struct View<'a> {
+    policy: &'a MembershipPolicy,
+    status: &'a Status,
+    join_requests: &'a JoinRequests,
+}
+
+impl View<'_> {
+    /// Removes a voter if the group has too many: a lost one, or any once all of them respond.
+    fn remove_surplus_voter(&self) -> Option<MembershipChange> {
+        if self.voter_count() <= self.policy.target_voters {
+            return None;
+        }
+        let others = self.status.members.voters().filter(|id| !self.is_me(*id));
+        let least_useful = others.max_by_key(|id| (self.is_wiped(*id), self.silence(*id)))?;
+        let all_respond = || self.status.members.voters().all(|id| self.responds(id));
+        (self.is_lost(least_useful) || all_respond())
+            .then_some(MembershipChange::Remove(least_useful))
     }
 
     /// Promotes a learner if the group has too few voters.
-    fn promote_learner(&self, status: &Status) -> Option<MembershipChange> {
-        if status.members.voters().count() >= self.target_voters {
+    fn promote_learner(&self) -> Option<MembershipChange> {
+        if self.voter_count() >= self.policy.target_voters {
             return None;
         }
-        let learner = self.responsive_learner(status)?;
-        Some(MembershipChange::Promote(learner.id))
+        self.ready_learner().map(MembershipChange::Promote)
+    }
+
+    /// Removes a voter that has lost its storage, which cannot return under its incarnation, or one
+    /// that is silent while a learner is ready to take its place.
+    fn remove_lost_voter(&self) -> Option<MembershipChange> {
+        let mut voters = self.status.members.voters();
+        let replaceable = self.ready_learner().is_some();
+        let lost = voters.find(|id| self.is_wiped(*id) || (replaceable && self.is_silent(*id)))?;
+        Some(MembershipChange::Remove(lost))
+    }
+
+    /// Admits a new host as a learner. A learner that has lost its storage is removed first, so that
+    /// the next step admits it under its new incarnation.
+    fn admit_joiner(&self) -> Option<MembershipChange> {
+        let mut join_requests = self.join_requests.iter();
+        join_requests.find_map(|(id, incarnation)| {
+            let joiner = Peer {
+                id: *id,
+                incarnation: *incarnation,
+            };
+            match self.status.members.get(id) {
+                None => Some(MembershipChange::Add(joiner)),
+                Some(member) if member.incarnation == *incarnation => None,
+                Some(member) if member.kind == MemberKind::Voter => None,
+                Some(_) => Some(MembershipChange::Remove(*id)),
+            }
+        })
+    }
+
+    /// Removes a learner that has not responded for long.
+    fn remove_learner(&self) -> Option<MembershipChange> {
+        let long_silent = |id: &MemberId| self.silence(*id) >= self.policy.remove_after;
+        self.learners()
+            .find(long_silent)
+            .map(MembershipChange::Remove)
+    }
+
+    fn voter_count(&self) -> usize {
+        self.status.members.voters().count()
     }
 
-    /// Returns a learner that has responded recently.
-    fn responsive_learner(&self, status: &Status) -> Option<Peer> {
-        let mut learners = status.members.iter();
-        let (id, _) = learners.find(|(id, member)| {
-            let responsive = silence(status, **id) < self.replace_after;
-            member.kind == MemberKind::Learner && responsive
-        })?;
-        status.members.peer(*id)
+    fn learners(&self) -> impl Iterator<Item = MemberId> {
+        let members = self.status.members.iter();
+        members
+            .filter(|(_, member)| member.kind == MemberKind::Learner)
+            .map(|(id, _)| *id)
     }
 
-    /// Removes a learner that stopped responding.
-    fn remove_silent_learner(&self, status: &Status) -> Option<MembershipChange> {
-        let mut learners = status.members.iter();
-        let silent_learner = learners.find(|(id, member)| {
-            member.kind == MemberKind::Learner && silence(status, **id) >= self.remove_after
+    /// The learner that lacks least, among those that respond and have caught up.
+    fn ready_learner(&self) -> Option<MemberId> {
+        let ready = self.learners().filter(|id| {
+            let caught_up = self.matched(*id) + MAX_LAG_ENTRIES >= self.status.commit;
+            self.responds(*id) && !self.is_wiped(*id) && caught_up
         });
-        silent_learner.map(|(id, _)| MembershipChange::Remove(*id))
+        ready.max_by_key(|id| self.matched(*id))
     }
-}
 
-/// Admits a joining host: as a learner if it is new, or as its own replacement if it is a member
-/// with wiped storage.
-fn admit_joiner(status: &Status, join_requests: &JoinRequests) -> Option<MembershipChange> {
-    let mut join_requests = join_requests.iter();
-    join_requests.find_map(|(id, incarnation)| {
-        let new = Peer {
-            id: *id,
-            incarnation: *incarnation,
-        };
-        match status.members.get(id) {
-            None => Some(MembershipChange::Add(new)),
-            Some(member) if member.incarnation == *incarnation => None,
-            Some(_) => Some(MembershipChange::Replace { old: *id, new }),
-        }
-    })
-}
+    fn is_me(&self, id: MemberId) -> bool {
+        id == self.status.peer.id
+    }
+
+    /// Whether the member asks to join under another incarnation than the one that was admitted.
+    fn is_wiped(&self, id: MemberId) -> bool {
+        let admitted = self
+            .status
+            .members
+            .get(&id)
+            .map(|member| member.incarnation);
+        let asking = self.join_requests.get(&id).copied();
+        asking.is_some() && admitted.is_some() && asking != admitted
+    }
+
+    fn is_silent(&self, id: MemberId) -> bool {
+        self.silence(id) >= self.policy.replace_after
+    }
+
+    fn is_lost(&self, id: MemberId) -> bool {
+        self.is_wiped(id) || self.is_silent(id)
+    }
+
+    /// Whether the member has responded to this leader, and recently.
+    fn responds(&self, id: MemberId) -> bool {
+        self.is_me(id) || (self.matched(id) > 0 && !self.is_silent(id))
+    }
+
+    /// The last index that the member has synced, as it reported to this leader.
+    fn matched(&self, id: MemberId) -> Index {
+        self.status.matched.get(&id).copied().unwrap_or_default()
+    }
 
-/// Returns how long a member has not responded to this leader.
-fn silence(status: &Status, id: MemberId) -> Duration {
-    if id == status.peer.id {
-        return Duration::ZERO;
+    /// How long the member has not responded to this leader.
+    fn silence(&self, id: MemberId) -> Duration {
+        if self.is_me(id) {
+            return Duration::ZERO;
+        }
+        let unresponsive_for = self.status.unresponsive_for.get(&id);
+        unresponsive_for.copied().unwrap_or_default()
     }
-    status
-        .unresponsive_for
-        .get(&id)
-        .copied()
-        .unwrap_or_default()
 }
--- a/crates/quorum/tests/membership_policy.rs
+++ b/crates/quorum/tests/membership_policy.rs
@@ -1,6 +1,5 @@
 //! Tests of automatic membership changes.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cornelhitch_quorum::event::MembershipChange;
@@ -25,6 +24,8 @@
     let members = learners.iter().fold(members, |members, id| {
         members.with(peer(*id), MemberKind::Learner)
     });
+    let matched = members.keys().map(|id| (*id, 9)).collect::<Vec<_>>();
+    let matched = matched.into_iter();
     let silent = silent.iter().map(|(id, s)| (*id, Duration::from_secs(*s)));
     Status {
         cluster: 1,
@@ -40,7 +41,7 @@
         durable: 9,
         snapshot: 0,
         members,
-        matched: BTreeMap::new(),
+        matched: matched.collect(),
         unresponsive_for: silent.collect(),
         disk_unhealthy: false,
         dropped: 0,
@@ -73,14 +74,19 @@
         Case { name: "a new host asks to join", voters: &[1, 2, 3], learners: &[], silent: &[], join_requests: vec![peer(4)], expected: Some(MembershipChange::Add(peer(4))) },
         Case { name: "a learner asks again to join", voters: &[1, 2, 3], learners: &[4], silent: &[], join_requests: vec![peer(4)], expected: None },
         Case { name: "a spare learner", voters: &[1, 2, 3], learners: &[4], silent: &[], join_requests: vec![], expected: None },
-        Case { name: "a silent voter and a learner", voters: &[1, 2, 3], learners: &[4], silent: &[(2, 5)], join_requests: vec![], expected: Some(MembershipChange::Replace { old: 2, new: peer(4) }) },
+        Case { name: "a silent voter and a learner", voters: &[1, 2, 3], learners: &[4], silent: &[(2, 5)], join_requests: vec![], expected: Some(MembershipChange::Remove(2)) },
         Case { name: "a briefly silent voter", voters: &[1, 2, 3], learners: &[4], silent: &[(2, 2)], join_requests: vec![], expected: None },
         Case { name: "a silent voter without a learner", voters: &[1, 2, 3], learners: &[], silent: &[(2, 5)], join_requests: vec![], expected: None },
         Case { name: "voter and learner silent", voters: &[1, 2, 3], learners: &[4], silent: &[(2, 5), (4, 5)], join_requests: vec![], expected: None },
         Case { name: "too few voters", voters: &[1, 2], learners: &[4], silent: &[], join_requests: vec![], expected: Some(MembershipChange::Promote(4)) },
         Case { name: "too few voters, learner silent", voters: &[1, 2], learners: &[4], silent: &[(4, 5)], join_requests: vec![], expected: None },
         Case { name: "a learner silent for long", voters: &[1, 2, 3], learners: &[4], silent: &[(4, 11)], join_requests: vec![], expected: Some(MembershipChange::Remove(4)) },
-        Case { name: "a voter with a wiped disk", voters: &[1, 2, 3], learners: &[], silent: &[], join_requests: vec![wiped], expected: Some(MembershipChange::Replace { old: 2, new: wiped }) },
+        Case { name: "a voter with a wiped disk", voters: &[1, 2, 3], learners: &[], silent: &[], join_requests: vec![wiped], expected: Some(MembershipChange::Remove(2)) },
+        Case { name: "a learner with a wiped disk", voters: &[1, 3, 4], learners: &[2], silent: &[], join_requests: vec![wiped], expected: Some(MembershipChange::Remove(2)) },
+        Case { name: "a wiped learner does not take the place of a silent voter", voters: &[1, 3, 4], learners: &[2], silent: &[(3, 5)], join_requests: vec![wiped], expected: Some(MembershipChange::Remove(2)) },
+        Case { name: "a voter too many, one silent", voters: &[1, 2, 3, 4], learners: &[], silent: &[(3, 5)], join_requests: vec![], expected: Some(MembershipChange::Remove(3)) },
+        Case { name: "a voter too many, one briefly silent", voters: &[1, 2, 3, 4], learners: &[], silent: &[(3, 1)], join_requests: vec![], expected: Some(MembershipChange::Remove(3)) },
+        Case { name: "a voter too many, all responsive", voters: &[1, 2, 3, 4], learners: &[], silent: &[], join_requests: vec![], expected: Some(MembershipChange::Remove(4)) },
         Case { name: "the leader does not count as silent", voters: &[1, 2, 3], learners: &[4], silent: &[(1, 60)], join_requests: vec![], expected: None },
     ];
     for case in cases {
@@ -104,3 +110,154 @@
         );
     }
 }
+
+/// What a host of the model does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
+enum Health {
+    /// It runs with its disk, and has caught up.
+    Sound,
+    /// It does not run.
+    Dead,
+    /// It runs with an empty disk and asks to join.
+    Wiped,
+}
+
+/// A host of the model: whether it is a member, and of which kind, and what it does.
+#[derive(Clone, Copy, Debug)]
+struct Host {
+    kind: Option<MemberKind>,
+    health: Health,
+}
+
+/// The hosts of the model; the first is the leader, and a host's ID is its place plus 1.
+#[derive(Clone, Debug)]
+struct Model(Vec<Host>);
+
+impl Model {
+    fn ids(&self) -> impl Iterator<Item = (MemberId, &Host)> {
+        (1..).zip(&self.0)
+    }
+
+    fn voters(&self) -> Vec<&Host> {
+        let is_voter = |host: &&Host| host.kind == Some(MemberKind::Voter);
+        self.0.iter().filter(is_voter).collect()
+    }
+
+    /// How many more voters may be lost before the group has no quorum; negative without one.
+    fn slack(&self) -> isize {
+        let voters = self.voters();
+        let sound = voters.iter().filter(|host| host.health == Health::Sound);
+        sound.count().cast_signed() - (voters.len() / 2 + 1).cast_signed()
+    }
+
+    /// What the policy would do.
+    fn next_change(&self) -> Option<MembershipChange> {
+        let of_kind = |kind| {
+            let is_kind = move |(_, host): &(MemberId, &Host)| host.kind == Some(kind);
+            self.ids()
+                .filter(is_kind)
+                .map(|(id, _)| id)
+                .collect::<Vec<_>>()
+        };
+        let silent = self.ids().filter(|(_, host)| host.health != Health::Sound);
+        let silent: Vec<_> = silent.map(|(id, _)| (id, 60)).collect();
+        let (voters, learners) = (of_kind(MemberKind::Voter), of_kind(MemberKind::Learner));
+        let asking = self.ids().filter_map(|(id, host)| match host {
+            Host {
+                health: Health::Wiped,
+                ..
+            } => Some(Peer {
+                id,
+                incarnation: 99,
+            }),
+            Host {
+                health: Health::Sound,
+                kind: None,
+            } => Some(peer(id)),
+            _ => None,
+        });
+        let asking: Vec<Peer> = asking.collect();
+        let status = status(&voters, &learners, &silent);
+        MembershipPolicy::default().next_change(&status, &join_requests(&asking))
+    }
+
+    fn apply(&mut self, change: MembershipChange) {
+        let host = |id: MemberId| usize::try_from(id).unwrap() - 1;
+        match change {
+            MembershipChange::Add(new) => {
+                self.0[host(new.id)] = Host {
+                    kind: Some(MemberKind::Learner),
+                    health: Health::Sound,
+                };
+            }
+            MembershipChange::Promote(id) => self.0[host(id)].kind = Some(MemberKind::Voter),
+            MembershipChange::Remove(id) => self.0[host(id)].kind = None,
+            MembershipChange::Replace { .. } => panic!("a change of several steps"),
+        }
+    }
+}
+
+/// Returns every state of a group of a leader and `others` further hosts.
+fn states(others: usize) -> Vec<Model> {
+    use strum::IntoEnumIterator;
+    let leader = Host {
+        kind: Some(MemberKind::Voter),
+        health: Health::Sound,
+    };
+    let kinds = [None, Some(MemberKind::Learner), Some(MemberKind::Voter)];
+    let hosts = kinds
+        .into_iter()
+        .flat_map(|kind| Health::iter().map(move |health| Host { kind, health }));
+    let hosts: Vec<Host> = hosts.collect();
+    let mut states = vec![Model(vec![leader])];
+    for _ in 0..others {
+        let longer = states.iter().flat_map(|state| {
+            hosts.iter().map(|host| {
+                let mut longer = state.clone();
+                longer.0.push(*host);
+                longer
+            })
+        });
+        states = longer.collect();
+    }
+    states
+}
+
+/// Guards against states from which the group does not return to its number of live voters, and
+/// against steps after which it
+/// bears fewer losses than before them and than it should.
+#[test]
+fn every_state_with_a_quorum_returns_to_the_target_number_of_live_voters() {
+    const MAX_STEPS: usize = 40;
+    const TOLERANCE: isize = 1;
+    for start in states(4).into_iter().filter(|state| state.slack() >= 0) {
+        let mut state = start.clone();
+        for _ in 0..MAX_STEPS {
+            let Some(change) = state.next_change() else {
+                break;
+            };
+            let slack = state.slack();
+            state.apply(change);
+            assert!(
+                state.slack() >= slack.min(TOLERANCE),
+                "{change:?} on the way from {start:?}: {state:?}"
+            );
+        }
+        assert_eq!(state.next_change(), None, "no end from {start:?}");
+        let live = state
+            .0
+            .iter()
+            .filter(|host| host.health != Health::Dead)
+            .count();
+        let voters = state.voters();
+        let sound = voters
+            .iter()
+            .filter(|host| host.health == Health::Sound)
+            .count();
+        assert_eq!(sound, live.min(3), "from {start:?} to {state:?}");
+        assert!(
+            voters.len() == sound || live < 3,
+            "from {start:?} to {state:?}"
+        );
+    }
+}
--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -7,9 +7,12 @@
 
 use cornelhitch_quorum::membership_policy::MembershipPolicy;
 use cornelhitch_quorum::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rayon::prelude::*;
 
-use schedule::Schedule;
 use schedule::simulation::{Seeded, Simulation};
+use schedule::{Direction, Schedule};
 
 const SECOND: Duration = Duration::from_secs(1);
 const STEP: Duration = Duration::from_millis(10);
@@ -111,16 +114,27 @@
         self.sim.describe(&format!("{what}, at {at:?}"))
     }
 
-    /// Loses a host for good; another one starts in its place.
+    /// Loses a host for good; another one starts in its place, and is told seeds from a list that
+    /// still has the lost one.
     fn replace(&mut self, host: usize) {
+        let seeds = self.hosts.iter().take(3);
+        let seeds = seeds.map(|seed| u64::try_from(*seed).unwrap()).collect();
         self.sim.lose(host);
         self.hosts.retain(|other| *other != host);
         self.run(SUCCESSOR_DELAY);
-        self.sim.restart(self.spare);
+        self.sim.start_with_seeds(self.spare, seeds);
         self.hosts.push(self.spare);
         self.spare += 1;
     }
 
+    /// Takes the lead from the leader by cutting it off for a while.
+    fn end_lead(&mut self) {
+        let leader = self.leader().unwrap();
+        self.sim.isolate(leader, Direction::Both);
+        self.run(Duration::from_millis(800));
+        self.sim.execute(&schedule::Operation::Heal).unwrap();
+    }
+
     /// A voter that doesn't lead.
     fn follower(&self) -> usize {
         let leader = self.leader().unwrap();
@@ -161,3 +175,122 @@
     group.sim.lose_disk(wiped);
     group.repair(CATCH_UP_TIME, "a disk was lost after all seeds");
 }
+
+/// Guards against a replacement that the next leader does not finish.
+#[test]
+fn the_next_leader_finishes_a_replacement_that_was_cut_in_half() {
+    for seed in 0..20 {
+        let mut group = group(seed, 3, 1);
+        let lost = group.follower();
+        group.replace(lost);
+        let start = group.sim.now;
+        while group.members().is_empty() || group.members().voters().count() == 3 {
+            group.run(STEP / 10);
+            assert!(
+                group.sim.now < start + 10 * SECOND,
+                "{}",
+                group.describe("no change")
+            );
+        }
+        group.end_lead();
+        group.repair(CATCH_UP_TIME, "the leader was cut off");
+    }
+}
+
+/// What happens to a group in [`each_pair_of_events_is_repaired`].
+#[derive(Clone, Copy, Debug, strum::EnumIter)]
+enum Trouble {
+    /// A follower is replaced by an empty host at another address.
+    Replaced,
+    /// The leader is replaced likewise.
+    LeaderReplaced,
+    /// A follower loses its disk.
+    DiskLost,
+    /// The leader loses its disk.
+    LeaderDiskLost,
+    /// The leader restarts.
+    LeaderRestarted,
+    /// The leader is cut off for a while.
+    LeaderCutOff,
+    /// Messages are lost for a while.
+    Lossy,
+}
+
+impl Group {
+    /// Waits for a leader for at most the time that the group may take to elect one.
+    fn await_leader(&mut self) -> usize {
+        let end = self.sim.now + CATCH_UP_TIME;
+        while self.leader().is_none() {
+            assert!(self.sim.now < end, "{}", self.describe("no leader"));
+            self.run(STEP);
+        }
+        self.leader().unwrap()
+    }
+
+    fn apply(&mut self, trouble: Trouble) {
+        let leader = self.await_leader();
+        match trouble {
+            Trouble::Replaced => self.replace(self.follower()),
+            Trouble::LeaderReplaced => self.replace(leader),
+            Trouble::DiskLost => self.sim.lose_disk(self.follower()),
+            Trouble::LeaderDiskLost => self.sim.lose_disk(leader),
+            Trouble::LeaderRestarted => self.sim.restart(leader),
+            Trouble::LeaderCutOff => self.end_lead(),
+            Trouble::Lossy => self.sim.set_loss(40),
+        }
+    }
+}
+
+/// Guards against states of the membership from which no rule of the policy leads back.
+#[test]
+fn each_pair_of_events_is_repaired() {
+    use strum::IntoEnumIterator;
+    let gaps = (0..24).map(|gap| Duration::from_millis(130 * gap));
+    let gaps: Vec<Duration> = gaps.collect();
+    let mut cases = Vec::new();
+    for first in Trouble::iter() {
+        for second in Trouble::iter() {
+            cases.extend(gaps.iter().map(|gap| (first, second, *gap)));
+        }
+    }
+    cases.into_par_iter().for_each(|(first, second, gap)| {
+        let mut group = group(7, 6, 2);
+        group.apply(first);
+        group.run(gap);
+        group.apply(second);
+        group.run(2 * SECOND);
+        group.sim.set_loss(0);
+        let what = format!("{first:?}, {second:?} {gap:?} later");
+        group.repair(CATCH_UP_TIME, &what);
+    });
+}
+
+/// Guards against a group that is worn down by losses of which each is within its tolerance.
+#[test]
+fn a_long_series_of_losses_is_repaired_each_time() {
+    let fleets = [(3, 1), (6, 2), (9, 2)];
+    let cases = fleets
+        .into_iter()
+        .flat_map(|fleet| (0..16).map(move |seed| (fleet, seed)));
+    let cases: Vec<_> = cases.collect();
+    cases.into_par_iter().for_each(|((hosts, losses), seed)| {
+        let mut group = group(seed, hosts, losses);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for number in 1..=16 {
+            let first = rng.random_range(0..group.hosts.len());
+            for at in 0..losses {
+                let host = group.hosts[(first + at) % group.hosts.len()];
+                match rng.random_range(0..3) {
+                    0 => group.replace(host),
+                    1 => group.sim.lose_disk(host),
+                    _ => group.sim.restart(host),
+                }
+            }
+            group.sim.set_loss(rng.random_range(0..60));
+            group.run(2 * SECOND);
+            group.sim.set_loss(0);
+            let what = format!("{hosts} hosts, seed {seed}, loss {number}");
+            group.repair(CATCH_UP_TIME, &what);
+        }
+    });
+}
--- a/crates/quorum/tests/schedule/simulation.rs
+++ b/crates/quorum/tests/schedule/simulation.rs
@@ -514,6 +514,16 @@
         self.handle(index, Event::Barrier { id })
     }
 
+    /// Starts a member that is told other seeds than the first ones.
+    pub fn start_with_seeds(&mut self, index: usize, seeds: Vec<MemberId>) {
+        let first = self.seeded.clone();
+        if let Some(seeded) = &mut self.seeded {
+            seeded.seeds = seeds;
+        }
+        self.start(index);
+        self.seeded = first;
+    }
+
     pub fn restart(&mut self, index: usize) {
         self.nodes[index].crash(1);
         self.start(index);
