--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -197,6 +197,25 @@
     }
 }
 
+/// Guards against a learner that is never promoted because something is committed all the time, and
+/// its disk is slower than those of the voters.
+#[test]
+fn a_lost_voter_is_replaced_under_a_steady_load() {
+    let mut group = group(3, 3, 1);
+    let lost = group.follower();
+    group.replace(lost);
+    let successor = group.spare - 1;
+    group.sim.nodes[successor].disk.sync = 10 * STEP;
+    let end = group.sim.now + CATCH_UP_TIME;
+    while !group.is_repaired() {
+        assert!(group.sim.now < end, "{}", group.describe("under load"));
+        if let Some(leader) = group.leader() {
+            group.sim.propose(leader).unwrap();
+        }
+        group.run(2 * STEP);
+    }
+}
+
 /// What happens to a group in [`each_pair_of_events_is_repaired`].
 #[derive(Clone, Copy, Debug, strum::EnumIter)]
 enum Trouble {
