--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -217,9 +217,8 @@
             initial_settings: self.initial_settings()?,
             registry: self.process.registry,
             takers,
-            membership_policy: seeded.then(|| MembershipPolicy {
-                target_voters: 2 * self.process.losses as usize + 1,
-                ..MembershipPolicy::default()
+            membership_policy: seeded.then(|| {
+                MembershipPolicy::for_losses(self.process.losses as usize, ELECTION_TIMEOUT)
             }),
             stop: self.stop.clone(),
             epoch: self.epoch,
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -14,6 +14,7 @@
 mod progress;
 mod replicate;
 mod route;
+mod silence;
 mod transfer;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -28,7 +29,7 @@
 use crate::id::{Incarnation, Index, MemberId, Peer, RequestId, Term, Time};
 use crate::log::{Log, Payload};
 use crate::member::{Membership, MembershipHistory};
-use crate::message::Envelope;
+use crate::message::{Envelope, Silence};
 use crate::status::{Lease, Role, Status};
 use crate::store::{HardState, Identity, Recovered};
 
@@ -70,6 +71,8 @@
     progress: BTreeMap<MemberId, Progress>,
     heartbeat_at: Time,
     leader_since: Time,
+    /// The silent members by the last report of a leader, which may have been this member.
+    reported_silences: Vec<Silence>,
     /// Index of the first entry of this leader's term.
     term_start_index: Index,
     /// The latest stamp sent as a leader.
@@ -156,6 +159,7 @@
             progress: BTreeMap::new(),
             heartbeat_at: now,
             leader_since: now,
+            reported_silences: Vec::new(),
             term_start_index: 0,
             stamp: Time::ZERO,
             barriers: VecDeque::new(),
@@ -313,16 +317,6 @@
         }
     }
 
-    /// Returns how long each other member has not responded to this leader.
-    fn unresponsive_for(&self) -> BTreeMap<MemberId, Time> {
-        let members = self.progress.iter();
-        let unresponsive_for = members.map(|(id, progress)| {
-            let last_answered = progress.stamp.unwrap_or(self.leader_since);
-            (*id, self.now.saturating_sub(last_answered))
-        });
-        unresponsive_for.collect()
-    }
-
     /// The entry at `index`, if in memory; for invariant checks in tests.
     #[doc(hidden)]
     #[must_use]
--- a/crates/quorum/src/core/progress.rs
+++ b/crates/quorum/src/core/progress.rs
@@ -39,10 +39,19 @@
     pub(super) last_commit_sent: Index,
     /// When the member last made progress.
     pub(super) advanced_at: Time,
+    /// Since when this leader replicates to the member.
+    since: Time,
+    /// For how long the member had not responded to earlier leaders.
+    reported_silence: Time,
 }
 
 impl Progress {
-    pub(super) fn new(incarnation: Incarnation, next: Index, now: Time) -> Self {
+    pub(super) fn new(
+        incarnation: Incarnation,
+        next: Index,
+        now: Time,
+        reported_silence: Time,
+    ) -> Self {
         Self {
             incarnation,
             mode: Mode::Probe { sent: false },
@@ -52,6 +61,22 @@
             heard: None,
             last_commit_sent: 0,
             advanced_at: now,
+            since: now,
+            reported_silence,
+        }
+    }
+
+    /// Returns for how long the member has not responded to this leader.
+    pub(super) fn own_silence(&self, now: Time) -> Time {
+        now.saturating_sub(self.stamp.unwrap_or(self.since))
+    }
+
+    /// Returns for how long the member had not responded to earlier leaders, if it has not responded
+    /// since.
+    pub(super) fn earlier_silence(&self) -> Time {
+        match self.stamp {
+            Some(_) => Time::ZERO,
+            None => self.reported_silence,
         }
     }
 
--- a/crates/quorum/src/core/replicate.rs
+++ b/crates/quorum/src/core/replicate.rs
@@ -66,7 +66,12 @@
                 .is_some_and(|member| member.incarnation == p.incarnation)
         });
         for (id, member) in members.iter().filter(|(id, _)| **id != me) {
-            let new = || Progress::new(member.incarnation, next, now);
+            let incarnation = member.incarnation;
+            let silence = self.reported_silence(Peer {
+                id: *id,
+                incarnation,
+            });
+            let new = || Progress::new(incarnation, next, now, silence);
             self.progress.entry(*id).or_insert_with(new);
         }
     }
@@ -82,6 +87,7 @@
         let heartbeat_due = self.now >= self.heartbeat_at;
         if heartbeat_due {
             self.heartbeat_at = self.now + self.config.heartbeat_interval;
+            self.report_silences();
         }
         let ids: Vec<MemberId> = self.progress.keys().copied().collect();
         for id in ids {
--- a/crates/quorum/src/core/route.rs
+++ b/crates/quorum/src/core/route.rs
@@ -117,6 +117,7 @@
             Message::ChunkReceived(response) => self.on_chunk_received(from, term, response),
             Message::Join => self.on_join(from),
             Message::ForwardedJoin(joiner) => self.on_forwarded_join(from, joiner),
+            Message::Silences(silences) => self.on_silences(from, term, silences),
             Message::NoGroup(without_group) => self.on_no_group(from, without_group),
         }
     }
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -41,6 +41,31 @@
     }
 }
 
+impl MembershipPolicy {
+    /// Returns the policy for a group that bears the loss of `losses` voters at once.
+    ///
+    /// A voter that has been silent for two election timeouts is replaced: twice the time after
+    /// which a silent leader is.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use cornelhitch_quorum::membership_policy::MembershipPolicy;
+    ///
+    /// let policy = MembershipPolicy::for_losses(2, Duration::from_millis(500));
+    /// assert_eq!(policy.target_voters, 5);
+    /// assert_eq!(policy.replace_after, Duration::from_secs(1));
+    /// ```
+    #[must_use]
+    pub fn for_losses(losses: usize, election_timeout: Duration) -> Self {
+        Self {
+            target_voters: 2 * losses + 1,
+            replace_after: 2 * election_timeout,
+            ..Self::default()
+        }
+    }
+}
+
 /// Hosts that asked to join, with their storage incarnations.
 pub type JoinRequests = BTreeMap<MemberId, Incarnation>;
 
@@ -184,7 +209,7 @@
         self.status.matched.get(&id).copied().unwrap_or_default()
     }
 
-    /// How long the member has not responded to this leader.
+    /// How long the member has not responded.
     fn silence(&self, id: MemberId) -> Duration {
         if self.is_me(id) {
             return Duration::ZERO;
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -70,6 +70,19 @@
     NoGroup(bool),
     /// Passes on the [`Message::Join`] of another host to the leader.
     ForwardedJoin(Peer),
+    /// Reports to the other members which members do not respond to the leader, so that a later
+    /// leader need not wait for them anew.
+    Silences(Vec<Silence>),
+}
+
+/// How long a member has not responded to the leaders of the group, not counting the time without a
+/// leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Silence {
+    /// The member under its admitted incarnation.
+    pub member: Peer,
+    /// For how long it has not responded.
+    pub lasted: Time,
 }
 
 /// A `RequestVote` request (Ongaro's thesis §3.4) or, with `pre_vote`, a pre-vote request (§9.6).
--- a/crates/quorum/src/status.rs
+++ b/crates/quorum/src/status.rs
@@ -65,7 +65,8 @@
     /// On a leader, the last index synced by each other member.
     pub matched: BTreeMap<MemberId, Index>,
     /// On a leader, the time since the sending of the latest message that each other member
-    /// answered.
+    /// answered; for one that has not answered this leader, also the time that earlier leaders
+    /// waited.
     #[serde(rename = "silent")]
     pub unresponsive_for: BTreeMap<MemberId, Time>,
     /// Whether writes fail or stall; such a member neither leads nor votes.
