--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -27,6 +27,9 @@
 /// Time for which messages are lost after a trouble that includes it.
 const LOSS_TIME: Duration = Duration::from_secs(2);
 
+/// What is left of the time to catch up after the messages were lost.
+const REPAIR_TIME: Duration = CATCH_UP_TIME.saturating_sub(LOSS_TIME);
+
 /// Time from the loss of a host to the start of its successor.
 const SUCCESSOR_DELAY: Duration = Duration::from_millis(100);
 
@@ -310,7 +313,7 @@
         group.run(LOSS_TIME);
         group.sim.set_loss(0);
         let what = format!("{first:?}, {second:?} {gap:?} later");
-        group.repair(CATCH_UP_TIME - LOSS_TIME, &what);
+        group.repair(REPAIR_TIME, &what);
     });
 }
 
@@ -339,7 +342,7 @@
             group.run(LOSS_TIME);
             group.sim.set_loss(0);
             let what = format!("{hosts} hosts, seed {seed}, loss {number}");
-            group.repair(CATCH_UP_TIME - LOSS_TIME, &what);
+            group.repair(REPAIR_TIME, &what);
         }
     });
 }
