--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -56,7 +56,6 @@
         self.leader = None;
         self.accepted_index = self.commit;
         self.leader_stamp = Time::ZERO;
-        self.reported_silences = self.silences();
         self.progress.clear();
         self.uncommitted_bytes = 0;
         self.votes_withheld_until = self.now + self.config.election_timeout;
--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -12,7 +12,7 @@
 use rayon::prelude::*;
 
 use schedule::simulation::{SEEDED_ELECTION_TIMEOUT, Seeded, Simulation};
-use schedule::{Direction, Schedule};
+use schedule::{Direction, Operation, Schedule};
 
 const SECOND: Duration = Duration::from_secs(1);
 const STEP: Duration = Duration::from_millis(10);
@@ -140,7 +140,7 @@
         let leader = self.leader().unwrap();
         self.sim.isolate(leader, Direction::Both);
         self.run(Duration::from_millis(800));
-        self.sim.execute(&schedule::Operation::Heal).unwrap();
+        self.sim.execute(&Operation::Heal).unwrap();
     }
 
     /// A voter that doesn't lead.
@@ -249,6 +249,55 @@
     }
 }
 
+/// Guards against a voter that is replaced for a silence that has ended.
+#[test]
+fn a_voter_that_responds_again_is_not_replaced_by_a_later_leader() {
+    const SHORT: Duration = Duration::from_millis(700);
+    for seed in 0..20 {
+        let mut group = group(seed, 6, 2);
+        let silent = group.follower();
+        let peer = group.sim.nodes[silent].peer;
+        group.sim.isolate(silent, Direction::Both);
+        group.run(SHORT);
+        group.sim.execute(&Operation::Heal).unwrap();
+        group.run(5 * SECOND);
+        let leader = group.await_leader();
+        group.sim.isolate(silent, Direction::Both);
+        group.sim.isolate(leader, Direction::Both);
+        while group.leader().is_none_or(|now| now == leader) {
+            group.run(STEP);
+        }
+        group.run(SHORT);
+        group.sim.execute(&Operation::Heal).unwrap();
+        group.run(STEP * 20);
+        let members = group.members();
+        let stays = members.admits(peer) && members.is_voter(peer.id);
+        assert!(stays, "seed {seed}: {}", group.describe("removed"));
+    }
+}
+
+/// Guards against a new leader that removes a voter before it could respond.
+#[test]
+fn a_new_leader_waits_for_a_voter_that_earlier_ones_missed() {
+    for seed in 0..20 {
+        let mut group = group(seed, 6, 2);
+        let silent = group.follower();
+        let peer = group.sim.nodes[silent].peer;
+        let leader = group.await_leader();
+        group.sim.isolate(silent, Direction::Both);
+        group.run(Duration::from_millis(750));
+        group.sim.isolate(leader, Direction::Both);
+        while group.leader().is_none_or(|now| now == leader) {
+            group.run(STEP / 10);
+        }
+        group.sim.execute(&Operation::Heal).unwrap();
+        group.run(SECOND);
+        let members = group.members();
+        let stays = members.admits(peer) && members.is_voter(peer.id);
+        assert!(stays, "seed {seed}: {}", group.describe("removed"));
+    }
+}
+
 /// What happens to a group in [`each_pair_of_events_is_repaired`].
 #[derive(Clone, Copy, Debug, strum::EnumIter)]
 enum Trouble {
