--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -8,6 +8,7 @@
 use cornelhitch_control::output::{Audience, Output};
 use cornelhitch_quorum::event::Event;
 use cornelhitch_quorum::id::RequestId;
+use cornelhitch_quorum::membership_policy::JoinRequests;
 use cornelhitch_quorum::status::Role;
 use cornelhitch_types::id::{HostId, Incarnation, TargetId, Term, Version};
 use cornelhitch_types::order::{Order, Outcome};
@@ -83,6 +84,7 @@
             self.publish_takers();
             self.subscribers.clear();
         }
+        self.join_requests = JoinRequests::default();
         if role == Role::Leader {
             let id = self.register_waiter(Waiter::Election(term));
             self.quorum_event(Event::Barrier { id });
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -6,7 +6,7 @@
 use cornelhitch_quorum::event::{Event, MembershipChange};
 use cornelhitch_quorum::id::RequestId;
 use cornelhitch_settings::process;
-use cornelhitch_types::id::{HostId, Incarnation};
+use cornelhitch_types::id::HostId;
 use tokio::time::Instant;
 
 use super::{Control, Waiter};
@@ -27,13 +27,9 @@
         }
         self.last_membership_check = Instant::now();
         let status = self.setup.core.status();
-        let joined = |id: &HostId, incarnation: &Incarnation| {
-            let member = status.members.get(id);
-            member.is_some_and(|member| member.incarnation == *incarnation)
-        };
-        self.join_requests
-            .retain(|id, incarnation| !joined(id, incarnation));
-        if let Some(change) = membership_policy.next_change(&status, &self.join_requests) {
+        let now = self.now();
+        let change = membership_policy.next_change(&status, &self.join_requests, now);
+        if let Some(change) = change {
             tracing::info!(
                 ?change, silent = ?status.unresponsive_for,
                 "starting an automatic membership change"
@@ -112,7 +108,8 @@
     /// the votes it gave before are lost.
     pub(super) fn admit(&mut self, peer: cornelhitch_quorum::id::Peer) {
         if self.setup.membership_policy.is_some() {
-            self.join_requests.insert(peer.id, peer.incarnation);
+            let now = self.now();
+            self.join_requests.record(peer, now);
             return;
         }
         if !self.setup.voters.contains(&peer.id) {
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use crate::event::MembershipChange;
-use crate::id::{Incarnation, Index, MemberId, Peer};
+use crate::id::{Incarnation, Index, MemberId, Peer, Time};
 use crate::member::MemberKind;
 use crate::status::{Role, Status};
 
@@ -66,16 +66,56 @@
     }
 }
 
-/// Hosts that asked to join, with their storage incarnations.
-pub type JoinRequests = BTreeMap<MemberId, Incarnation>;
+/// Time for which a request to join is considered. Hosts repeat theirs within two election timeouts.
+const JOIN_REQUEST_LIFETIME: Duration = Duration::from_secs(3);
+
+/// The hosts that asked this leader to join.
+#[derive(Clone, Debug, Default)]
+pub struct JoinRequests(BTreeMap<MemberId, JoinRequest>);
+
+/// The latest request of a host.
+#[derive(Clone, Copy, Debug)]
+struct JoinRequest {
+    incarnation: Incarnation,
+    at: Time,
+}
+
+impl JoinRequests {
+    /// Records a request at `now`, in place of an earlier one of the same host.
+    pub fn record(&mut self, joiner: Peer, now: Time) {
+        self.0.retain(|_, request| request.is_recent(now));
+        let request = JoinRequest {
+            incarnation: joiner.incarnation,
+            at: now,
+        };
+        self.0.insert(joiner.id, request);
+    }
+
+    /// Returns the hosts whose requests are recent at `now`, with their storage incarnations.
+    fn recent(&self, now: Time) -> BTreeMap<MemberId, Incarnation> {
+        let requests = self.0.iter();
+        requests
+            .filter(|(_, request)| request.is_recent(now))
+            .map(|(id, request)| (*id, request.incarnation))
+            .collect()
+    }
+}
+
+impl JoinRequest {
+    fn is_recent(&self, now: Time) -> bool {
+        now < self.at + JOIN_REQUEST_LIFETIME
+    }
+}
 
 impl MembershipPolicy {
-    /// Returns the next change to make; `None` if none is due or this member is not the leader.
+    /// Returns the next change to make at `now`; `None` if none is due or this member is not the
+    /// leader.
     #[must_use]
     pub fn next_change(
         &self,
         status: &Status,
         join_requests: &JoinRequests,
+        now: Time,
     ) -> Option<MembershipChange> {
         if status.role != Role::Leader {
             return None;
@@ -83,7 +123,7 @@
         let view = View {
             policy: self,
             status,
-            join_requests,
+            asking: join_requests.recent(now),
         };
         view.remove_surplus_voter()
             .or_else(|| view.promote_learner())
@@ -97,7 +137,8 @@
 struct View<'a> {
     policy: &'a MembershipPolicy,
     status: &'a Status,
-    join_requests: &'a JoinRequests,
+    /// The hosts that ask to join, with their storage incarnations.
+    asking: BTreeMap<MemberId, Incarnation>,
 }
 
 impl View<'_> {
@@ -133,8 +174,8 @@
     /// Admits a new host as a learner. A learner that has lost its storage is removed first, so that
     /// the next step admits it under its new incarnation.
     fn admit_joiner(&self) -> Option<MembershipChange> {
-        let mut join_requests = self.join_requests.iter();
-        join_requests.find_map(|(id, incarnation)| {
+        let mut asking = self.asking.iter();
+        asking.find_map(|(id, incarnation)| {
             let joiner = Peer {
                 id: *id,
                 incarnation: *incarnation,
@@ -143,7 +184,7 @@
                 None => Some(MembershipChange::Add(joiner)),
                 Some(member) if member.incarnation == *incarnation => None,
                 Some(member) if member.kind == MemberKind::Voter => None,
-                Some(_) => Some(MembershipChange::Remove(*id)),
+                Some(_) => self.is_wiped(*id).then_some(MembershipChange::Remove(*id)),
             }
         })
     }
@@ -180,15 +221,15 @@
         id == self.status.peer.id
     }
 
-    /// Whether the member asks to join under another incarnation than the one that was admitted.
+    /// Whether the member has lost its storage: it asks to join under another incarnation than the
+    /// one that was admitted, which no longer responds. While that one responds, the request is old.
     fn is_wiped(&self, id: MemberId) -> bool {
-        let admitted = self
-            .status
-            .members
-            .get(&id)
-            .map(|member| member.incarnation);
-        let asking = self.join_requests.get(&id).copied();
-        asking.is_some() && admitted.is_some() && asking != admitted
+        let Some(admitted) = self.status.members.get(&id) else {
+            return false;
+        };
+        let asking = self.asking.get(&id);
+        let asks_anew = asking.is_some_and(|asking| *asking != admitted.incarnation);
+        asks_anew && self.silence(id) >= self.policy.replace_after / 2
     }
 
     fn is_silent(&self, id: MemberId) -> bool {
--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cornelhitch_quorum::membership_policy::MembershipPolicy;
+use cornelhitch_quorum::message::Message;
 use cornelhitch_quorum::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -298,6 +299,42 @@
     }
 }
 
+/// Guards against a request to join of an earlier incarnation, which a member passes on late.
+#[test]
+fn a_late_request_of_an_earlier_incarnation_removes_no_sound_member() {
+    let mut group = group(5, 6, 2);
+    let wiped = group.follower();
+    group.sim.sent = Some(Vec::new());
+    group.sim.lose_disk(wiped);
+    let between = group.sim.nodes[wiped].peer;
+    group.run(SUCCESSOR_DELAY);
+    let sent = group.sim.sent.take().unwrap();
+    let is_late = |envelope: &&Envelope| matches!(envelope.message, Message::ForwardedJoin(joiner) if joiner == between);
+    let late = sent
+        .iter()
+        .find(is_late)
+        .expect("a request is passed on")
+        .clone();
+    group.sim.lose_disk(wiped);
+    group.run(CATCH_UP_TIME);
+    assert!(group.members().admits(group.sim.nodes[wiped].peer));
+    let members = group.members();
+    let leader = group.leader().unwrap();
+    let from = late.from.id;
+    group
+        .sim
+        .handle(
+            leader,
+            Event::Receive {
+                from,
+                message: late,
+            },
+        )
+        .unwrap();
+    group.run(CATCH_UP_TIME);
+    assert_eq!(group.members(), members);
+}
+
 /// What happens to a group in [`each_pair_of_events_is_repaired`].
 #[derive(Clone, Copy, Debug, strum::EnumIter)]
 enum Trouble {
