--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -8,7 +8,7 @@
 mod requests;
 mod strike_log;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -89,7 +89,7 @@
     /// This host's id.
     pub me: HostId,
     /// The voters named in the settings.
-    pub voters: HashSet<HostId>,
+    pub voters: BTreeSet<HostId>,
     /// The sans-I/O core of the replicated log.
     pub core: Core,
     /// The writer of the log and its snapshots.
@@ -153,8 +153,6 @@
     Origins,
     /// Check the membership again: the membership policy started the change.
     MembershipPolicy,
-    /// Promote this learner to voter once it has caught up.
-    Learner(HostId),
     /// Answer a host's call to change the membership.
     Members {
         /// The host.
@@ -558,8 +556,7 @@
             | Waiter::Read(_)
             | Waiter::Leader
             | Waiter::Election(_)
-            | Waiter::MembershipPolicy
-            | Waiter::Learner(_) => {}
+            | Waiter::MembershipPolicy => {}
         }
     }
 }
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cornelhitch_quorum::event::{Event, MembershipChange};
 use cornelhitch_quorum::id::RequestId;
+use cornelhitch_quorum::membership_policy::next_promotion;
 use cornelhitch_settings::process;
 use cornelhitch_types::id::HostId;
 use tokio::time::Instant;
@@ -16,19 +17,18 @@
 const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Control {
-    /// Starts the next membership change if the membership policy finds one due.
+    /// Starts the next membership change that is due, if any.
     pub(super) fn adjust_membership(&mut self) {
-        let Some(membership_policy) = self.setup.membership_policy else {
-            return;
-        };
         let is_due = self.last_membership_check.elapsed() >= MEMBERSHIP_CHECK_INTERVAL;
         if !is_due || self.is_changing_membership() {
             return;
         }
         self.last_membership_check = Instant::now();
         let status = self.setup.core.status();
-        let now = self.now();
-        let change = membership_policy.next_change(&status, &self.join_requests, now);
+        let change = match self.setup.membership_policy {
+            Some(policy) => policy.next_change(&status, &self.join_requests, self.now()),
+            None => next_promotion(&status, &self.setup.voters),
+        };
         if let Some(change) = change {
             tracing::info!(
                 ?change, silent = ?status.unresponsive_for,
@@ -87,16 +87,8 @@
 
     /// Handles a completed membership change.
     pub(super) fn membership_changed(&mut self, id: RequestId) {
-        match self.waiters.remove(&id) {
-            Some(Waiter::Members { host, call }) => {
-                self.send_answer(host, call, Bytes::from_static(b"{\"done\":true}"));
-            }
-            Some(Waiter::Learner(member)) => {
-                let id = self.register_waiter(Waiter::Leader);
-                let change = MembershipChange::Promote(member);
-                self.quorum_event(Event::ChangeMembership { id, change });
-            }
-            _ => {}
+        if let Some(Waiter::Members { host, call }) = self.waiters.remove(&id) {
+            self.send_answer(host, call, Bytes::from_static(b"{\"done\":true}"));
         }
     }
 
@@ -119,7 +111,7 @@
             );
             return;
         }
-        let id = self.register_waiter(Waiter::Learner(peer.id));
+        let id = self.register_waiter(Waiter::Leader);
         let change = MembershipChange::Add(peer);
         self.quorum_event(Event::ChangeMembership { id, change });
     }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -1,6 +1,6 @@
 //! Starts the tasks of a process from their shared state.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
@@ -191,7 +191,7 @@
         };
         let what = "cannot start the disk writer's thread";
         let writer = Writer::start(Box::new(disk), written).context(SystemSnafu { what })?;
-        let voters: HashSet<HostId> = self.process.voters.iter().map(|peer| peer.host).collect();
+        let voters: BTreeSet<HostId> = self.process.voters.iter().map(|peer| peer.host).collect();
         let me = self.process.host;
         let seeded = !self.process.seeds.is_empty();
         let config = self.quorum_config(&voters);
@@ -228,7 +228,7 @@
     }
 
     /// Returns the configuration of this host's member of the log.
-    fn quorum_config(&self, voters: &HashSet<HostId>) -> quorum::config::Config {
+    fn quorum_config(&self, voters: &BTreeSet<HostId>) -> quorum::config::Config {
         let me = self.process.host;
         let seeded = !self.process.seeds.is_empty();
         let mut config = quorum::config::Config {
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -8,7 +8,7 @@
 //! group bears as many losses as before the removal, and what is left to do, a voter too few, can be
 //! read off the membership alone, without having waited for the lost voter.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::event::MembershipChange;
@@ -133,6 +133,24 @@
     }
 }
 
+/// Returns the promotion that is due on a cluster whose settings name its voters: that of a named
+/// learner that responds and has caught up. Which learners were added for that is read off the
+/// membership, so a promotion that a change of leader interrupted is made by the next one.
+#[must_use]
+pub fn next_promotion(status: &Status, named: &BTreeSet<MemberId>) -> Option<MembershipChange> {
+    if status.role != Role::Leader {
+        return None;
+    }
+    let view = View {
+        policy: &MembershipPolicy::default(),
+        status,
+        asking: BTreeMap::new(),
+    };
+    let mut learners = view.learners().filter(|id| named.contains(id));
+    let ready = learners.find(|id| view.is_ready(*id));
+    ready.map(MembershipChange::Promote)
+}
+
 /// What the leader knows of the group when it decides.
 struct View<'a> {
     policy: &'a MembershipPolicy,
@@ -210,13 +228,16 @@
 
     /// The learner that lacks least, among those that respond and have caught up.
     fn ready_learner(&self) -> Option<MemberId> {
-        let ready = self.learners().filter(|id| {
-            let caught_up = self.matched(*id) + MAX_LAG_ENTRIES >= self.status.commit;
-            self.responds(*id) && !self.is_wiped(*id) && caught_up
-        });
+        let ready = self.learners().filter(|id| self.is_ready(*id));
         ready.max_by_key(|id| self.matched(*id))
     }
 
+    /// Whether a learner can become a voter: it responds and has caught up.
+    fn is_ready(&self, id: MemberId) -> bool {
+        let caught_up = self.matched(id) + MAX_LAG_ENTRIES >= self.status.commit;
+        self.responds(id) && !self.is_wiped(id) && caught_up
+    }
+
     fn is_me(&self, id: MemberId) -> bool {
         id == self.status.peer.id
     }
--- a/crates/quorum/tests/membership_policy.rs
+++ b/crates/quorum/tests/membership_policy.rs
@@ -5,7 +5,7 @@
 use cornelhitch_quorum::event::MembershipChange;
 use cornelhitch_quorum::id::{Incarnation, MemberId, Peer};
 use cornelhitch_quorum::member::{MemberKind, Membership};
-use cornelhitch_quorum::membership_policy::{JoinRequests, MembershipPolicy};
+use cornelhitch_quorum::membership_policy::{JoinRequests, MembershipPolicy, next_promotion};
 use cornelhitch_quorum::status::{Role, Status};
 
 /// A member whose incarnation equals its ID.
@@ -152,6 +152,26 @@
     }
 }
 
+/// Guards against a named voter that stays a learner, because the leader that added it leads no
+/// more.
+#[test]
+#[rustfmt::skip]
+fn named_learners_are_promoted_whichever_leader_added_them() {
+    let named = [1, 2, 3].into();
+    let cases = [
+        Case { name: "a named learner", voters: &[1, 2], learners: &[3], silent: &[], join_requests: vec![], expected: Some(MembershipChange::Promote(3)) },
+        Case { name: "a silent named learner", voters: &[1, 2], learners: &[3], silent: &[(3, 5)], join_requests: vec![], expected: None },
+        Case { name: "another learner", voters: &[1, 2], learners: &[4], silent: &[], join_requests: vec![], expected: None },
+        Case { name: "no learner", voters: &[1, 2, 3], learners: &[], silent: &[], join_requests: vec![], expected: None },
+    ];
+    for case in cases {
+        let status = status(case.voters, case.learners, case.silent);
+        assert_eq!(next_promotion(&status, &named), case.expected, "{}", case.name);
+        let follower = Status { role: Role::Follower, ..status };
+        assert_eq!(next_promotion(&follower, &named), None, "{}", case.name);
+    }
+}
+
 /// What a host of the model does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
 enum Health {
