--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -131,7 +131,7 @@
         } else {
             0.5
         };
-        let reported = view.load.running + view.load.queued;
+        let reported = view.load.running.saturating_add(view.load.queued);
         let candidate = Candidate {
             incarnation: view.incarnation,
             address: view.address,
@@ -180,7 +180,8 @@
     /// Returns the current and expected capacity for a lane.
     pub(crate) fn supply(&self, key: &QueueKey) -> Supply {
         let options = self.options(key);
-        let slots = options.iter().map(|option| option.limit).sum();
+        let limits = options.iter().map(|option| option.limit);
+        let slots = limits.fold(0, u32::saturating_add);
         let QueueKey::Model(model, version) = key else {
             return Supply {
                 slots,
--- a/crates/entry/src/share.rs
+++ b/crates/entry/src/share.rs
@@ -88,7 +88,7 @@
             return;
         }
         let initial_share = report.sharers.initial_share(report.capacity);
-        let total = report.running + report.queued;
+        let total = report.running.saturating_add(report.queued);
         let limit = if report.queued > 0 && total > 0 {
             let now = u64::from(self.limit(place, report.capacity, report.sharers));
             let fit = now * u64::from(report.capacity) / u64::from(total);
--- a/crates/planner/src/hosting/service_state.rs
+++ b/crates/planner/src/hosting/service_state.rs
@@ -176,8 +176,8 @@
                 // unknown, so the largest one is assumed.
                 return self.largest_model_bytes();
             };
-            let adapters = held.adapters.len() as u64 * model.adapter_bytes;
-            model.bytes + adapters
+            let adapters = (held.adapters.len() as u64).saturating_mul(model.adapter_bytes);
+            model.bytes.saturating_add(adapters)
         });
         let loading = worker.loading.as_ref();
         let loading = loading.map_or(0, |model| {
@@ -185,7 +185,7 @@
                 .get(model)
                 .map_or(self.largest_model_bytes(), |model| model.bytes)
         });
-        held.sum::<u64>() + loading
+        held.fold(loading, u64::saturating_add)
     }
 
     /// Returns the size of the largest model in bytes.
