--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -6,7 +6,8 @@
 use cornelhitch_target::sse::{self, EventSplitter};
 use cornelhitch_types::target::Statement;
 use futures_util::StreamExt;
-use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, StatusCode};
 use tokio::sync::oneshot;
 
 use crate::answer_memory::Reservation;
@@ -54,8 +55,9 @@
         }
         self.report_status(answer.status);
         let failed = answer.status.is_server_error() && self.may_repeat(routed);
-        // The caller has part of a successful answer, which a failure cannot continue.
-        let cannot_resume = self.resume.is_some() && !answer.status.is_success();
+        // The caller has part of a stream, which only events can continue.
+        let continues = answer.status.is_success() && may_be_event_stream(&answer.headers);
+        let cannot_resume = self.resume.is_some() && !continues;
         if failed || cannot_resume {
             return Err(AttemptEnd::Failed(Failure::Status));
         }
@@ -198,3 +200,13 @@
         Ok(head)
     }
 }
+
+/// Whether the body may be a stream of events: its media type says so, or nothing.
+fn may_be_event_stream(headers: &HeaderMap) -> bool {
+    let Some(media_type) = headers.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let media_type = media_type.as_bytes().split(|byte| *byte == b';').next();
+    let media_type = media_type.unwrap_or_default().trim_ascii();
+    media_type.eq_ignore_ascii_case(sse::MEDIA_TYPE.as_bytes())
+}
--- a/crates/target/src/message.rs
+++ b/crates/target/src/message.rs
@@ -90,7 +90,7 @@
     let id = generate.request;
     let mut request = plain_request(address, Method::POST, &path, &id, generate.body)?;
     let accept = if generate.stream {
-        "text/event-stream"
+        crate::sse::MEDIA_TYPE
     } else {
         "application/json"
     };
--- a/crates/target/src/sse.rs
+++ b/crates/target/src/sse.rs
@@ -6,6 +6,9 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
+/// The media type of a stream of events.
+pub const MEDIA_TYPE: &str = "text/event-stream";
+
 /// Upper bound on the size of an event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
