--- a/crates/node/src/candidates.rs
+++ b/crates/node/src/candidates.rs
@@ -18,6 +18,8 @@
 pub struct Candidates {
     settings: Vec<Peer>,
     learned: Vec<Peer>,
+    /// This host, if it serves control: it follows the leader that its member of the log follows.
+    own: Option<Peer>,
     /// The presumed leader.
     leader: Option<HostId>,
     /// Whether the presumed leader has sent a leader's message since it was chosen.
@@ -46,6 +48,15 @@
         }
     }
 
+    /// Adds this host, which serves control, and presumes it to be the leader: a query to itself is
+    /// local, and it names the leader also where all hosts of the settings are gone.
+    #[must_use]
+    pub fn with_own(mut self, own: Peer) -> Self {
+        self.leader = Some(own.host);
+        self.own = Some(own);
+        self
+    }
+
     /// Returns the presumed leader.
     #[must_use]
     pub fn leader(&self) -> Option<&Peer> {
@@ -162,7 +173,9 @@
 
     /// Iterates over all candidates, those of the settings first.
     pub fn iter(&self) -> impl Iterator<Item = &Peer> {
-        self.settings.iter().chain(&self.learned)
+        let others = self.settings.iter().chain(&self.learned);
+        let is_other = |peer: &&Peer| self.own.as_ref().is_none_or(|own| own.host != peer.host);
+        others.filter(is_other).chain(&self.own)
     }
 }
 
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -158,6 +158,8 @@
     pub me: HostId,
     /// The voters named in the settings; the leader reports others.
     pub voters: Vec<process::Peer>,
+    /// This host with its address for peers, if it serves control.
+    pub own: Option<process::Peer>,
     /// The links to peers.
     pub links: Links,
     /// The socket for lease datagrams.
@@ -217,8 +219,12 @@
 pub fn start(setup: Setup) -> Handle {
     let (commands, command_queue) = mpsc::unbounded_channel();
     let (status, status_receiver) = watch::channel(Status::default());
+    let candidates = Candidates::new(setup.voters.clone(), setup.me);
     let session = Session {
-        candidates: Candidates::new(setup.voters.clone(), setup.me),
+        candidates: match setup.own.clone() {
+            Some(own) => candidates.with_own(own),
+            None => candidates,
+        },
         last_leader_message: Instant::now(),
         term: 0,
         view: 0,
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -17,7 +17,7 @@
 use cornelhitch_quorum::membership_policy::MembershipPolicy;
 use cornelhitch_quorum::store::Store;
 use cornelhitch_settings::fleet::FleetSettings;
-use cornelhitch_settings::process::{ProcessSettings, Role};
+use cornelhitch_settings::process::{Peer, ProcessSettings, Role};
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Incarnation};
 use cornelhitch_wire::hello::{Identity, cluster_id};
@@ -144,6 +144,10 @@
         session::start(session::Setup {
             me: self.process.host,
             voters: self.process.voters.clone(),
+            own: self.process.has_role(Role::Control).then_some(Peer {
+                host: self.process.host,
+                address: self.addresses.peers,
+            }),
             links: self.links.clone(),
             datagrams: self.datagrams.clone(),
             incoming,
--- a/crates/node/tests/candidates.rs
+++ b/crates/node/tests/candidates.rs
@@ -131,3 +131,21 @@
     );
     assert!(candidates.accepts_hint(3, true), "the leader steps down");
 }
+
+/// Guards against a control host that finds no leader any more once all hosts of its settings are
+/// gone, though its member of the log follows one.
+#[test]
+fn a_control_host_asks_itself_whatever_its_settings_name() {
+    let mut candidates = candidates().with_own(peer(9));
+    assert_eq!(leader(&candidates), Some(9));
+    let mut tried = Vec::new();
+    for _ in 0..4 {
+        candidates.advance();
+        tried.extend(leader(&candidates));
+    }
+    assert_eq!(tried, [1, 2, 3, 9]);
+    candidates.replace_seeds(vec![peer(4), peer(9)]);
+    candidates.advance();
+    candidates.advance();
+    assert_eq!(leader(&candidates), Some(9));
+}
--- a/crates/quorum/tests/membership_policy.rs
+++ b/crates/quorum/tests/membership_policy.rs
@@ -172,6 +172,18 @@
     }
 }
 
+/// Guards against a leader that removes itself in place of another of as many voters.
+#[test]
+fn a_leader_does_not_remove_itself_as_one_voter_too_many() {
+    let status = Status {
+        peer: peer(4),
+        leader: Some(4),
+        ..status(&[1, 2, 3, 4], &[], &[])
+    };
+    let change = MembershipPolicy::default().next_change(&status, &JoinRequests::default(), NOW);
+    assert_eq!(change, Some(MembershipChange::Remove(3)));
+}
+
 /// What a host of the model does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
 enum Health {
--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -291,6 +291,8 @@
         while group.leader().is_none_or(|now| now == leader) {
             group.run(STEP / 10);
         }
+        // Less than an election timeout, and with the earlier silence more than the wait.
+        group.run(25 * STEP);
         group.sim.execute(&Operation::Heal).unwrap();
         group.run(SECOND);
         let members = group.members();
