--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -538,6 +538,8 @@
     /// Switches to another voter: the one last named as the leader, or else the next.
     fn switch_leader(&mut self) {
         self.candidates.advance();
+        // What an earlier leader told of itself is out of date, also if it is tried again.
+        self.registry = None;
         tracing::debug!(
             leader = ?self.leader(),
             "switched to another voter as the presumed leader"
