--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -76,6 +76,8 @@
         self.leader = None;
         self.role = Role::Follower;
         if self.membership().is_empty() {
+            // Only an answer ends this, and a request or its answer may have been lost.
+            self.retry_election();
             return self.join_or_bootstrap();
         }
         if !self.may_campaign() || self.writes.is_unhealthy() {
