--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -4,10 +4,12 @@
 //! step, a function of the membership in the log, of who responds and of who asks to join. So a
 //! change of leader interrupts nothing: the next leader finds the remaining steps due.
 //!
-//! A voter that is lost is removed first, and a learner is promoted in the next step. In between the
-//! group bears as many losses as before the removal, and what is left to do, a voter too few, can be
-//! read off the membership alone, without having waited for the lost voter.
+//! A learner takes the place of a silent voter before that one is removed: should it return
+//! meanwhile, the group has borne as many losses as before all the while. A voter whose storage is
+//! wiped cannot return, and is removed at once. What is left to do in either case, a voter too many
+//! or too few, can be read off the membership.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -127,7 +129,7 @@
         };
         view.remove_surplus_voter()
             .or_else(|| view.promote_learner())
-            .or_else(|| view.remove_lost_voter())
+            .or_else(|| view.remove_wiped_voter())
             .or_else(|| view.admit_joiner())
             .or_else(|| view.remove_learner())
     }
@@ -172,21 +174,23 @@
             .then_some(MembershipChange::Remove(least_useful))
     }
 
-    /// Promotes a learner if the group has too few voters.
+    /// Promotes a learner if the group has too few voters, or if one of them is silent.
     fn promote_learner(&self) -> Option<MembershipChange> {
-        if self.voter_count() >= self.policy.target_voters {
-            return None;
-        }
-        self.ready_learner().map(MembershipChange::Promote)
+        let any_silent = || self.status.members.voters().any(|id| self.is_silent(id));
+        let is_due = match self.voter_count().cmp(&self.policy.target_voters) {
+            Ordering::Less => true,
+            Ordering::Equal => any_silent(),
+            Ordering::Greater => false,
+        };
+        let learner = is_due.then(|| self.ready_learner()).flatten()?;
+        Some(MembershipChange::Promote(learner))
     }
 
-    /// Removes a voter that has lost its storage, which cannot return under its incarnation, or one
-    /// that is silent while a learner is ready to take its place.
-    fn remove_lost_voter(&self) -> Option<MembershipChange> {
+    /// Removes a voter that has lost its storage, which cannot return under its incarnation.
+    fn remove_wiped_voter(&self) -> Option<MembershipChange> {
         let mut voters = self.status.members.voters();
-        let replaceable = self.ready_learner().is_some();
-        let lost = voters.find(|id| self.is_wiped(*id) || (replaceable && self.is_silent(*id)))?;
-        Some(MembershipChange::Remove(lost))
+        let wiped = voters.find(|id| self.is_wiped(*id))?;
+        Some(MembershipChange::Remove(wiped))
     }
 
     /// Admits a new host as a learner. A learner that has lost its storage is removed first, so that
