--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -95,8 +95,9 @@
         self.count_votes();
     }
 
-    /// Sends a join request to all known members, peers and contacts, since this member receives nothing from
-    /// a leader: it may have been removed while it was offline and must then be admitted again.
+    /// Sends a join request to all known members, peers and contacts, since this member receives
+    /// nothing from a leader: it may have been removed while it was offline and must then be admitted
+    /// again.
     fn send_join_requests(&mut self) {
         let me = self.me().id;
         let known = self.membership().keys().copied();
