--- a/crates/cornelhitch/tests/output.rs
+++ b/crates/cornelhitch/tests/output.rs
@@ -1,6 +1,6 @@
 //! Requests are served even if nobody reads the daemon's log output.
 
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -85,3 +85,34 @@
         assert!(refuses(callers), "request {request} is not answered");
     }
 }
+
+#[test]
+fn a_control_host_that_is_not_admitted_logs_whom_it_asked() {
+    let folder = TempDir::new().expect("folder should be created");
+    let [callers, operators, peers, seed] = [(); 4].map(|()| free_port());
+    let data = folder.path().join("data");
+    let settings = folder.path().join("host.yaml");
+    let text = format!(
+        "cluster: trial\nregion: perth-a\nzone: perth-a-1\nroles: [control]\n\
+         trusted-network: true\ncallers: 127.0.0.1:{callers}\noperators: 127.0.0.1:{operators}\n\
+         peers: 127.0.0.1:{peers}\nseeds: [127.0.0.2:{seed}]\nbootstrap: false\ndata: {}\n",
+        data.display()
+    );
+    std::fs::write(&settings, text).expect("file should be written");
+    let daemon = Command::new(env!("CARGO_BIN_EXE_cornelhitchd"))
+        .args(["--settings", &settings.display().to_string()])
+        .args(["--log-format", "json"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn();
+    let mut daemon = Daemon(daemon.expect("daemon should start"));
+    let output = daemon.0.stdout.take().expect("output should be piped");
+    let lines = BufReader::new(output).lines().map_while(Result::ok);
+    let waiting = lines
+        .map(|line| serde_json::from_str::<serde_json::Value>(&line).unwrap_or_default())
+        .find(|line| line["fields"]["asked"].is_string());
+    let fields = &waiting.expect("the daemon should go on logging")["fields"];
+    let seed_id = u32::from_be_bytes([127, 0, 0, 2]);
+    assert_eq!(fields["asked"], format!("{{{seed_id}}}"));
+    assert_eq!(fields["without_group"], "{}");
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,6 +1,7 @@
 //! The task that owns the replicated log, the replicated state and, while this host leads, the
 //! leader's decisions.
 
+mod group_log;
 mod heartbeats;
 mod leading;
 mod members;
@@ -209,6 +210,8 @@
     join_requests: JoinRequests,
     /// When membership was last checked.
     last_membership_check: Instant,
+    /// What was last logged about the group.
+    group_log: group_log::GroupLog,
 }
 
 /// The newest lease renewal of a host.
@@ -247,6 +250,7 @@
         applied: 0,
         join_requests: JoinRequests::default(),
         last_membership_check: Instant::now(),
+        group_log: group_log::GroupLog::default(),
         setup,
     };
     control.serve().await;
@@ -366,6 +370,7 @@
         } else {
             self.forward_heartbeats();
         }
+        self.log_group();
     }
 
     /// Handles a message or datagram from a peer.
@@ -538,7 +543,11 @@
         let Some(waiting) = self.waiters.remove(&id) else {
             return;
         };
-        tracing::debug!(%reason, ?waiting, "proposal, read or membership change rejected");
+        if matches!(waiting, Waiter::MembershipPolicy) {
+            tracing::info!(%reason, "an automatic membership change has not been made");
+        } else {
+            tracing::debug!(%reason, ?waiting, "proposal, read or membership change rejected");
+        }
         match waiting {
             // The host retries, here or at the leader; retries are idempotent.
             Waiter::Host { host, call } => {
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -182,6 +182,7 @@
     pub(crate) fn dump(&self) -> serde_json::Value {
         serde_json::json!({
             "quorum": self.setup.core.status(),
+            "group": self.setup.core.group_view(),
             "leading": self.leading,
             "settings_version": self.state.current_settings().version(),
             "in_force": self.settings_in_force,
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -28,12 +28,13 @@
 use crate::event::Event;
 use crate::id::{Incarnation, Index, MemberId, Peer, RequestId, Term, Time};
 use crate::log::{Log, Payload};
-use crate::member::{Membership, MembershipHistory};
+use crate::member::{MemberKind, Membership, MembershipHistory};
 use crate::message::{Envelope, Silence};
-use crate::status::{Lease, Role, Status};
+use crate::status::{GroupView, Lease, Role, Status};
 use crate::store::{HardState, Identity, Recovered};
 
 use barrier::Barrier;
+use change::PendingChange;
 use persist::WriteQueue;
 use progress::Progress;
 use transfer::IncomingSnapshot;
@@ -78,7 +79,7 @@
     /// The latest stamp sent as a leader.
     stamp: Time,
     barriers: VecDeque<Barrier>,
-    pending_change: Option<change::PendingChange>,
+    pending_change: Option<PendingChange>,
     writes: WriteQueue,
     /// Messages to send once the batch with the given token is synced.
     awaiting_sync: VecDeque<(u64, Envelope)>,
@@ -317,6 +318,31 @@
         }
     }
 
+    /// Returns how this member sees its group.
+    #[must_use]
+    pub fn group_view(&self) -> GroupView {
+        let of_kind = |kind| {
+            let members = self.membership().iter();
+            let members = members.filter(move |(_, member)| member.kind == kind);
+            members.map(|(id, _)| *id).collect()
+        };
+        let silences = if self.is_leader() {
+            self.silences()
+        } else {
+            self.reported_silences.clone()
+        };
+        let asked = self.config.peers.iter().chain(&self.contacts).copied();
+        GroupView {
+            voters: of_kind(MemberKind::Voter),
+            learners: of_kind(MemberKind::Learner),
+            silent: silences.iter().map(|silence| silence.member.id).collect(),
+            change: self.pending_change.as_ref().map(PendingChange::change),
+            votes: self.votes.clone(),
+            asked: asked.collect(),
+            without_group: self.without_group.clone(),
+        }
+    }
+
     /// The entry at `index`, if in memory; for invariant checks in tests.
     #[doc(hidden)]
     #[must_use]
--- a/crates/quorum/src/core/change.rs
+++ b/crates/quorum/src/core/change.rs
@@ -19,6 +19,12 @@
     round: Option<Round>,
 }
 
+impl PendingChange {
+    pub(super) fn change(&self) -> MembershipChange {
+        self.change
+    }
+}
+
 /// A round in which a learner catches up with what was committed at its start (Ongaro's thesis
 /// §4.2.1).
 #[derive(Clone, Copy, Debug)]
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -93,6 +93,12 @@
         self.0.insert(joiner.id, request);
     }
 
+    /// Returns the hosts whose requests are recent at `now`.
+    #[must_use]
+    pub fn hosts(&self, now: Time) -> BTreeSet<MemberId> {
+        self.recent(now).into_keys().collect()
+    }
+
     /// Returns the hosts whose requests are recent at `now`, with their storage incarnations.
     fn recent(&self, now: Time) -> BTreeMap<MemberId, Incarnation> {
         let requests = self.0.iter();
--- a/crates/quorum/src/status.rs
+++ b/crates/quorum/src/status.rs
@@ -1,9 +1,10 @@
 //! A member's observable state: role, lease and status.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
+use crate::event::MembershipChange;
 use crate::id::{ClusterId, GroupId, Incarnation, Index, MemberId, Peer, Term, Time};
 use crate::member::Membership;
 
@@ -76,3 +77,25 @@
     /// not processable in the current state.
     pub dropped: u64,
 }
+
+/// How a member sees its group, also without a leader: for log lines and status output.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct GroupView {
+    /// The voters of the latest membership in the log, committed or not.
+    pub voters: BTreeSet<MemberId>,
+    /// Its learners.
+    pub learners: BTreeSet<MemberId>,
+    /// The members that do not respond to the leader, as this member counts as the leader or as the
+    /// last leader reported.
+    pub silent: BTreeSet<MemberId>,
+    /// The membership change that this member makes as the leader.
+    pub change: Option<MembershipChange>,
+    /// The voters that granted this member a vote or pre-vote in its latest candidacy, itself
+    /// included.
+    pub votes: BTreeSet<MemberId>,
+    /// The hosts that this member asks for admission besides the members.
+    pub asked: BTreeSet<MemberId>,
+    /// The hosts that last answered that they belong to no group.
+    pub without_group: BTreeSet<MemberId>,
+}
--- a/crates/quorum/tests/group.rs
+++ b/crates/quorum/tests/group.rs
@@ -2,6 +2,7 @@
 
 mod schedule;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use cornelhitch_quorum::message::{Envelope, Message};
@@ -341,3 +342,23 @@
         assert_eq!(dropped, u64::from(case != "nothing"), "{case}");
     }
 }
+
+#[test]
+fn a_member_without_a_leader_tells_who_votes_and_who_voted_for_it() {
+    let (mut sim, leader, follower) = settled(1);
+    sim.isolate(follower, Direction::Both);
+    sim.run_for(10 * SECOND).unwrap();
+    let view = |sim: &Simulation, at: usize| sim.nodes[at].core.as_ref().unwrap().group_view();
+    let cut_off = view(&sim, follower);
+    assert_eq!(cut_off.voters, BTreeSet::from([0, 1, 2]));
+    assert_eq!(cut_off.votes, BTreeSet::from([sim.nodes[follower].peer.id]));
+    let follower_id = sim.nodes[follower].peer.id;
+    for other in (0..3).filter(|at| *at != follower) {
+        let silent = view(&sim, other).silent;
+        assert_eq!(
+            silent,
+            BTreeSet::from([follower_id]),
+            "at {other}, leader {leader}"
+        );
+    }
+}
