--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -504,3 +504,73 @@
         }
     });
 }
+
+/// Time within which a group has to be whole again after all of its hosts lost power (the users'
+/// `recoveryS`).
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+impl Group {
+    /// All hosts lose power at the same moment and start again within a second; `losses` of them come
+    /// back with empty disks, and as many others with the seeds of the day.
+    fn lose_power(&mut self, losses: usize, rng: &mut SmallRng) {
+        let hosts = self.hosts.clone();
+        for host in &hosts {
+            self.sim.nodes[*host].crash(rng.random_range(0..3));
+        }
+        let seeds = self.current_seeds();
+        let first = rng.random_range(0..hosts.len());
+        for at in 0..hosts.len() {
+            let host = hosts[(first + at) % hosts.len()];
+            self.run(
+                SECOND.mul_f64(rng.random_range(0.0..1.0)) / u32::try_from(hosts.len()).unwrap(),
+            );
+            if at < losses {
+                self.sim.lose_disk_with_seeds(host, seeds.clone());
+            } else if at < 2 * losses {
+                self.sim.start_with_seeds(host, seeds.clone());
+            } else {
+                self.sim.restart(host);
+            }
+        }
+    }
+}
+
+/// Guards against a group whose configuration does not come back after all hosts lost power in the
+/// middle of a repair, or together with as many disks as may be lost at once.
+#[test]
+fn a_series_of_losses_is_repaired_though_all_hosts_lose_power_in_it() {
+    const SEEDS: u64 = 64;
+    const ROUNDS: u32 = 8;
+    let seeds = std::env::var("POWER_SEEDS")
+        .ok()
+        .and_then(|seeds| seeds.parse().ok());
+    let cases = FLEETS
+        .into_iter()
+        .flat_map(|fleet| (0..seeds.unwrap_or(SEEDS)).map(move |seed| (fleet, seed)));
+    let cases: Vec<(Fleet, u64)> = cases.collect();
+    cases.into_par_iter().for_each(|(fleet, seed)| {
+        let mut group = group(seed, fleet.hosts, fleet.losses);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for round in 1..=ROUNDS {
+            let with_disks = rng.random_bool(0.5);
+            if with_disks {
+                group.lose_power(fleet.losses, &mut rng);
+            } else {
+                let first = rng.random_range(0..group.hosts.len());
+                for at in 0..fleet.losses {
+                    let host = group.hosts[(first + at) % group.hosts.len()];
+                    match rng.random_range(0..3) {
+                        0 => group.sim.lose_disk(host),
+                        _ => group.replace(host),
+                    }
+                }
+                group.run(fleet.catch_up.mul_f64(rng.random_range(0.0..1.0)));
+                group.lose_power(0, &mut rng);
+            }
+            let what = format!("{fleet:?}, seed {seed}, round {round}, disks lost: {with_disks}");
+            let left = group.sim.now + RECOVERY_TIME;
+            group.repair(RECOVERY_TIME, &what);
+            group.run(left.saturating_sub(group.sim.now));
+        }
+    });
+}
