--- a/crates/quorum/src/core/change.rs
+++ b/crates/quorum/src/core/change.rs
@@ -57,6 +57,7 @@
                 None => ChangeStep::Invalid,
             },
             MembershipChange::Remove(id) => remove(members, id),
+            MembershipChange::Readmit(peer) => readmit(members, peer),
             MembershipChange::Replace { old, new } => replace(members, old, new),
         }
     }
@@ -87,6 +88,15 @@
     }
 }
 
+fn readmit(members: &Membership, peer: Peer) -> ChangeStep {
+    let changed = members.with(peer, MemberKind::Learner);
+    match members.get(&peer.id) {
+        Some(member) if member.incarnation == peer.incarnation => ChangeStep::Done,
+        Some(_) if changed.voters().next().is_some() => ChangeStep::Write(changed),
+        Some(_) | None => ChangeStep::Invalid,
+    }
+}
+
 /// The new member becomes a voter before the old one is removed, except when both have the same ID.
 fn replace(members: &Membership, old: MemberId, new: Peer) -> ChangeStep {
     let stale = members.contains_key(&new.id) && !members.admits(new);
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -6,8 +6,9 @@
 //!
 //! A learner takes the place of a silent voter before that one is removed: should it return
 //! meanwhile, the group has borne as many losses as before all the while. A voter whose storage is
-//! wiped cannot return, and is removed at once. What is left to do in either case, a voter too many
-//! or too few, can be read off the membership.
+//! wiped cannot vote again, and becomes a learner under its new incarnation at once, in one step: it
+//! knows no other member, so that the membership must name it all the while. What is left to do in
+//! either case, a voter too many or too few, can be read off the membership.
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
@@ -135,7 +136,7 @@
         };
         view.remove_surplus_voter()
             .or_else(|| view.promote_learner())
-            .or_else(|| view.remove_wiped_voter())
+            .or_else(|| view.readmit_wiped_voter())
             .or_else(|| view.admit_joiner())
             .or_else(|| view.remove_learner())
     }
@@ -176,7 +177,10 @@
         let others = self.status.members.voters().filter(|id| !self.is_me(*id));
         let least_useful = others.max_by_key(|id| (self.is_wiped(*id), self.silence(*id)))?;
         let all_respond = || self.status.members.voters().all(|id| self.responds(id));
-        (self.is_lost(least_useful) || all_respond())
+        if let Some(wiped) = self.wiped(least_useful) {
+            return Some(MembershipChange::Readmit(wiped));
+        }
+        (self.is_silent(least_useful) || all_respond())
             .then_some(MembershipChange::Remove(least_useful))
     }
 
@@ -192,15 +196,15 @@
         Some(MembershipChange::Promote(learner))
     }
 
-    /// Removes a voter that has lost its storage, which cannot return under its incarnation.
-    fn remove_wiped_voter(&self) -> Option<MembershipChange> {
+    /// Makes a voter that has lost its storage, and cannot return under its incarnation, a learner.
+    fn readmit_wiped_voter(&self) -> Option<MembershipChange> {
         let mut voters = self.status.members.voters();
-        let wiped = voters.find(|id| self.is_wiped(*id))?;
-        Some(MembershipChange::Remove(wiped))
+        let wiped = voters.find_map(|id| self.wiped(id))?;
+        Some(MembershipChange::Readmit(wiped))
     }
 
-    /// Admits a new host as a learner. A learner that has lost its storage is removed first, so that
-    /// the next step admits it under its new incarnation.
+    /// Admits a new host as a learner, or a learner that has lost its storage under its new
+    /// incarnation.
     fn admit_joiner(&self) -> Option<MembershipChange> {
         let mut asking = self.asking.iter();
         asking.find_map(|(id, incarnation)| {
@@ -210,9 +214,8 @@
             };
             match self.status.members.get(id) {
                 None => Some(MembershipChange::Add(joiner)),
-                Some(member) if member.incarnation == *incarnation => None,
                 Some(member) if member.kind == MemberKind::Voter => None,
-                Some(_) => self.is_wiped(*id).then_some(MembershipChange::Remove(*id)),
+                Some(_) => self.wiped(*id).map(MembershipChange::Readmit),
             }
         })
     }
@@ -252,25 +255,25 @@
         id == self.status.peer.id
     }
 
-    /// Whether the member has lost its storage: it asks to join under another incarnation than the
-    /// one that was admitted, which no longer responds. While that one responds, the request is old.
+    /// The new incarnation of a member that has lost its storage: it asks to join under another
+    /// one than that which was admitted, which no longer responds. While that one responds, the
+    /// request is old.
+    fn wiped(&self, id: MemberId) -> Option<Peer> {
+        let admitted = self.status.members.get(&id)?;
+        let incarnation = *self.asking.get(&id)?;
+        let asks_anew = incarnation != admitted.incarnation;
+        let is_gone = self.silence(id) >= self.policy.replace_after / 2;
+        (asks_anew && is_gone).then_some(Peer { id, incarnation })
+    }
+
     fn is_wiped(&self, id: MemberId) -> bool {
-        let Some(admitted) = self.status.members.get(&id) else {
-            return false;
-        };
-        let asking = self.asking.get(&id);
-        let asks_anew = asking.is_some_and(|asking| *asking != admitted.incarnation);
-        asks_anew && self.silence(id) >= self.policy.replace_after / 2
+        self.wiped(id).is_some()
     }
 
     fn is_silent(&self, id: MemberId) -> bool {
         self.silence(id) >= self.policy.replace_after
     }
 
-    fn is_lost(&self, id: MemberId) -> bool {
-        self.is_wiped(id) || self.is_silent(id)
-    }
-
     /// Whether the member has responded to this leader, and recently.
     fn responds(&self, id: MemberId) -> bool {
         self.is_me(id) || (self.matched(id) > 0 && !self.is_silent(id))
