--- a/crates/quorum/src/core/change.rs
+++ b/crates/quorum/src/core/change.rs
@@ -57,6 +57,7 @@
                 None => ChangeStep::Invalid,
             },
             MembershipChange::Remove(id) => remove(members, id),
+            MembershipChange::Demote(id) => demote(members, id),
             MembershipChange::Readmit(peer) => readmit(members, peer),
             MembershipChange::Replace { old, new } => replace(members, old, new),
         }
@@ -88,13 +89,28 @@
     }
 }
 
+fn demote(members: &Membership, id: MemberId) -> ChangeStep {
+    match members.peer(id) {
+        None => ChangeStep::Invalid,
+        Some(_) if !members.is_voter(id) => ChangeStep::Done,
+        Some(peer) => write_learner(members, peer),
+    }
+}
+
 fn readmit(members: &Membership, peer: Peer) -> ChangeStep {
-    let changed = members.with(peer, MemberKind::Learner);
     match members.get(&peer.id) {
+        None => ChangeStep::Invalid,
         Some(member) if member.incarnation == peer.incarnation => ChangeStep::Done,
-        Some(_) if changed.voters().next().is_some() => ChangeStep::Write(changed),
-        Some(_) | None => ChangeStep::Invalid,
+        Some(_) => write_learner(members, peer),
+    }
+}
+
+fn write_learner(members: &Membership, peer: Peer) -> ChangeStep {
+    let changed = members.with(peer, MemberKind::Learner);
+    if changed.voters().next().is_none() {
+        return ChangeStep::Invalid;
     }
+    ChangeStep::Write(changed)
 }
 
 /// The new member becomes a voter before the old one is removed, except when both have the same ID.
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -72,6 +72,8 @@
     Promote(MemberId),
     /// Removes a member.
     Remove(MemberId),
+    /// Makes a voter a learner.
+    Demote(MemberId),
     /// Makes a member whose storage was wiped a learner under its new incarnation, in one step.
     Readmit(Peer),
     /// Replaces a member with a new voter; complete when the final membership is committed. A
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -4,7 +4,7 @@
 //! step, a function of the membership in the log, of who responds and of who asks to join. So a
 //! change of leader interrupts nothing: the next leader finds the remaining steps due.
 //!
-//! A learner takes the place of a silent voter before that one is removed: should it return
+//! A learner takes the place of a silent voter before that one becomes a learner: should it return
 //! meanwhile, the group has borne as many losses as before all the while. A voter whose storage is
 //! wiped cannot vote again, and becomes a learner under its new incarnation at once, in one step: it
 //! knows no other member, so that the membership must name it all the while. What is left to do in
@@ -30,7 +30,8 @@
     pub target_voters: usize,
     /// Time without a response after which a voter is replaced by a responsive learner.
     pub replace_after: Duration,
-    /// Time without a response after which a learner is removed.
+    /// Time without a response after which a learner is removed. Should it lose its storage before, it
+    /// knows the group only by being addressed.
     pub remove_after: Duration,
 }
 
@@ -39,7 +40,7 @@
         Self {
             target_voters: 3,
             replace_after: Duration::from_secs(3),
-            remove_after: Duration::from_secs(10),
+            remove_after: Duration::from_mins(1),
         }
     }
 }
@@ -134,7 +135,7 @@
             status,
             asking: join_requests.recent(now),
         };
-        view.remove_surplus_voter()
+        view.demote_surplus_voter()
             .or_else(|| view.promote_learner())
             .or_else(|| view.readmit_wiped_voter())
             .or_else(|| view.admit_joiner())
@@ -169,8 +170,8 @@
 }
 
 impl View<'_> {
-    /// Removes a voter if the group has too many: a lost one, or any once all of them respond.
-    fn remove_surplus_voter(&self) -> Option<MembershipChange> {
+    /// Makes a voter a learner if the group has too many: a lost one, or any once all of them respond.
+    fn demote_surplus_voter(&self) -> Option<MembershipChange> {
         if self.voter_count() <= self.policy.target_voters {
             return None;
         }
@@ -181,7 +182,7 @@
             return Some(MembershipChange::Readmit(wiped));
         }
         (self.is_silent(least_useful) || all_respond())
-            .then_some(MembershipChange::Remove(least_useful))
+            .then_some(MembershipChange::Demote(least_useful))
     }
 
     /// Promotes a learner if the group has too few voters, or if one of them is silent.
--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -509,7 +509,17 @@
 /// `recoveryS`).
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 
+/// Longest time for which a host is away before it comes back with an empty disk.
+const MAX_AWAY: Duration = Duration::from_secs(15);
+
 impl Group {
+    /// Whether each living host belongs to the group, as a voter or a learner.
+    fn has_admitted_all(&self) -> bool {
+        let members = self.members();
+        let mut hosts = self.hosts.iter();
+        hosts.all(|host| members.admits(self.sim.nodes[*host].peer))
+    }
+
     /// All hosts lose power at the same moment and start again within a second; `losses` of them come
     /// back with empty disks, and as many others with the seeds of the day.
     fn lose_power(&mut self, losses: usize, rng: &mut SmallRng) {
@@ -556,14 +566,25 @@
             if with_disks {
                 group.lose_power(fleet.losses, &mut rng);
             } else {
+                let mut away = Vec::new();
                 let first = rng.random_range(0..group.hosts.len());
                 for at in 0..fleet.losses {
                     let host = group.hosts[(first + at) % group.hosts.len()];
                     match rng.random_range(0..3) {
                         0 => group.sim.lose_disk(host),
+                        1 => {
+                            group.sim.lose(host);
+                            away.push(host);
+                        }
                         _ => group.replace(host),
                     }
                 }
+                if !away.is_empty() {
+                    group.run(MAX_AWAY.mul_f64(rng.random_range(0.0..1.0)));
+                }
+                for host in away.drain(..) {
+                    group.sim.lose_disk(host);
+                }
                 group.run(fleet.catch_up.mul_f64(rng.random_range(0.0..1.0)));
                 group.lose_power(0, &mut rng);
             }
@@ -571,6 +592,7 @@
             let left = group.sim.now + RECOVERY_TIME;
             group.repair(RECOVERY_TIME, &what);
             group.run(left.saturating_sub(group.sim.now));
+            assert!(group.has_admitted_all(), "{}", group.describe(&what));
         }
     });
 }
