--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -46,8 +46,13 @@
     hosts: Vec<usize>,
     /// The next host that replaces a lost one.
     spare: usize,
+    /// Whether the leader gets a proposal every [`LOAD_INTERVAL`].
+    loaded: bool,
 }
 
+/// Interval between proposals to a leader under load.
+const LOAD_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Creates a stable group on `hosts` hosts that tolerates the loss of `losses` of them, with the
 /// policy of the product.
 fn group(seed: u64, hosts: usize, losses: usize) -> Group {
@@ -77,6 +82,7 @@
         target,
         hosts: (0..hosts).collect(),
         spare: hosts,
+        loaded: false,
     };
     group.run(10 * SECOND);
     assert!(group.is_repaired(), "{}", group.describe("not founded"));
@@ -85,7 +91,18 @@
 
 impl Group {
     fn run(&mut self, time: Duration) {
-        self.sim.run_for(time).unwrap();
+        if !self.loaded {
+            return self.sim.run_for(time).unwrap();
+        }
+        let end = self.sim.now + time;
+        while self.sim.now < end {
+            self.sim
+                .run_for(LOAD_INTERVAL.min(end.saturating_sub(self.sim.now)))
+                .unwrap();
+            if let Some(leader) = self.sim.leader() {
+                self.sim.propose(leader).unwrap();
+            }
+        }
     }
 
     fn leader(&self) -> Option<usize> {
@@ -560,6 +577,7 @@
     let cases: Vec<(Fleet, u64)> = cases.collect();
     cases.into_par_iter().for_each(|(fleet, seed)| {
         let mut group = group(seed, fleet.hosts, fleet.losses);
+        group.loaded = seed % 8 == 1;
         let mut rng = SmallRng::seed_from_u64(seed);
         for round in 1..=ROUNDS {
             let with_disks = rng.random_bool(0.5);
