--- a/crates/entry/src/leave.rs
+++ b/crates/entry/src/leave.rs
@@ -58,9 +58,10 @@
     ///
     /// A request certainly ends in time if its own time is over before. Callers that cannot know
     /// yet that this host leaves are refused others only where one in ten of their kind takes longer:
-    /// the host that they ask next may be leaving too. Later, streams have to end for certain, since
-    /// their callers would see them break off; other requests are accepted if those of their kind
-    /// have always ended much sooner. Streams without any limit are accepted by the durations of earlier ones.
+    /// the host that they ask next may be leaving too. Later, streams and requests that may not be
+    /// repeated have to end for certain, since their callers could not make up for an answer that is
+    /// cut off; other requests are accepted if those of their kind have always ended much sooner.
+    /// Streams without any limit are accepted by the durations of earlier ones.
     pub(crate) fn may_outlast_shutdown(&self, call: &Call) -> bool {
         let Some(left) = self.shutdown.time_left(self.now) else {
             return false;
@@ -74,7 +75,8 @@
             let common = self.durations.common(&kind);
             return common.is_some_and(|common| common > left);
         }
-        if call.request.streaming && end.is_some() {
+        let must_be_whole = call.request.streaming || !call.repeatable;
+        if must_be_whole && end.is_some() {
             return true;
         }
         match self.durations.upper_bound(&kind) {
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -95,6 +95,13 @@
     request
 }
 
+/// Returns a request that may be repeated.
+fn repeatable(id: u64, limit_ms: u64) -> Request {
+    let mut request = request(id, limit_ms, false);
+    request.repeatable = true;
+    request
+}
+
 /// Sends a request and lets its response begin if asked to.
 fn start(core: &mut Core, request: Request, begins: bool, now: Time) {
     let id = request.id;
@@ -142,8 +149,8 @@
 
 #[test]
 fn requests_that_may_outlast_the_grace_period_are_refused_by_limit_and_by_what_is_usual() {
-    // Limit of the route, duration of its responses before, time since the start, whether a stream and
-    // whether another request is accepted.
+    // Limit of the route, duration of its responses before, time since the start, whether a stream or a
+    // request that may not be repeated is accepted, and whether one that may be is.
     let rows = [
         (4_000, None, 3_600, true, true),
         (4_000, None, 3_800, false, false),
@@ -158,15 +165,23 @@
         (15_000, Some(7_000), 600, true, true),
         (15_000, Some(7_000), 800, false, false),
     ];
-    for (limit_ms, usual_ms, since_ms, stream, other) in rows {
-        for (streaming, expected) in [(true, stream), (false, other)] {
+    for (limit_ms, usual_ms, since_ms, once, repeatable) in rows {
+        let kinds = [
+            (true, false, once),
+            (true, true, once),
+            (false, false, once),
+            (false, true, repeatable),
+        ];
+        for (streaming, repeatable, expected) in kinds {
             let mut core = core(64);
             if let Some(usual_ms) = usual_ms {
                 answer_some(&mut core, limit_ms, usual_ms);
             }
             core.handle(Event::Drain, after(0));
-            let accepted = accepts(&mut core, request(1, limit_ms, streaming), since_ms);
-            let row = (limit_ms, usual_ms, since_ms, streaming);
+            let mut request = request(1, limit_ms, streaming);
+            request.repeatable = repeatable;
+            let accepted = accepts(&mut core, request, since_ms);
+            let row = (limit_ms, usual_ms, since_ms, streaming, repeatable);
             assert_eq!(accepted, expected, "{row:?}");
         }
     }
@@ -199,36 +214,37 @@
 fn a_kind_whose_running_request_lasts_longer_than_usual_is_refused() {
     let mut core = core(64);
     answer_some(&mut core, 12_000, 500);
-    start(
-        &mut core,
-        request(1, 12_000, false),
-        true,
-        at(START_MS - 2_000),
-    );
+    start(&mut core, repeatable(1, 12_000), true, at(START_MS - 2_000));
     core.handle(Event::Drain, after(0));
-    assert!(accepts(&mut core, request(2, 12_000, false), 2_500));
-    assert!(!accepts(&mut core, request(3, 12_000, false), 3_000));
+    assert!(accepts(&mut core, repeatable(2, 12_000), 2_500));
+    assert!(!accepts(&mut core, repeatable(3, 12_000), 3_000));
 }
 
 #[test]
 fn a_waiting_request_is_refused_as_not_run_once_it_would_outlast_the_grace_period() {
-    let mut core = core(64);
-    answer_some(&mut core, 12_000, 2_000);
-    core.handle(Event::View(view(1, vec![target(0)])), after(0));
-    core.handle(Event::Drain, after(0));
-    assert!(accepts(&mut core, request(1, 12_000, false), 100));
-    let mut refused = None;
-    for since_ms in (200..LEAVE_MS).step_by(50) {
-        let actions = core.handle(Event::Tick, after(since_ms));
-        if let Some(refusal) = refusal(&actions) {
-            refused = Some((since_ms, refusal.run));
-            break;
+    // Whether the request may be repeated, and when it is refused. It may last 4 s, and all requests end
+    // 7.7 s after the start; callers know of the shutdown after 3 s.
+    let rows = [(true, 3_700..=3_850), (false, 3_000..=3_050)];
+    for (may_be_repeated, expected) in rows {
+        let mut core = core(64);
+        answer_some(&mut core, 12_000, 2_000);
+        core.handle(Event::View(view(1, vec![target(0)])), after(0));
+        core.handle(Event::Drain, after(0));
+        let mut request = request(1, 12_000, false);
+        request.repeatable = may_be_repeated;
+        assert!(accepts(&mut core, request, 100));
+        let mut refused = None;
+        for since_ms in (200..LEAVE_MS).step_by(50) {
+            let actions = core.handle(Event::Tick, after(since_ms));
+            if let Some(refusal) = refusal(&actions) {
+                refused = Some((since_ms, refusal.run));
+                break;
+            }
         }
+        let (since_ms, run) = refused.expect("a refusal");
+        assert_eq!(run, Run::NotRun);
+        assert!(expected.contains(&since_ms), "{since_ms}, {expected:?}");
     }
-    let (since_ms, run) = refused.expect("a refusal");
-    assert_eq!(run, Run::NotRun);
-    // It may last 4 s, and all requests end 7.7 s after the start.
-    assert!((3_700..=3_850).contains(&since_ms), "{since_ms}");
 }
 
 #[test]
@@ -295,7 +311,7 @@
     }
     core.handle(Event::Drain, after(0));
     assert!(
-        !accepts(&mut core, request(2, 12_000, false), 4_400),
+        !accepts(&mut core, repeatable(2, 12_000), 4_400),
         "taken 3.3 s before the end, though one in a hundred lasts 6 s"
     );
 }
