--- a/crates/entry/src/leave.rs
+++ b/crates/entry/src/leave.rs
@@ -18,6 +18,9 @@
 /// `Retry-After` while all hosts shut down: about the time that one needs to start again.
 const ALL_LEAVING_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Factor on the age of a running request, of which no more is known than that it has not ended.
+const RUNNING_FACTOR: u32 = 2;
+
 /// The detail of all refusals by a host that shuts down.
 const DETAIL: &str = "this host is shutting down";
 
@@ -60,8 +63,8 @@
     /// yet that this host leaves are refused others only where one in ten of their kind takes longer:
     /// the host that they ask next may be leaving too. Later, streams and requests that may not be
     /// repeated have to end for certain, since their callers could not make up for an answer that is
-    /// cut off; other requests are accepted if those of their kind have always ended much sooner.
-    /// Streams without any limit are accepted by the durations of earlier ones.
+    /// cut off; other requests are accepted if those of their kind have always ended much sooner, and
+    /// those in progress are not old. Streams without any limit are accepted in the same way.
     pub(crate) fn may_outlast_shutdown(&self, call: &Call) -> bool {
         let Some(left) = self.shutdown.time_left(self.now) else {
             return false;
@@ -80,7 +83,7 @@
             return true;
         }
         match self.durations.upper_bound(&kind) {
-            Some(usual) => usual > left || self.longest_running(&kind) > left,
+            Some(usual) => usual.max(self.longest_running(&kind) * RUNNING_FACTOR) > left,
             None => end.is_some(),
         }
     }
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -220,6 +220,29 @@
     assert!(!accepts(&mut core, repeatable(3, 12_000), 3_000));
 }
 
+#[test]
+fn a_repeatable_request_is_not_taken_on_the_word_of_quick_answers_once_targets_are_slow() {
+    // When the oldest running request arrived and when another one comes, both since the start of the
+    // shutdown, and whether that one is accepted. All requests end 7.7 s after the start.
+    let rows = [
+        (0, 2_900, true),
+        (0, 3_000, false),
+        (1_000, 3_100, true),
+        (1_000, 3_300, false),
+        (2_500, 3_000, true),
+        (2_500, 4_100, true),
+        (2_500, 4_300, false),
+    ];
+    for (running_ms, since_ms, expected) in rows {
+        let mut core = core(64);
+        answer_some(&mut core, 12_000, 100);
+        core.handle(Event::Drain, after(0));
+        start(&mut core, repeatable(1, 12_000), false, after(running_ms));
+        let accepted = accepts(&mut core, repeatable(2, 12_000), since_ms);
+        assert_eq!(accepted, expected, "{:?}", (running_ms, since_ms));
+    }
+}
+
 #[test]
 fn a_waiting_request_is_refused_as_not_run_once_it_would_outlast_the_grace_period() {
     // Whether the request may be repeated, and when it is refused. It may last 4 s, and all requests end
