--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -238,7 +238,7 @@
                 Piece::Done { bytes } => {
                     self.begin_answer(&mut deliver).await?;
                     record.append(self.exchange.keyed, &bytes);
-                    self.finish_answer(receivers.finish, record, &mut head, bytes)
+                    self.finish_answer(receivers.finish, record, &mut head, [bytes])
                         .await?;
                     return Ok(());
                 }
@@ -282,7 +282,7 @@
             status: reply.status,
             headers: end_to_end_headers(&reply.headers),
         });
-        self.finish_answer(receivers.finish, record, &mut head, reply.body)
+        self.finish_answer(receivers.finish, record, &mut head, [reply.body])
             .await
     }
 
@@ -344,7 +344,7 @@
         finish: oneshot::Receiver<()>,
         record: AnswerRecord,
         head: &mut Option<Head>,
-        rest: Bytes,
+        rest: impl IntoIterator<Item = Bytes, IntoIter: Send> + Send,
     ) -> Result<(), AttemptEnd> {
         if self.exchange.keyed {
             let recorded = Recorded {
@@ -361,8 +361,8 @@
         });
         finish.await.map_err(|_| AttemptEnd::Withdrawn)?;
         self.send_head(head).await?;
-        if !rest.is_empty() {
-            self.send_part(Part::Data(rest)).await?;
+        for bytes in rest.into_iter().filter(|bytes| !bytes.is_empty()) {
+            self.send_part(Part::Data(bytes)).await?;
         }
         self.send_part(Part::End).await?;
         self.metrics.ended(self.exchange.arrived.elapsed());
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,6 +1,5 @@
 //! An attempt for a routed request: passes the target's answer back unchanged.
 
-use bytes::{Bytes, BytesMut};
 use cornelhitch_entry::event::{Event, Failure};
 use cornelhitch_target::client::{Chunks, DeclineReason, ForwardedRequest, ForwardedResponse};
 use cornelhitch_target::sse::{self, EventSplitter};
@@ -10,13 +9,16 @@
 use http::{HeaderMap, StatusCode};
 use tokio::sync::oneshot;
 
-use crate::answer_memory::Reservation;
+use crate::answer_memory::{Reservation, Segments};
 use crate::attempt::{AnswerRecord, Attempt, AttemptEnd, SignalReceivers, end_to_end_headers};
 use crate::exchange::{Head, Part, Payload, Routed};
 
 /// The largest answer that is buffered, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// Upper bound on the capacity of the buffer of an incomplete event, relative to the event.
+const EVENT_CAPACITY_FACTOR: usize = 2;
+
 /// Limit on a refusal's body that is read so that its connection can be reused, in bytes.
 const MAX_DRAIN_BYTES: usize = 64 << 10;
 
@@ -65,18 +67,23 @@
         if routed.streams && answer.status.is_success() {
             let mut head = self.forward_events(answer, &mut deliver).await?;
             return self
-                .finish_answer(finish, AnswerRecord::default(), &mut head, Bytes::new())
+                .finish_answer(finish, AnswerRecord::default(), &mut head, [])
                 .await;
         }
         let head = Head {
             status: answer.status,
             headers: end_to_end_headers(&answer.headers),
         };
-        let mut memory = self.memory.reservation();
+        let mut memory = self.memory.reservation(&self.to.target);
         let body = self.read_body(answer.body, &mut memory).await?;
         self.begin_answer(&mut deliver).await?;
-        self.finish_answer(finish, AnswerRecord::default(), &mut Some(head), body)
-            .await
+        self.finish_answer(
+            finish,
+            AnswerRecord::default(),
+            &mut Some(head),
+            body.into_parts(),
+        )
+        .await
     }
 
     /// Reports the status of an answer that the target did not decline with.
@@ -135,37 +142,41 @@
         })
     }
 
-    /// Buffers a complete answer body; fails if it is over [`MAX_ANSWER_BYTES`], or the host has no
-    /// memory for it.
+    /// Buffers a complete answer body; fails if it is over [`MAX_ANSWER_BYTES`], or the target's
+    /// share of the host's memory has no room for it.
     async fn read_body(
         &self,
         mut body: Chunks,
         memory: &mut Reservation,
-    ) -> Result<Bytes, AttemptEnd> {
-        let mut buffer = BytesMut::new();
+    ) -> Result<Segments, AttemptEnd> {
+        let mut segments = Segments::default();
         while let Some(chunk) = body.next().await {
             let chunk = chunk.map_err(|error| self.target_error(error))?;
-            let fits = buffer.len() + chunk.len() <= MAX_ANSWER_BYTES;
-            if !fits || !memory.extend(chunk.len()) {
-                return Err(self.answer_too_large(buffer.len()));
+            let fits = segments.length + chunk.len() <= MAX_ANSWER_BYTES;
+            if !fits || !memory.resize(segments.capacity_with(&chunk)) {
+                return Err(self.answer_too_large(segments.length));
             }
-            buffer.extend_from_slice(&chunk);
+            segments.append(&chunk);
         }
-        Ok(buffer.freeze())
+        Ok(segments)
     }
 
     /// Logs that an answer, or an event of it, is given up for its size.
     fn answer_too_large(&self, buffered: usize) -> AttemptEnd {
-        tracing::warn!(
-            request = &*self.request,
-            target = &*self.to.target,
-            buffered,
-            "answer given up: no end within what is buffered"
-        );
+        if self.memory.allow_log_line() {
+            tracing::warn!(
+                request = &*self.request,
+                target = &*self.to.target,
+                buffered,
+                reserved = self.memory.reserved(),
+                "answer given up: no end within what is buffered"
+            );
+        }
         AttemptEnd::Failed(Failure::Status)
     }
 
-    /// Passes on each event of a stream once it is complete; returns the head if no event arrived.
+    /// Passes on each event of a stream once it is complete; returns the head if no event arrived. Fails
+    /// if an event is over [`sse::MAX_EVENT_BYTES`], or the target's share has no room for it.
     async fn forward_events(
         &self,
         answer: ForwardedResponse,
@@ -177,6 +188,7 @@
         });
         let mut body = answer.body;
         let mut splitter = EventSplitter::default();
+        let mut memory = self.memory.reservation(&self.to.target);
         let mut record = AnswerRecord::default();
         while let Some(chunk) = body.next().await {
             splitter.push(&chunk.map_err(|error| self.target_error(error))?);
@@ -189,8 +201,9 @@
                 let to = id.unwrap_or_else(|| self.delivered());
                 self.forward(to, event, &mut record).await?;
             }
-            if splitter.buffered_len() > sse::MAX_EVENT_BYTES {
-                return Err(self.answer_too_large(splitter.buffered_len()));
+            let length = splitter.buffered_len();
+            if length > sse::MAX_EVENT_BYTES || !memory.resize(EVENT_CAPACITY_FACTOR * length) {
+                return Err(self.answer_too_large(length));
             }
         }
         if splitter.buffered_len() > 0 {
