--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -83,6 +83,8 @@
     HeartbeatsTaken,
     /// Renewals, heartbeats and reports that newer ones replaced before it came to them.
     ControlSuperseded,
+    /// Answers of targets that were given up because they had no end within what is buffered.
+    AnswersGivenUp,
 }
 
 /// The latency histograms; each variant is exported under its name.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::answer_memory::{Reservation, Segments};
 use crate::attempt::{AnswerRecord, Attempt, AttemptEnd, SignalReceivers, end_to_end_headers};
 use crate::exchange::{Head, Part, Payload, Routed};
+use crate::metrics::Count;
 
 /// The largest answer that is buffered, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -163,6 +164,7 @@
 
     /// Logs that an answer, or an event of it, is given up for its size.
     fn answer_too_large(&self, buffered: usize) -> AttemptEnd {
+        self.metrics.increment(Count::AnswersGivenUp);
         if self.memory.allow_log_line() {
             tracing::warn!(
                 request = &*self.request,
