--- a/crates/quorum/src/core/change.rs
+++ b/crates/quorum/src/core/change.rs
@@ -182,9 +182,9 @@
         self.commit >= self.term_start_index.max(self.memberships.latest_index())
     }
 
-    /// A leader that removed itself steps down once the removal is committed.
+    /// A leader that is no voter any more steps down once that is committed.
     pub(super) fn step_down_if_removed(&mut self) {
-        if self.membership_committed() && !self.membership().admits(self.me()) {
+        if self.membership_committed() && !self.is_voter() {
             self.become_follower(self.hard_state.term);
             self.fail_unresolved_proposals(self.log.last());
         }
@@ -221,7 +221,8 @@
     /// are committed meanwhile do not keep it waiting.
     fn promote_if_caught_up(&mut self, id: RequestId, since: Time, peer: Peer) {
         let Some(progress) = self.progress.get(&peer.id) else {
-            return;
+            self.pending_change = None;
+            return self.reject(id, RejectReason::Invalid);
         };
         let (durable, advanced_at) = (progress.durable, progress.advanced_at.max(since));
         if self.completes_round(durable) {
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -233,10 +233,11 @@
         self.status.members.voters().count()
     }
 
+    /// The learners besides this member.
     fn learners(&self) -> impl Iterator<Item = MemberId> {
         let members = self.status.members.iter();
         members
-            .filter(|(_, member)| member.kind == MemberKind::Learner)
+            .filter(|(id, member)| member.kind == MemberKind::Learner && !self.is_me(**id))
             .map(|(id, _)| *id)
     }
 
--- a/crates/quorum/tests/group.rs
+++ b/crates/quorum/tests/group.rs
@@ -200,6 +200,42 @@
     assert_eq!(sim.checker.outcomes.get(&first), None);
 }
 
+/// Steps that make a voter a learner, and what is left after them.
+#[test]
+fn a_demoted_or_readmitted_voter_is_a_learner() {
+    let wiped = Peer {
+        id: 2,
+        incarnation: 99,
+    };
+    let cases = [
+        (MembershipChange::Demote(7), Err(RejectReason::Invalid), 3),
+        (MembershipChange::Demote(1), Ok(()), 2),
+        (MembershipChange::Demote(1), Ok(()), 2),
+        (MembershipChange::Readmit(wiped), Ok(()), 1),
+        (MembershipChange::Readmit(wiped), Ok(()), 1),
+        (
+            MembershipChange::Readmit(Peer { id: 7, ..wiped }),
+            Err(RejectReason::Invalid),
+            1,
+        ),
+        (MembershipChange::Demote(0), Err(RejectReason::Invalid), 1),
+    ];
+    let mut sim = fault_free_group(6);
+    commit_proposal(&mut sim);
+    while sim.leader() != Some(0) {
+        let leader = sim.leader().unwrap_or(1);
+        sim.restart(leader);
+        sim.run_for(4 * SECOND).unwrap();
+    }
+    for (requested, outcome, voters) in cases {
+        assert_eq!(change(&mut sim, requested), outcome, "{requested:?}");
+        let members = sim.members(0);
+        assert_eq!(members.voters().count(), voters, "{requested:?}");
+        assert_eq!(members.len(), 3, "{requested:?}");
+    }
+    assert!(sim.members(0).admits(wiped));
+}
+
 /// With one member down, removing another live one would leave no quorum.
 #[test]
 fn removal_that_leaves_no_live_quorum_stalls() {
--- a/crates/quorum/tests/membership_policy.rs
+++ b/crates/quorum/tests/membership_policy.rs
@@ -85,6 +85,7 @@
         Case { name: "too few voters", voters: &[1, 2], learners: &[4], silent: &[], join_requests: vec![], expected: Some(MembershipChange::Promote(4)) },
         Case { name: "too few voters, learner silent", voters: &[1, 2], learners: &[4], silent: &[(4, 5)], join_requests: vec![], expected: None },
         Case { name: "a learner silent for long", voters: &[1, 2, 3], learners: &[4], silent: &[(4, 61)], join_requests: vec![], expected: Some(MembershipChange::Remove(4)) },
+        Case { name: "a learner silent for less than a minute", voters: &[1, 2, 3], learners: &[4], silent: &[(4, 59)], join_requests: vec![], expected: None },
         Case { name: "an old request to join of a voter that responds", voters: &[1, 2, 3], learners: &[], silent: &[(2, 1)], join_requests: vec![wiped], expected: None },
         Case { name: "an old request to join of a learner that responds", voters: &[1, 3, 4], learners: &[2], silent: &[(2, 1)], join_requests: vec![wiped], expected: None },
         Case { name: "a voter with a wiped disk", voters: &[1, 2, 3], learners: &[], silent: &[(2, 2)], join_requests: vec![wiped], expected: Some(MembershipChange::Readmit(wiped)) },
--- a/crates/quorum/tests/repair.rs
+++ b/crates/quorum/tests/repair.rs
@@ -148,10 +148,15 @@
 
     /// Loses a host for good; another one starts in its place.
     fn replace(&mut self, host: usize) {
+        self.replace_after(host, SUCCESSOR_DELAY);
+    }
+
+    /// As [`Self::replace`], with the time until the other host starts.
+    fn replace_after(&mut self, host: usize, delay: Duration) {
         let seeds = self.current_seeds();
         self.sim.lose(host);
         self.hosts.retain(|other| *other != host);
-        self.run(SUCCESSOR_DELAY);
+        self.run(delay);
         self.sim.start_with_seeds(self.spare, seeds);
         self.hosts.push(self.spare);
         self.spare += 1;
@@ -614,3 +619,38 @@
         }
     });
 }
+
+/// Guards against a demoted voter that is elected after a loss of all power, leads on as a learner, and
+/// lets every repair wait for its own promotion.
+#[test]
+fn a_demoted_voter_that_is_elected_does_not_lead_on_as_a_learner() {
+    let cases = [0, 30, 120].into_iter();
+    let cases = cases.flat_map(|entries| (0..64).map(move |seed| (entries, seed)));
+    let cases: Vec<(u32, u64)> = cases.collect();
+    cases.into_par_iter().for_each(|(entries, seed)| {
+        let mut group = group(seed, 6, 2);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for _ in 0..entries {
+            let leader = group.await_leader();
+            group.sim.propose(leader).unwrap();
+            group.run(STEP);
+        }
+        let cut_off = group.follower();
+        group.sim.isolate(cut_off, Direction::Both);
+        group.run(4 * SECOND);
+        group.sim.execute(&Operation::Heal).unwrap();
+        group.run(4 * SECOND);
+        group.lose_power(0, &mut rng);
+        group.run(RECOVERY_TIME);
+        let leader = u64::try_from(group.await_leader()).unwrap();
+        let what = format!("seed {seed}, {entries} entries before");
+        let leads_as_voter = group.members().is_voter(leader);
+        assert!(leads_as_voter, "{}", group.describe(&what));
+        for _ in 0..3 {
+            let lost = group.follower();
+            group.replace_after(lost, SECOND);
+            group.repair(CATCH_UP_TIME, &what);
+            group.run(CATCH_UP_TIME);
+        }
+    });
+}
