--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -237,7 +237,16 @@
         let seeded = !self.process.seeds.is_empty();
         let mut config = quorum::config::Config {
             peers: voters.iter().copied().filter(|peer| *peer != me).collect(),
-            may_bootstrap: voters.iter().min() == Some(&me) && (!seeded || self.process.bootstrap),
+            may_bootstrap: if seeded {
+                self.process.bootstrap && voters.contains(&me)
+            } else {
+                voters.first() == Some(&me)
+            },
+            founders: if seeded {
+                voters.clone()
+            } else {
+                BTreeSet::new()
+            },
             lease_reads: !seeded,
             ..quorum::config::Config::default()
         };
--- a/crates/quorum/examples/schedules.rs
+++ b/crates/quorum/examples/schedules.rs
@@ -1,4 +1,4 @@
-//! Runs random simulation schedules: `schedules [COUNT] [FIRST]`.
+//! Runs random simulation schedules: `schedules [COUNT] [FIRST] [first-starts]`.
 
 #[path = "../tests/schedule/mod.rs"]
 mod schedule;
@@ -19,11 +19,21 @@
 
 fn main() {
     let (count, first) = (argument(1, 1000), argument(2, 0));
+    let first_starts = std::env::args()
+        .nth(3)
+        .is_some_and(|kind| kind == "first-starts");
+    let run = |number| {
+        if first_starts {
+            schedule::simulation::run_first_start(schedule::first_start(number))
+        } else {
+            schedule::simulation::run(schedule::schedule(number))
+        }
+    };
     let start = Instant::now();
     let failed: Vec<(u64, String)> = (first..first + count)
         .into_par_iter()
         .filter_map(|number| {
-            let violation = schedule::simulation::run(schedule::schedule(number)).err()?;
+            let violation = run(number).err()?;
             Some((
                 number,
                 format!("{}: {}", violation.invariant, violation.detail),
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -1,5 +1,6 @@
 //! Configuration of a member.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::id::MemberId;
@@ -27,8 +28,12 @@
     /// Members to ask for admission while this member belongs to no group.
     pub peers: Vec<MemberId>,
     /// Whether this member bootstraps the group if its storage is empty and no peer belongs to a
-    /// group.
+    /// group; with `founders`, whether it takes part in the founding if its storage is empty. There,
+    /// this must not be set for a member whose storage was lost.
     pub may_bootstrap: bool,
+    /// The members of which a majority founds the group; equal on all members. If empty, one member
+    /// founds it, after all peers have reported that they belong to no group.
+    pub founders: BTreeSet<MemberId>,
     /// Election timeout: a member campaigns after receiving nothing from a leader for a random time
     /// between this value and twice it. No member grants a vote within this time of hearing from a
     /// leader.
@@ -86,6 +91,7 @@
         Self {
             peers: Vec::new(),
             may_bootstrap: false,
+            founders: BTreeSet::new(),
             election_timeout: Duration::from_millis(800),
             heartbeat_interval: Duration::from_millis(150),
             stall_timeout: Duration::from_secs(2),
@@ -127,4 +133,8 @@
     AnyIncarnation,
     /// Appends a membership change before the previous one is committed.
     ManyChanges,
+    /// Takes part in the founding of a group after its storage was lost.
+    ForgottenVotes,
+    /// Founds a group without a majority of the founders.
+    FoundByMinority,
 }
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -10,6 +10,7 @@
 mod change;
 mod election;
 mod follower;
+mod founding;
 mod persist;
 mod progress;
 mod replicate;
@@ -35,6 +36,7 @@
 
 use barrier::Barrier;
 use change::PendingChange;
+use founding::Founding;
 use persist::WriteQueue;
 use progress::Progress;
 use transfer::IncomingSnapshot;
@@ -66,6 +68,7 @@
     votes: BTreeSet<MemberId>,
     /// Peers that reported that they belong to no group.
     without_group: BTreeSet<MemberId>,
+    founding: Founding,
     /// Members that still address an earlier incarnation of this member, which has lost its storage.
     contacts: BTreeSet<MemberId>,
     /// Replication progress of the other members; only on a leader.
@@ -122,6 +125,7 @@
     /// should differ between members and between restarts.
     #[must_use]
     pub fn new(config: Config, recovered: Recovered, seed: u64, now: Time) -> Self {
+        let founding = Founding::new(&config, &recovered, now);
         let Recovered {
             identity,
             hard_state,
@@ -156,6 +160,7 @@
             leader_stamp: Time::ZERO,
             votes: BTreeSet::new(),
             without_group: BTreeSet::new(),
+            founding,
             contacts: BTreeSet::new(),
             progress: BTreeMap::new(),
             heartbeat_at: now,
@@ -186,7 +191,8 @@
     /// timeout, since it may have acknowledged a leader just before the restart. This also applies
     /// to a sole voter: a leader that removed itself may still hold a lease.
     fn schedule_first_election(&mut self) {
-        if self.has_fault(Fault::ForgetPromise) {
+        let is_new_founder = self.founding.takes_part && self.hard_state == HardState::default();
+        if is_new_founder || self.has_fault(Fault::ForgetPromise) {
             self.votes_withheld_until = self.now;
         }
         if self.is_sole_voter() {
@@ -247,6 +253,7 @@
     fn flush(&mut self) {
         if self.role == Role::Leader {
             self.advance_commit();
+            self.end_founding();
             self.advance_change();
             self.replicate();
             self.step_down_if_removed();
--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -78,21 +78,43 @@
         if self.membership().is_empty() {
             // Only an answer ends this, and a request or its answer may have been lost.
             self.retry_election();
-            return self.join_or_bootstrap();
+            self.join_or_bootstrap();
+            return self.found_if_allowed();
         }
         if !self.may_campaign() || self.writes.is_unhealthy() {
             return self.send_join_requests();
         }
+        self.request_pre_votes();
+        self.send_join_requests();
+        self.count_votes();
+    }
+
+    /// Campaigns for the founding of the group, if that is this member's to do now.
+    fn found_if_allowed(&mut self) {
+        if self.may_found() {
+            self.request_pre_votes();
+            self.count_votes();
+        }
+    }
+
+    fn request_pre_votes(&mut self) {
         self.role = Role::PreCandidate;
         self.votes = [self.me().id].into();
         self.retry_election();
-        for peer in self.other_voters() {
+        let term = self.hard_state.term + 1;
+        for (id, incarnation) in self.electorate() {
             let message = self.vote_request(true);
-            let term = self.hard_state.term + 1;
-            self.send_in_term(peer.id, Some(peer.incarnation), term, message);
+            self.send_in_term(id, incarnation, term, message);
         }
-        self.send_join_requests();
-        self.count_votes();
+    }
+
+    /// The other members that vote, with their admitted incarnations. That of a founder which the
+    /// membership does not name is not known.
+    fn electorate(&self) -> Vec<(MemberId, Option<Incarnation>)> {
+        let voters = self.other_voters().into_iter();
+        let voters = voters.map(|peer| (peer.id, Some(peer.incarnation)));
+        let founders = self.founders_outside().into_iter();
+        voters.chain(founders.map(|id| (id, None))).collect()
     }
 
     /// Sends a join request to all known members, peers and contacts, since this member receives
@@ -143,7 +165,8 @@
             .voters()
             .filter(|id| self.votes.contains(id))
             .count();
-        if votes < members.quorum() {
+        let is_elected = members.is_empty() || votes >= members.quorum();
+        if !is_elected || (self.is_founding() && !self.have_founders_voted()) {
             return;
         }
         match self.role {
@@ -167,9 +190,9 @@
         });
         self.accepted_index = self.commit;
         self.leader_stamp = Time::ZERO;
-        for peer in self.other_voters() {
+        for (id, incarnation) in self.electorate() {
             let message = self.vote_request(false);
-            let envelope = self.envelope(peer.id, Some(peer.incarnation), term, message);
+            let envelope = self.envelope(id, incarnation, term, message);
             self.send_after_sync(envelope);
         }
         let own = Message::VoteResponse(VoteResponse {
@@ -188,9 +211,10 @@
         lineage: Incarnation,
         request: RequestVote,
     ) {
-        if self.hard_state.lineage == 0 || lineage == 0 {
+        if !self.may_vote_in(lineage) {
             return;
         }
+        self.note_founder(from, lineage);
         let withheld = self.now < self.votes_withheld_until || self.role == Role::Leader;
         let log_up_to_date =
             (request.last_term, request.last_index) >= (self.log.last_term(), self.log.last());
@@ -220,6 +244,15 @@
         self.send_after_sync(envelope);
     }
 
+    /// Whether this member responds to a vote request with this lineage, which is 0 until the sender
+    /// knows of a committed entry.
+    fn may_vote_in(&self, lineage: Incarnation) -> bool {
+        let lineages_known = self.hard_state.lineage != 0 && lineage != 0;
+        let has_founders = !self.config.founders.is_empty();
+        let is_in_log = self.hard_state.lineage != 0 && self.log.last() > 0;
+        lineages_known || (has_founders && (is_in_log || self.is_founding()))
+    }
+
     fn grant_vote(&mut self, to: Peer) {
         if self.hard_state.voted_for != Some(to) {
             self.set_hard_state(HardState {
@@ -243,7 +276,14 @@
         self.send_in_term(from.id, Some(from.incarnation), term, message);
     }
 
-    pub(super) fn on_vote_response(&mut self, from: Peer, term: Term, response: VoteResponse) {
+    pub(super) fn on_vote_response(
+        &mut self,
+        from: Peer,
+        term: Term,
+        lineage: Incarnation,
+        response: VoteResponse,
+    ) {
+        self.note_founder(from, lineage);
         if !response.granted {
             if term > self.hard_state.term {
                 self.become_follower(term);
@@ -255,7 +295,9 @@
         } else {
             (Role::Candidate, self.hard_state.term)
         };
-        let known = self.membership().admits(from) || self.has_fault(Fault::AnyIncarnation);
+        let known = self.membership().admits(from)
+            || self.is_founder_outside(from)
+            || self.has_fault(Fault::AnyIncarnation);
         if self.role == role && term == expected_term && known {
             self.votes.insert(from.id);
             self.count_votes();
@@ -269,10 +311,20 @@
         self.heartbeat_at = self.now;
         self.uncommitted_bytes = 0;
         self.progress.clear();
+        if self.log.last() == 0 {
+            return self.append_first_entry();
+        }
         self.update_tracked_members();
         self.term_start_index = self.append_entry(Payload::Empty);
     }
 
+    /// Appends the membership of a new group, which is also the first entry of this leader's term.
+    fn append_first_entry(&mut self) {
+        let members = self.first_membership();
+        self.term_start_index = self.append_entry(Payload::Membership(members));
+        self.update_tracked_members();
+    }
+
     /// Requests admission, and bootstraps the group if this member is allowed to and every peer has
     /// reported that it belongs to no group.
     fn join_or_bootstrap(&mut self) {
@@ -323,8 +375,9 @@
         let confirmed = |id: &MemberId| *id == me.id || self.without_group.contains(id);
         let uninitialized =
             self.membership().is_empty() && [0, lineage].contains(&self.hard_state.lineage);
-        if !uninitialized || !self.config.may_bootstrap || !self.config.peers.iter().all(confirmed)
-        {
+        let elects_founder = !self.config.founders.is_empty();
+        let may_bootstrap = self.config.may_bootstrap && !elects_founder;
+        if !uninitialized || !may_bootstrap || !self.config.peers.iter().all(confirmed) {
             return;
         }
         self.set_hard_state(HardState {
--- a/crates/quorum/src/core/follower.rs
+++ b/crates/quorum/src/core/follower.rs
@@ -31,22 +31,40 @@
             self.dropped += 1;
             return false;
         }
+        let is_outside = self.is_outside();
+        if is_outside && lineage == 0 {
+            self.dropped += 1;
+            return false;
+        }
+        if is_outside {
+            self.enter_group(term, lineage);
+        }
         if term > self.hard_state.term || self.role != Role::Follower {
             self.become_follower(term);
         }
-        if self.hard_state.lineage == 0 {
-            self.set_hard_state(HardState {
-                lineage,
-                ..self.hard_state
-            });
-        }
         self.leader = Some(from);
+        self.founding.leader_lineage = lineage;
         self.leader_stamp = self.leader_stamp.max(stamp);
         self.votes_withheld_until = self.now + self.config.election_timeout;
         self.postpone_election();
         true
     }
 
+    /// Takes over the lineage of a group with committed entries, in one record with its term: a member
+    /// with a term and without a lineage takes part in a founding.
+    fn enter_group(&mut self, term: Term, lineage: Incarnation) {
+        let is_later = term > self.hard_state.term;
+        let voted_for = self.hard_state.voted_for.filter(|_| !is_later);
+        self.role = Role::Follower;
+        self.accepted_index = self.commit;
+        self.leader_stamp = Time::ZERO;
+        self.set_hard_state(HardState {
+            term,
+            voted_for,
+            lineage,
+        });
+    }
+
     pub(super) fn on_append_entries(&mut self, from: Peer, append: AppendEntries) {
         if self.unsynced_limit_reached() {
             return self.acknowledge();
@@ -67,6 +85,9 @@
         if !known {
             return self.reject_append(from, prev_index);
         }
+        if prev_index > 0 {
+            self.join_lineage(self.founding.leader_lineage);
+        }
         let end = entries.last().map_or(prev_index, |entry| entry.index);
         entries.retain(|entry| entry.index > offset);
         let new = self.append_new(entries);
@@ -99,23 +120,33 @@
     fn append_new(&mut self, entries: Vec<Entry>) -> bool {
         let mut new = false;
         for entry in entries {
-            if self.log.term(entry.index) == Some(entry.term) {
-                continue;
-            }
-            let fits = entry.index > self.commit && entry.index <= self.log.last() + 1;
-            if !fits {
-                self.dropped += 1;
-                return new;
+            let is_first = entry.index == 1;
+            if self.log.term(entry.index) != Some(entry.term) {
+                if !self.fits(entry.index) {
+                    self.dropped += 1;
+                    return new;
+                }
+                if entry.index <= self.log.last() {
+                    self.truncate(entry.index);
+                }
+                self.push(entry);
+                new = true;
             }
-            if entry.index <= self.log.last() {
-                self.truncate(entry.index);
+            if is_first {
+                self.join_lineage(self.founding.leader_lineage);
             }
-            self.push(entry);
-            new = true;
         }
         new
     }
 
+    /// Whether the log may get another entry at `index`. The first entry of a group is committed once
+    /// the member has a lineage.
+    fn fits(&self, index: Index) -> bool {
+        let replaces_first = index == 1 && self.log.last() > 0;
+        let is_founded = self.hard_state.lineage != 0;
+        index > self.commit && index <= self.log.last() + 1 && !(replaces_first && is_founded)
+    }
+
     /// Removes the entries at and after `index`.
     fn truncate(&mut self, index: Index) {
         self.log.truncate(index);
--- a/crates/quorum/src/core/replicate.rs
+++ b/crates/quorum/src/core/replicate.rs
@@ -20,6 +20,9 @@
         if self.role != Role::Leader {
             return self.reject(id, RejectReason::NotLeader);
         }
+        if self.is_founding() {
+            return self.reject(id, RejectReason::Busy);
+        }
         if payload.len() > self.config.max_message_bytes {
             return self.reject(id, RejectReason::TooLarge);
         }
@@ -57,7 +60,7 @@
     /// Adjusts the tracked progress to the current membership, keeping that of existing members.
     pub(super) fn update_tracked_members(&mut self) {
         let me = self.me().id;
-        let members = self.membership().clone();
+        let members = self.tracked_members();
         let next = self.log.last() + 1;
         let now = self.now;
         self.progress.retain(|id, p| {
@@ -242,6 +245,9 @@
         if self.has_fault(Fault::CommitAlone) {
             reached = own;
         }
+        if self.is_founding() {
+            reached = reached.min(self.founders_value(durable));
+        }
         if reached <= self.commit || self.log.term(reached) != Some(self.hard_state.term) {
             return;
         }
--- a/crates/quorum/src/core/route.rs
+++ b/crates/quorum/src/core/route.rs
@@ -92,6 +92,10 @@
             self.learn_contact(from, &envelope);
             return;
         }
+        if self.is_outside() && envelope.message.is_response() {
+            self.dropped += 1;
+            return;
+        }
         let Envelope {
             from,
             term,
@@ -101,7 +105,7 @@
         } = envelope;
         match message {
             Message::RequestVote(request) => self.on_request_vote(from, term, lineage, request),
-            Message::VoteResponse(response) => self.on_vote_response(from, term, response),
+            Message::VoteResponse(response) => self.on_vote_response(from, term, lineage, response),
             Message::AppendEntries(append) => {
                 if self.accept_leader(from, term, lineage, append.stamp) {
                     self.on_append_entries(from, append);
--- a/crates/quorum/src/core/transfer.rs
+++ b/crates/quorum/src/core/transfer.rs
@@ -225,6 +225,7 @@
             self.writes.truncate(self.commit);
         }
         self.log.install(snapshot.clone());
+        self.join_lineage(self.founding.leader_lineage);
         self.commit = index;
         self.applied = index;
         self.accepted_index = self.accepted_index.max(index);
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -75,6 +75,20 @@
     Silences(Vec<Silence>),
 }
 
+impl Message {
+    /// Whether this responds to a candidate or a leader.
+    #[must_use]
+    pub fn is_response(&self) -> bool {
+        matches!(
+            self,
+            Self::VoteResponse(_)
+                | Self::AppendResponse(_)
+                | Self::AppendRejected(_)
+                | Self::ChunkReceived(_)
+        )
+    }
+}
+
 /// How long a member has not responded to the leaders of the group, not counting the time without a
 /// leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
