--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -86,7 +86,8 @@
 
     /// Commits a command and answers the local requester.
     pub(super) fn commit(&mut self, command: &Command, answer: Answer<()>) {
-        if !self.leading {
+        let is_table = matches!(command, Command::PublishTable(_));
+        if !self.leading || (is_table && self.refuses_first_table()) {
             let _ = answer.send(Err(NotLeader));
             return;
         }
@@ -97,6 +98,25 @@
         self.quorum_event(Event::Propose { id, payload });
     }
 
+    /// Whether the operator's first route table is refused until the group has more voters.
+    fn refuses_first_table(&self) -> bool {
+        let Some(policy) = self.setup.membership_policy else {
+            return false;
+        };
+        let core = &self.setup.core;
+        let (members, version) = (core.status().members, self.state.current_table().version());
+        let refuses = |led_for| policy.refuses_first_configuration(&members, version, led_for);
+        let is_refused = core.led_for(self.now()).is_some_and(refuses);
+        if is_refused {
+            tracing::info!(
+                voters = members.voters().count(),
+                target = policy.target_voters,
+                "refusing the first route table: voters are missing"
+            );
+        }
+        is_refused
+    }
+
     /// Reads the route table's text once a quorum has confirmed that this host leads.
     pub(super) fn read_table(&mut self, answer: Answer<Option<Bytes>>) {
         if !self.leading {
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -296,6 +296,13 @@
         })
     }
 
+    /// Returns the time since this member was elected; `None` if it does not lead.
+    #[must_use]
+    pub fn led_for(&self, now: Time) -> Option<Time> {
+        let leads = self.role == Role::Leader;
+        leads.then(|| now.saturating_sub(self.leader_since))
+    }
+
     /// Returns the member's current status.
     #[must_use]
     pub fn status(&self) -> Status {
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -16,7 +16,7 @@
 
 use crate::event::MembershipChange;
 use crate::id::{Incarnation, Index, MemberId, Peer, Time};
-use crate::member::MemberKind;
+use crate::member::{MemberKind, Membership};
 use crate::status::{Role, Status};
 
 /// Maximum number of committed entries that a learner may lack and still count as caught up. The
@@ -143,6 +143,27 @@
     }
 }
 
+/// Time from the election of a leader for which it refuses the operator's first configuration while
+/// the group has too few voters.
+pub const FIRST_CONFIGURATION_WAIT: Duration = Duration::from_secs(3);
+
+impl MembershipPolicy {
+    /// Whether a leader refuses the operator's configuration for now, since the group could not bear
+    /// the losses that it should: none was committed before, as its version 0 shows, and voters are
+    /// missing. The wait is bounded, since there may be no more hosts. `led_for` is the time since
+    /// this leader's election.
+    #[must_use]
+    pub fn refuses_first_configuration(
+        &self,
+        members: &Membership,
+        version: u64,
+        led_for: Duration,
+    ) -> bool {
+        let voters = members.voters().count();
+        version == 0 && voters < self.target_voters && led_for < FIRST_CONFIGURATION_WAIT
+    }
+}
+
 /// Returns the promotion that is due on a cluster whose settings name its voters: that of a named
 /// learner that responds and has caught up. Which learners were added for that is read off the
 /// membership, so a promotion that a change of leader interrupted is made by the next one.
--- a/crates/quorum/tests/founding.rs
+++ b/crates/quorum/tests/founding.rs
@@ -124,6 +124,35 @@
     assert!(failures.is_empty(), "{}: {failures:#?}", failures.len());
 }
 
+/// Guards against an acknowledgement by a group that has fewer voters than the losses need.
+#[test]
+fn the_first_acknowledged_entry_survives_as_many_disks_as_the_group_should_bear() {
+    const MOMENTS: u32 = 60;
+    let failures: Vec<String> = (0..MOMENTS)
+        .into_par_iter()
+        .filter_map(|at| {
+            let fleet = Fleet {
+                hosts: 6,
+                losses: 2,
+            };
+            let mut sim = first_start(fleet, at.into());
+            let first = propose_until_acknowledged(&mut sim, FIRST_COMMIT_TIMEOUT);
+            let first = first.expect("the first proposal is committed");
+            sim.run_for(MOMENT * at).unwrap();
+            let voters: Vec<MemberId> = sim.members(first.by).voters().collect();
+            let mut voters = voters.iter().map(|id| usize::try_from(*id).unwrap());
+            let other = voters.rfind(|voter| *voter != first.by);
+            sim.lose_disk(first.by);
+            sim.lose_disk(other.expect("another voter"));
+            sim.run_for(REPAIR_TIME).unwrap();
+            let next = propose_until_acknowledged(&mut sim, SECOND);
+            let kept = next.is_some_and(|next| sim.has_applied(next.by, first.id));
+            (!kept).then(|| format!("{:?} after the acknowledgement", MOMENT * at))
+        })
+        .collect();
+    assert!(failures.is_empty(), "{}: {failures:?}", failures.len());
+}
+
 #[test]
 fn a_group_is_founded_and_serves_when_a_seed_is_lost_at_the_first_start() {
     const MOMENTS: u32 = 40;
--- a/crates/quorum/tests/membership_policy.rs
+++ b/crates/quorum/tests/membership_policy.rs
@@ -5,7 +5,9 @@
 use cornelhitch_quorum::event::MembershipChange;
 use cornelhitch_quorum::id::{Incarnation, MemberId, Peer};
 use cornelhitch_quorum::member::{MemberKind, Membership};
-use cornelhitch_quorum::membership_policy::{JoinRequests, MembershipPolicy, next_promotion};
+use cornelhitch_quorum::membership_policy::{
+    FIRST_CONFIGURATION_WAIT, JoinRequests, MembershipPolicy, next_promotion,
+};
 use cornelhitch_quorum::status::{Role, Status};
 
 /// A member whose incarnation equals its ID.
@@ -336,3 +338,38 @@
         );
     }
 }
+
+/// Voters, learners, the version in force, the time since the election, and whether a first
+/// configuration is refused by a group that should have three voters.
+const FIRST_CONFIGURATIONS: [(u64, u64, u64, Duration, bool); 7] = [
+    (1, 0, 0, Duration::ZERO, true),
+    (2, 1, 0, Duration::ZERO, true),
+    (3, 0, 0, Duration::ZERO, false),
+    (5, 0, 0, Duration::ZERO, false),
+    (2, 0, 1, Duration::ZERO, false),
+    (
+        2,
+        0,
+        0,
+        FIRST_CONFIGURATION_WAIT.saturating_sub(MILLISECOND),
+        true,
+    ),
+    (2, 0, 0, FIRST_CONFIGURATION_WAIT, false),
+];
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+#[test]
+fn a_first_configuration_is_refused_for_a_while_if_voters_are_missing() {
+    let policy = MembershipPolicy::for_losses(1, Duration::from_millis(500));
+    for (voters, learners, version, led_for, refused) in FIRST_CONFIGURATIONS {
+        let voters: Vec<MemberId> = (1..=voters).collect();
+        let learners: Vec<MemberId> = (10..10 + learners).collect();
+        let members = status(&voters, &learners, &[]).members;
+        let refuses = policy.refuses_first_configuration(&members, version, led_for);
+        assert_eq!(
+            refuses, refused,
+            "{voters:?} {learners:?} {version} {led_for:?}"
+        );
+    }
+}
--- a/crates/quorum/tests/schedule/simulation.rs
+++ b/crates/quorum/tests/schedule/simulation.rs
@@ -476,7 +476,15 @@
 
     /// The leader, if its owner takes proposals.
     pub fn leader_that_serves(&self) -> Option<usize> {
-        self.leader_with_lease()
+        let index = self.leader_with_lease()?;
+        let node = &self.nodes[index];
+        let (members, version) = (self.members(index), node.state.index);
+        let led_for = node.core.as_ref()?.led_for(node.local(self.now))?;
+        let refuses = self.seeded.as_ref().is_some_and(|seeded| {
+            let policy = &seeded.policy;
+            policy.refuses_first_configuration(&members, version, led_for)
+        });
+        (!refuses).then_some(index)
     }
 
     /// Whether a member that was given a proposal has acknowledged it.
