--- a/crates/quorum/tests/schedule/mod.rs
+++ b/crates/quorum/tests/schedule/mod.rs
@@ -70,6 +70,8 @@
     Add,
     Promote,
     Remove,
+    Demote,
+    Readmit,
     Replace,
 }
 
@@ -117,6 +119,8 @@
         2 => Just(ChangeKind::Add),
         2 => Just(ChangeKind::Promote),
         1 => Just(ChangeKind::Remove),
+        1 => Just(ChangeKind::Demote),
+        2 => Just(ChangeKind::Readmit),
         2 => Just(ChangeKind::Replace),
     ];
     prop_oneof![
--- a/crates/quorum/tests/schedule/simulation.rs
+++ b/crates/quorum/tests/schedule/simulation.rs
@@ -677,6 +677,8 @@
             ChangeKind::Add => MembershipChange::Add(a),
             ChangeKind::Promote => MembershipChange::Promote(a.id),
             ChangeKind::Remove => MembershipChange::Remove(a.id),
+            ChangeKind::Demote => MembershipChange::Demote(a.id),
+            ChangeKind::Readmit => MembershipChange::Readmit(a),
             ChangeKind::Replace => MembershipChange::Replace { old: a.id, new: b },
         };
         self.change(change).map(drop)
