--- a/crates/cornelhitch/tests/output.rs
+++ b/crates/cornelhitch/tests/output.rs
@@ -86,19 +86,23 @@
     }
 }
 
+/// Guards also against a host that waits for ever, since it asks the seeds of its start alone.
 #[test]
-fn a_control_host_that_is_not_admitted_logs_whom_it_asked() {
+fn a_control_host_that_is_not_admitted_logs_whom_it_asks_by_the_settings_in_force() {
     let folder = TempDir::new().expect("folder should be created");
     let [callers, operators, peers, seed] = [(); 4].map(|()| free_port());
     let data = folder.path().join("data");
     let settings = folder.path().join("host.yaml");
-    let text = format!(
-        "cluster: trial\nregion: perth-a\nzone: perth-a-1\nroles: [control]\n\
-         trusted-network: true\ncallers: 127.0.0.1:{callers}\noperators: 127.0.0.1:{operators}\n\
-         peers: 127.0.0.1:{peers}\nseeds: [127.0.0.2:{seed}]\nbootstrap: false\ndata: {}\n",
-        data.display()
-    );
-    std::fs::write(&settings, text).expect("file should be written");
+    let write = |seed_ip: &str| {
+        let text = format!(
+            "cluster: trial\nregion: perth-a\nzone: perth-a-1\nroles: [control]\n\
+             trusted-network: true\ncallers: 127.0.0.1:{callers}\noperators: 127.0.0.1:{operators}\n\
+             peers: 127.0.0.1:{peers}\nseeds: [{seed_ip}:{seed}]\nbootstrap: false\ndata: {}\n",
+            data.display()
+        );
+        std::fs::write(&settings, text).expect("file should be written");
+    };
+    write("127.0.0.2");
     let daemon = Command::new(env!("CARGO_BIN_EXE_cornelhitchd"))
         .args(["--settings", &settings.display().to_string()])
         .args(["--log-format", "json"])
@@ -108,11 +112,14 @@
     let mut daemon = Daemon(daemon.expect("daemon should start"));
     let output = daemon.0.stdout.take().expect("output should be piped");
     let lines = BufReader::new(output).lines().map_while(Result::ok);
-    let waiting = lines
+    let mut waiting = lines
         .map(|line| serde_json::from_str::<serde_json::Value>(&line).unwrap_or_default())
-        .find(|line| line["fields"]["asked"].is_string());
-    let fields = &waiting.expect("the daemon should go on logging")["fields"];
-    let seed_id = u32::from_be_bytes([127, 0, 0, 2]);
-    assert_eq!(fields["asked"], format!("{{{seed_id}}}"));
-    assert_eq!(fields["without_group"], "{}");
+        .filter(|line| line["fields"]["asked"].is_string());
+    for seed_ip in [[127, 0, 0, 2], [127, 0, 0, 3]] {
+        let line = waiting.next().expect("the daemon should go on logging");
+        let id = u32::from_be_bytes(seed_ip);
+        assert_eq!(line["fields"]["asked"], format!("{{{id}}}"));
+        assert_eq!(line["fields"]["without_group"], "{}");
+        write("127.0.0.3");
+    }
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -83,6 +83,8 @@
     Publish(SubmittedTable, Answer<()>),
     /// A request for the text of the route table in force.
     Read(Answer<Option<Bytes>>),
+    /// The hosts that the settings now name as seeds.
+    Seeds(Vec<HostId>),
 }
 
 /// Everything that [`run`] needs.
@@ -424,6 +426,10 @@
                 self.commit(&Command::PublishTable(submitted), answer);
             }
             TaskMessage::Read(answer) => self.read_table(answer),
+            TaskMessage::Seeds(mut seeds) => {
+                seeds.retain(|seed| *seed != self.setup.me);
+                self.quorum_event(Event::Peers(seeds));
+            }
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+use crate::control::TaskMessage;
 use crate::entry::Input;
 pub use crate::error::Error;
 use crate::error::SystemSnafu;
@@ -41,6 +42,8 @@
     serving: Vec<JoinHandle<()>>,
     /// The control task, which ends when it is stopped and then releases its data folder.
     control: Option<JoinHandle<()>>,
+    /// The control task's queue.
+    control_sender: Option<mpsc::UnboundedSender<TaskMessage>>,
     /// The operators' listener, which answers until it is stopped.
     operators: JoinHandle<()>,
     /// Cancelled when an operator requests a graceful shutdown.
@@ -111,6 +114,7 @@
             serving.extend(tasks);
         }
         let drain_token = CancellationToken::new();
+        let control_sender = control.clone();
         let service =
             startup.operators(token, &session, drain.clone(), control, drain_token.clone());
         let serve = server::run(operators, Arc::new(service), startup.stop.clone());
@@ -123,6 +127,7 @@
             stop: startup.stop,
             serving,
             control: control_task,
+            control_sender,
             operators,
             drain_token,
             session,
@@ -133,9 +138,15 @@
 
     /// Applies the settings that may change while the process runs: the seeds.
     pub fn reload(&self, process: &ProcessSettings) {
-        if !process.seeds.is_empty() {
-            self.session.replace_seeds(process.seed_peers());
+        if process.seeds.is_empty() {
+            return;
         }
+        let seeds = process.seed_peers();
+        if let Some(control) = &self.control_sender {
+            let hosts = seeds.iter().map(|seed| seed.host).collect();
+            let _ = control.send(TaskMessage::Seeds(hosts));
+        }
+        self.session.replace_seeds(seeds);
     }
 
     /// Starts the graceful shutdown: stops accepting callers and lets requests in flight finish.
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -237,6 +237,7 @@
             Event::PersistFailed { token } => self.on_persist_failed(token),
             Event::ChangeMembership { id, change } => self.on_change(id, change),
             Event::Snapshot { index, data } => self.on_owner_snapshot(index, data),
+            Event::Peers(peers) => self.config.peers = peers,
             Event::Barrier { id } => self.on_barrier(id),
         }
     }
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -53,6 +53,8 @@
         /// The encoded state.
         data: Bytes,
     },
+    /// Other members are to be asked for admission while this member belongs to no group.
+    Peers(Vec<MemberId>),
     /// Requests [`Action::BarrierDone`](crate::action::Action::BarrierDone) once a read of the
     /// owner's state reflects everything committed before this event.
     Barrier {
