--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -110,7 +110,7 @@
         if is_refused {
             tracing::info!(
                 voters = members.voters().count(),
-                target = policy.target_voters,
+                wanted = policy.first_voters,
                 "refusing the first route table: voters are missing"
             );
         }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -58,6 +58,10 @@
 /// the membership policy decides anew.
 const MEMBERSHIP_CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Number of seeds that settings name if there are as many control hosts; fewer are all that there
+/// are.
+const FULL_SEED_LIST: usize = 3;
+
 /// The state that the tasks of a process share when they are started.
 pub(crate) struct Startup {
     pub(crate) process: ProcessSettings,
@@ -221,9 +225,7 @@
             initial_settings: self.initial_settings()?,
             registry: self.process.registry,
             takers,
-            membership_policy: seeded.then(|| {
-                MembershipPolicy::for_losses(self.process.losses as usize, ELECTION_TIMEOUT)
-            }),
+            membership_policy: seeded.then(|| self.membership_policy()),
             stop: self.stop.clone(),
             epoch: self.epoch,
             started: since_unix_epoch(),
@@ -231,6 +233,21 @@
         Ok((task_sender, tokio::spawn(control::run(setup))))
     }
 
+    /// Returns the membership policy of a cluster with seeds.
+    fn membership_policy(&self) -> MembershipPolicy {
+        let losses = self.process.losses as usize;
+        let policy = MembershipPolicy::for_losses(losses, ELECTION_TIMEOUT);
+        let seeds = self.process.seeds.len();
+        let hosts = (seeds < FULL_SEED_LIST).then_some(seeds);
+        let first_voters = hosts.map_or(policy.target_voters, |hosts| {
+            policy.target_voters.min(hosts)
+        });
+        MembershipPolicy {
+            first_voters,
+            ..policy
+        }
+    }
+
     /// Returns the configuration of this host's member of the log.
     fn quorum_config(&self, voters: &BTreeSet<HostId>) -> quorum::config::Config {
         let me = self.process.host;
--- a/crates/quorum/src/membership_policy.rs
+++ b/crates/quorum/src/membership_policy.rs
@@ -28,6 +28,8 @@
 pub struct MembershipPolicy {
     /// Target number of voters.
     pub target_voters: usize,
+    /// Number of voters that the operator's first configuration waits for.
+    pub first_voters: usize,
     /// Time without a response after which a voter is replaced by a responsive learner.
     pub replace_after: Duration,
     /// Time without a response after which a learner is removed. Should it lose its storage before, it
@@ -39,6 +41,7 @@
     fn default() -> Self {
         Self {
             target_voters: 3,
+            first_voters: 3,
             replace_after: Duration::from_secs(3),
             remove_after: Duration::from_mins(1),
         }
@@ -64,6 +67,7 @@
     pub fn for_losses(losses: usize, election_timeout: Duration) -> Self {
         Self {
             target_voters: 2 * losses + 1,
+            first_voters: 2 * losses + 1,
             replace_after: 2 * election_timeout,
             ..Self::default()
         }
@@ -160,7 +164,7 @@
         led_for: Duration,
     ) -> bool {
         let voters = members.voters().count();
-        version == 0 && voters < self.target_voters && led_for < FIRST_CONFIGURATION_WAIT
+        version == 0 && voters < self.first_voters && led_for < FIRST_CONFIGURATION_WAIT
     }
 }
 
--- a/crates/quorum/tests/membership_policy.rs
+++ b/crates/quorum/tests/membership_policy.rs
@@ -372,4 +372,10 @@
             "{voters:?} {learners:?} {version} {led_for:?}"
         );
     }
+    let alone = MembershipPolicy {
+        first_voters: 1,
+        ..policy
+    };
+    let members = status(&[1], &[], &[]).members;
+    assert!(!alone.refuses_first_configuration(&members, 0, Duration::ZERO));
 }
