--- a/crates/quorum/src/core/founding.rs
+++ b/crates/quorum/src/core/founding.rs
@@ -6,7 +6,6 @@
 //! besides. A founder whose disk was lost takes no part, since it forgot its votes.
 
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 use super::Core;
 use crate::config::{Config, Fault};
@@ -50,14 +49,14 @@
     }
 }
 
-/// Returns the lineage of the log that begins with `first`. Only one leader appends in its term.
+/// Returns the lineage of the log that begins with `first`: the latest incarnation among its members.
+/// Only one first entry is ever committed by these.
 fn lineage_of(first: &Entry) -> Incarnation {
-    let mut hasher = DefaultHasher::new();
-    first.term.hash(&mut hasher);
-    if let Payload::Membership(members) = &first.payload {
-        members.hash(&mut hasher);
-    }
-    hasher.finish().max(1)
+    let Payload::Membership(members) = &first.payload else {
+        return 1;
+    };
+    let incarnations = members.values().map(|member| member.incarnation);
+    incarnations.max().unwrap_or_default().max(1)
 }
 
 impl Core {
