--- a/crates/quorum/tests/membership_policy.rs
+++ b/crates/quorum/tests/membership_policy.rs
@@ -94,6 +94,7 @@
         Case { name: "a learner with a wiped disk", voters: &[1, 3, 4], learners: &[2], silent: &[(2, 2)], join_requests: vec![wiped], expected: Some(MembershipChange::Readmit(wiped)) },
         Case { name: "a wiped learner does not take the place of a silent voter", voters: &[1, 3, 4], learners: &[2], silent: &[(2, 2), (3, 5)], join_requests: vec![wiped], expected: Some(MembershipChange::Readmit(wiped)) },
         Case { name: "a voter too many, one silent", voters: &[1, 2, 3, 4], learners: &[], silent: &[(3, 5)], join_requests: vec![], expected: Some(MembershipChange::Demote(3)) },
+        Case { name: "a voter too many, one wiped and one silent", voters: &[1, 2, 3, 4], learners: &[], silent: &[(2, 2), (3, 5)], join_requests: vec![wiped], expected: Some(MembershipChange::Readmit(wiped)) },
         Case { name: "a voter too many, one briefly silent", voters: &[1, 2, 3, 4], learners: &[], silent: &[(3, 1)], join_requests: vec![], expected: Some(MembershipChange::Demote(3)) },
         Case { name: "a voter too many, all responsive", voters: &[1, 2, 3, 4], learners: &[], silent: &[], join_requests: vec![], expected: Some(MembershipChange::Demote(4)) },
         Case { name: "the leader does not count as silent", voters: &[1, 2, 3], learners: &[4], silent: &[(1, 60)], join_requests: vec![], expected: None },
