--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -232,6 +232,11 @@
         /// The last known sequence number.
         from: u64,
     },
+    /// Ask a control host for its newest route table: it has not come with the view.
+    RequestTable {
+        /// The version in force on this host; 0 if there is none.
+        held: Version,
+    },
     /// The settings that control published cannot be used.
     BadSettings {
         /// The version of the settings.
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -14,6 +14,7 @@
 use crate::event::{CallId, Request, RequestedResource};
 use crate::fault::Fault;
 use crate::finish::Rejection;
+use crate::newest_table;
 use crate::queue::{QueueKey, Rank};
 use crate::request::{Call, Claim, Progress, Stage};
 use crate::suspects::{Knowledge, Turn, Verdict};
@@ -98,6 +99,12 @@
             return refuse(Reason::Isolated, detail)
                 .map(|rejection| self.with_other_hosts(rejection.after(ISOLATED_RETRY_AFTER)));
         }
+        if request.terms.is_some() && self.is_table_outdated() {
+            let detail = "this host has heard of a newer route table and does not have it";
+            return refuse(Reason::Isolated, detail).map(|rejection| {
+                self.with_other_hosts(rejection.after(newest_table::RETRY_AFTER))
+            });
+        }
         if !self.is_known(request) {
             let detail = format!("there is no {}", request.what);
             return refuse(Reason::Unknown, &detail);
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -29,6 +29,7 @@
 use crate::fleet_view::FleetView;
 use crate::health::Health;
 use crate::lease::Lease;
+use crate::newest_table::{NewestTable, Statement};
 use crate::quarantine::Quarantine;
 use crate::queue::{Queue, QueueKey};
 use crate::request::{Call, Stage};
@@ -68,6 +69,7 @@
     pub(crate) catalogue: Catalogue,
     pub(crate) fleet_view: FleetView,
     pub(crate) lease: Lease,
+    pub(crate) newest_table: NewestTable,
     pub(crate) shutdown: Shutdown,
     pub(crate) queue: Queue,
     pub(crate) calls: HashMap<CallId, Call>,
@@ -123,6 +125,7 @@
             catalogue: Catalogue::default(),
             fleet_view: FleetView::default(),
             lease: Lease::default(),
+            newest_table: NewestTable::default(),
             shutdown: Shutdown::default(),
             queue: Queue::default(),
             calls: HashMap::new(),
@@ -166,6 +169,8 @@
             Event::Arrived(request) => self.on_arrived(request),
             Event::View(view) => self.on_view(view),
             Event::Lease { until, version } => self.on_lease(until, version),
+            Event::NewestTable(statement) => self.on_newest_table(statement),
+            Event::Table(table) => self.adopt_table(table),
             Event::Claimed { id, reply } => self.on_claimed(id, reply),
             Event::Recorded { id } => self.on_recorded(id),
             Event::Sent { id, attempt } => self.on_sent(id, attempt),
@@ -227,6 +232,44 @@
         self.target_limits.renew_lease(until, self.now);
     }
 
+    /// Records which route table is the newest, and asks for it if it does not come with the view.
+    fn on_newest_table(&mut self, statement: Statement) {
+        let (held, limit) = (self.held_table(), self.table_limit());
+        self.newest_table.learn(statement, held, self.now);
+        if self.newest_table.is_missing(held, limit, self.now) {
+            self.actions.push(Action::RequestTable { held });
+        }
+    }
+
+    /// Applies a route table, unless a newer one is known.
+    pub(crate) fn adopt_table(&mut self, table: Arc<RouteTable>) {
+        let before = self.held_table();
+        self.catalogue.adopt_table(table);
+        let held = self.held_table();
+        if held > before {
+            self.newest_table.adopt(held, self.now);
+            self.dirty.extend(self.queue.keys());
+        }
+    }
+
+    /// Returns the version of the newest route table that this host has; 0 if it has none.
+    fn held_table(&self) -> Version {
+        let table = self.catalogue.table.as_ref();
+        table.map_or(0, |table| table.version)
+    }
+
+    /// Returns how long a route table may be acted on after it was last known to be the newest, once
+    /// a newer one is known.
+    fn table_limit(&self) -> Duration {
+        Duration::from_secs_f64(self.config.serving.table_lag_ms / 1_000.0)
+    }
+
+    /// Whether this host must not act on its route table any more.
+    pub(crate) fn is_table_outdated(&self) -> bool {
+        let (held, limit) = (self.held_table(), self.table_limit());
+        self.newest_table.is_outdated(held, limit, self.now)
+    }
+
     /// Returns when the core needs the next [`Event::Tick`], or `None` if only other events can
     /// change its state.
     #[must_use]
@@ -234,7 +277,10 @@
         let timer = self.timers.first().map(|(time, _)| *time);
         let backoff_end = self.backoffs.first().map(|(time, _)| *time);
         let next_sweep = (!self.queue.is_empty()).then_some(self.next_sweep);
+        let (held, limit) = (self.held_table(), self.table_limit());
+        let outdated = self.newest_table.expiry(held, limit);
         let wakes = [
+            outdated.filter(|at| *at > self.now),
             timer,
             backoff_end,
             next_sweep,
@@ -305,9 +351,7 @@
     /// shutting down.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
-        !self.shutdown.is_leaving()
-            && self.catalogue.table.is_some()
-            && self.fleet_view.sequence > 0
+        !self.shutdown.is_leaving() && self.table().is_some() && self.fleet_view.sequence > 0
     }
 
     /// Returns the term of the fleet view and the sequence number up to which it has been applied.
@@ -316,10 +360,18 @@
         (self.fleet_view.term, self.fleet_view.sequence)
     }
 
-    /// Returns the route table in force on this host, or `None` before the first one arrives.
+    /// Returns the route table in force on this host, or `None` before the first one arrives and while
+    /// a newer one is known that has not arrived in time.
     #[must_use]
     pub fn table(&self) -> Option<&Arc<RouteTable>> {
-        self.catalogue.table.as_ref()
+        let table = self.catalogue.table.as_ref();
+        table.filter(|_| !self.is_table_outdated())
+    }
+
+    /// Returns how long after this host first heard of it the route table that it has came.
+    #[must_use]
+    pub fn table_delay(&self) -> Time {
+        self.newest_table.delay()
     }
 
     /// Number of strikes at which a fingerprint is quarantined.
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -32,6 +32,10 @@
     pub drain: Drain,
     /// The sequence number up to which changes of the fleet view have been applied.
     pub view: u64,
+    /// The newest version of the route table that control has named.
+    pub newest_table: Version,
+    /// Milliseconds since the route table of this host was last known to be the newest.
+    pub table_confirmed_ms_ago: Option<u128>,
     /// Waiting requests, one row per lane.
     pub lanes: Vec<Lane>,
     /// In-flight requests, one row per place.
@@ -141,6 +145,11 @@
             leased: core.lease.holds(core.catalogue.version, core.now),
             drain: core.shutdown.state,
             view: core.fleet_view.sequence,
+            newest_table: core.newest_table.version(),
+            table_confirmed_ms_ago: core
+                .newest_table
+                .confirmed()
+                .map(|at| core.now.saturating_sub(at).as_millis()),
             lanes: lanes.collect(),
             places: places.collect(),
             ejected: core.ejections.targets(),
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -1,16 +1,19 @@
 //! The events that a core processes.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cornelhitch_types::id::{CallerId, ClassId, Incarnation, Name, TargetId, Time, Version};
 use cornelhitch_types::model::Reference;
+use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::{Load, Statement, TargetSoftware};
 use cornelhitch_types::view::View;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter};
 
 use crate::claim;
+use crate::newest_table;
 use crate::software::OriginAnswer;
 use crate::suspects::Parts;
 
@@ -268,6 +271,10 @@
         /// The version of the settings that control has in force.
         version: Version,
     },
+    /// A control host stated which route table is its newest.
+    NewestTable(newest_table::Statement),
+    /// A control host sent its newest route table.
+    Table(Arc<RouteTable>),
     /// Control answered a claim.
     Claimed {
         /// The request that the claim is for.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod health;
 pub mod host_share;
 pub mod lease;
+pub mod newest_table;
 pub mod prelude;
 pub mod quarantine;
 pub mod queue;
--- a/crates/entry/src/updates.rs
+++ b/crates/entry/src/updates.rs
@@ -84,7 +84,7 @@
                 self.suspects.set_published(section, crashes, self.now);
             }
             Change::Settings(version, text) => self.apply_settings(version, &text),
-            Change::Table(table) => self.catalogue.adopt_table(table),
+            Change::Table(table) => self.adopt_table(table),
             Change::ColdStartEstimate(model, ms) => {
                 self.fleet_view.set_cold_start_estimate(model, ms);
             }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -488,6 +488,15 @@
             Some(Waiter::Host { host, call }) => self.send_committed(host, call, &reply),
             Some(Waiter::Local(answer)) => {
                 let (index, term) = (entry.index, entry.term);
+                if let Command::PublishTable(submitted) = &command {
+                    let version = submitted.table.version;
+                    tracing::info!(
+                        version,
+                        index,
+                        term,
+                        "route table committed; acknowledging it"
+                    );
+                }
                 if let Command::Leave { target, .. } = &command {
                     tracing::info!(
                         target = &**target,
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -14,7 +14,7 @@
 use cornelhitch_types::order::{Order, Outcome};
 use cornelhitch_types::target::{AnnouncedHeartbeat, TargetSoftware};
 
-use super::{Control, Lease, TaskMessage, Waiter};
+use super::{Control, Lease, Renewal, TaskMessage, Waiter};
 use crate::intake::Forwards;
 use crate::message::{Datagram, Downward, Message};
 use crate::metrics::Count;
@@ -277,6 +277,35 @@
         self.setup
             .datagrams
             .send(renewal.peer, renewal.address, lease);
+        self.state_newest_table(renewal, true);
+    }
+
+    /// Answers a renewal with the version of the newest route table that this host has.
+    pub(crate) fn state_newest_table(&self, renewal: &Renewal, leads: bool) {
+        let newest = Datagram::NewestTable {
+            sequence: renewal.sequence,
+            version: self.state.current_table().version(),
+            leads,
+        };
+        let datagrams = &self.setup.datagrams;
+        datagrams.send(renewal.peer, renewal.address, newest);
+    }
+
+    /// Sends a host the newest route table that this host has, if the host's is older.
+    pub(crate) fn send_newer_table(&self, host: HostId, held: Version) {
+        let current = self.state.current_table();
+        let Some(table) = current.table().filter(|table| table.version > held) else {
+            return;
+        };
+        let version = table.version;
+        tracing::info!(
+            host,
+            held,
+            version,
+            "sending a host the route table that it asked for"
+        );
+        let downward = Downward::Table(table.clone());
+        self.setup.links.send(host, Message::Downward(downward));
     }
 
     /// Sends the answer to a host's question.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -15,11 +15,12 @@
 use cornelhitch_entry::core::Core;
 use cornelhitch_entry::entries::{self, CallerLocation};
 use cornelhitch_entry::event::{Attempt as AttemptNumber, CallId, Event};
+use cornelhitch_entry::newest_table::Statement;
 use cornelhitch_settings::fleet::FleetSettings;
 use cornelhitch_target::client::Client;
 use cornelhitch_target::inbound::{Message as TargetMessage, Receipt};
 use cornelhitch_types::entry::Host;
-use cornelhitch_types::id::Name;
+use cornelhitch_types::id::{Name, Version};
 use cornelhitch_types::view::{Change, View};
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -32,7 +33,7 @@
 use crate::exchange::{Exchange, NewRequest, Payload, Recorded};
 use crate::ingress::Routes;
 use crate::message::Upward;
-use crate::metrics::Metrics;
+use crate::metrics::{Count, Metrics, Timing};
 use crate::request_log::RequestLog;
 use crate::section_ids::SectionIds;
 use crate::session;
@@ -138,6 +139,8 @@
     request_log: RequestLog,
     /// When the graceful shutdown began.
     leaving_since: Option<Instant>,
+    /// The version of the route table that the HTTP listeners have.
+    published_table: Option<Version>,
 }
 
 /// Runs the entry task until the drain completes or its channels close.
@@ -152,6 +155,7 @@
         urgent: true,
         request_log: RequestLog::default(),
         leaving_since: None,
+        published_table: None,
     };
     entry.serve().await;
     tokio::spawn(shutdown::refuse_late(entry.setup.inputs));
@@ -174,6 +178,7 @@
                 },
                 () = tokio::time::sleep_until(wake) => self.handle_event(Event::Tick),
             }
+            self.publish_routes();
             self.report_demand();
         }
     }
@@ -233,13 +238,25 @@
                         "view update not applied by the entry core"
                     );
                 }
-                self.publish_routes();
                 let settings = self.setup.core.settings_version();
                 self.setup
                     .host_state
                     .send_modify(|host| host.settings = settings);
             }
             session::Event::Software(software) => self.handle_event(Event::Software(software)),
+            session::Event::NewestTable {
+                version,
+                asked,
+                leads,
+            } => {
+                let asked = asked.saturating_duration_since(self.setup.epoch);
+                self.handle_event(Event::NewestTable(Statement {
+                    version,
+                    asked,
+                    leads,
+                }));
+            }
+            session::Event::Table(table) => self.handle_event(Event::Table(table)),
             session::Event::Lease { until, version } => {
                 let until = until.saturating_duration_since(self.setup.epoch);
                 self.handle_event(Event::Lease { until, version });
@@ -259,22 +276,33 @@
         }
     }
 
-    /// Publishes the core's route table to the HTTP listeners if its version has changed.
-    fn publish_routes(&self) {
-        let Some(table) = self.setup.core.table() else {
+    /// Publishes the core's route table to the HTTP listeners if another one, or none, is in force.
+    fn publish_routes(&mut self) {
+        let core = &self.setup.core;
+        let version = core.table().map(|table| table.version);
+        if version == self.published_table {
             return;
-        };
-        let published = self.setup.routes.borrow().clone();
-        let version = table.version;
-        if published.is_none_or(|published| published.table.version != version) {
-            tracing::info!(
-                version,
-                routes = table.routes.len(),
-                "route table now in force on this entry host"
-            );
-            let routes = Routes::of(table.clone());
-            self.setup.routes.send_replace(Some(Arc::new(routes)));
         }
+        let held = std::mem::replace(&mut self.published_table, version);
+        let Some(table) = core.table() else {
+            self.setup.metrics.increment(Count::TablesOutdated);
+            tracing::warn!(
+                held,
+                "this host knows of a newer route table and does not have it: refusing routed requests"
+            );
+            self.setup.routes.send_replace(None);
+            return;
+        };
+        let delay = core.table_delay();
+        self.setup.metrics.record(Timing::TableDelay, delay);
+        tracing::info!(
+            version,
+            routes = table.routes.len(),
+            heard_ms_before = delay.as_millis(),
+            "route table now in force on this entry host"
+        );
+        let routes = Routes::of(table.clone());
+        self.setup.routes.send_replace(Some(Arc::new(routes)));
     }
 
     /// Handles one input.
@@ -445,6 +473,7 @@
             | Action::AskOrigin { .. }) => self.ask_leader(question),
             Action::Report => self.urgent = true,
             Action::RequestView { .. } => self.setup.session.request_full_view(),
+            Action::RequestTable { held } => self.setup.session.request_table(held),
             Action::BadSettings { version, error } => {
                 tracing::error!(version, error, "cannot parse the fleet settings");
             }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -278,7 +278,10 @@
         let known = known.and_then(|routes| routes.clone());
         known.ok_or_else(|| Refusal {
             retry_after: Some(NO_ROUTES_RETRY_AFTER),
-            ..not_run(Reason::Unavailable, "this host knows no routes yet")
+            ..not_run(
+                Reason::Unavailable,
+                "this host has no route table that is in force",
+            )
         })
     }
 }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between cornelhitch processes.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use cornelhitch_entry::software::StreamBegun;
@@ -8,6 +9,7 @@
 use cornelhitch_types::demand::DemandReport;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Term, Time, Version};
+use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::{
     AnnouncedHeartbeat, Announcement, Heartbeat, RequestRate, TargetSoftware,
 };
@@ -110,6 +112,11 @@
         /// The heartbeats.
         batch: Vec<Forwarded>,
     },
+    /// Asks any control host for its route table, if that is newer.
+    Table {
+        /// The version that the host has; 0 if it has none.
+        held: Version,
+    },
 }
 
 /// A query that only the leader can answer; the answer is JSON.
@@ -205,6 +212,8 @@
         /// Targets whose heartbeats the leader needs in full.
         missing: Vec<TargetId>,
     },
+    /// The newest route table that the control host has.
+    Table(Arc<RouteTable>),
 }
 
 /// The content of one datagram, encoded with postcard.
@@ -234,6 +243,15 @@
         /// The newest sequence number of the leader's view.
         view: u64,
     },
+    /// A control host, leading or not, states its newest route table.
+    NewestTable {
+        /// The number of the renewal that this answers.
+        sequence: u64,
+        /// The version of the table; 0 if there is none.
+        version: Version,
+        /// Whether the control host holds the leader's lease, so that no newer table is committed.
+        leads: bool,
+    },
 }
 
 /// An event from a peer.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -85,6 +85,8 @@
     ControlSuperseded,
     /// Answers of targets that were given up because they had no end within what is buffered.
     AnswersGivenUp,
+    /// Times at which an entry host stopped acting on its route table, since it knew of a newer one.
+    TablesOutdated,
 }
 
 /// The latency histograms; each variant is exported under its name.
@@ -99,6 +101,8 @@
     RequestRefused,
     /// From sending an order to its outcome.
     Order,
+    /// From hearing of a newer route table to acting on it.
+    TableDelay,
 }
 
 /// A counter that is kept for each service.
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -3,12 +3,14 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cornelhitch_settings::process;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Term, Version};
+use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::TargetSoftware;
 use cornelhitch_types::view::View;
 use cornelhitch_wire::hello::ProcessId;
@@ -32,6 +34,9 @@
 /// Time after which a view that the leader had, and that has not arrived, is asked for again.
 const CATCH_UP_TIME: Duration = Duration::from_secs(1);
 
+/// Time without a lease grant after which other control hosts are asked for their newest route table.
+const GRANT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time after which an unanswered call is sent again.
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -48,6 +53,17 @@
     View(View),
     /// The leader told the software of targets.
     Software(Vec<TargetSoftware>),
+    /// A control host stated the version of its newest route table.
+    NewestTable {
+        /// The version; 0 if there is none.
+        version: Version,
+        /// When the question left.
+        asked: Instant,
+        /// Whether the control host leads.
+        leads: bool,
+    },
+    /// A control host sent its newest route table.
+    Table(Arc<RouteTable>),
     /// The lease was renewed.
     Lease {
         /// When the lease ends.
@@ -79,6 +95,8 @@
     Send(Box<Upward>),
     /// Request the full view.
     FullView,
+    /// Request the newest route table, if it is newer than this version.
+    Table(Version),
     /// Replace the seeds: the configured hosts that are queried for the leader.
     Seeds(Vec<process::Peer>),
 }
@@ -140,6 +158,11 @@
         let _ = self.commands.send(Command::FullView);
     }
 
+    /// Requests the newest route table, if it is newer than version `held`.
+    pub fn request_table(&self, held: Version) {
+        let _ = self.commands.send(Command::Table(held));
+    }
+
     /// Replaces the seeds: the configured hosts that are queried for the leader.
     pub fn replace_seeds(&self, seeds: Vec<process::Peer>) {
         let _ = self.commands.send(Command::Seeds(seeds));
@@ -203,6 +226,12 @@
     /// A view that the leader had, if it has not arrived yet.
     wanted_view: Option<WantedView>,
     peers: HashMap<HostId, ProcessId>,
+    /// When a leader last granted a lease.
+    last_grant: Instant,
+    /// The control host, besides the presumed leader, that was last sent a renewal.
+    last_asked: Option<HostId>,
+    /// The newest version of the route table that a control host has named, and that host.
+    newest_table: Option<(Version, HostId)>,
     /// Send times of recent lease renewals, by sequence number.
     renewals: BTreeMap<u64, Instant>,
     sequence: u64,
@@ -231,6 +260,9 @@
         last_subscribe: Instant::now(),
         wanted_view: None,
         peers: HashMap::new(),
+        last_grant: Instant::now(),
+        last_asked: None,
+        newest_table: None,
         renewals: BTreeMap::new(),
         sequence: 0,
         last_renewal: None,
@@ -292,6 +324,7 @@
                 self.view = 0;
                 self.subscribe();
             }
+            Command::Table(held) => self.request_table(held),
         }
     }
 
@@ -326,6 +359,16 @@
                 }
             }
             PeerEvent::Message(Message::Downward(downward)) => self.downward(from, downward),
+            PeerEvent::Datagram(
+                Datagram::NewestTable {
+                    sequence,
+                    version,
+                    leads,
+                },
+                _,
+            ) => {
+                self.table_stated(from, sequence, version, leads);
+            }
             PeerEvent::Datagram(datagram, _) => self.lease_granted(from, &datagram),
             PeerEvent::Message(_) => tracing::debug!(
                 host = from.host,
@@ -367,6 +410,9 @@
                 self.record_leader_message(from);
                 let _ = self.setup.events.send(Event::Software(software));
             }
+            Downward::Table(table) => {
+                let _ = self.setup.events.send(Event::Table(table));
+            }
             Downward::HeartbeatsTaken { .. } => {}
             Downward::Committed { call, reply } => self.answer(from, call, reply),
             Downward::Answer { call, json } => self.answer(from, call, json),
@@ -399,10 +445,43 @@
         {
             let until = *sent + length;
             let _ = self.setup.events.send(Event::Lease { until, version });
+            self.last_grant = Instant::now();
         }
         self.check_view(term, view);
     }
 
+    /// Handles the version of a control host's newest route table, in answer to a renewal.
+    fn table_stated(&mut self, from: ProcessId, sequence: u64, version: Version, leads: bool) {
+        let Some(asked) = self.renewals.get(&sequence).copied() else {
+            return;
+        };
+        if self
+            .newest_table
+            .is_none_or(|(newest, _)| newest <= version)
+        {
+            self.newest_table = Some((version, from.host));
+        }
+        let _ = self.setup.events.send(Event::NewestTable {
+            version,
+            asked,
+            leads,
+        });
+    }
+
+    /// Asks the control host that named the newest route table for it.
+    fn request_table(&self, held: Version) {
+        if let Some((version, host)) = self.newest_table {
+            tracing::info!(
+                held,
+                version,
+                host,
+                "asking for a route table that has not come with the view"
+            );
+            let message = Message::Upward(Upward::Table { held });
+            self.setup.links.send(host, message);
+        }
+    }
+
     /// Subscribes again if this host has not caught up with a view that the leader had some time ago.
     fn check_view(&mut self, term: Term, view: u64) {
         let now = Instant::now();
@@ -474,14 +553,27 @@
         });
     }
 
-    /// Sends a lease renewal, if this is an entry host and the leader's incarnation is known.
+    /// Sends the presumed leader a lease renewal, and another control host too while no lease is granted:
+    /// each answers with the version of its newest route table.
     fn renew_lease(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.last_grant) >= GRANT_TIMEOUT
+            && let Some((peer, address)) = self.next_other()
+        {
+            self.last_asked = Some(peer.host);
+            self.send_renewal(peer, address, now);
+        }
         let Some((peer, address)) = self.known_leader() else {
             // The first message opens the link, whose handshake carries the peer's incarnation.
             self.subscribe();
             self.last_renewal = Some(now);
             return;
         };
+        self.send_renewal(peer, address, now);
+        self.last_renewal = Some(now);
+    }
+
+    /// Sends a lease renewal, if this is an entry host.
+    fn send_renewal(&mut self, peer: ProcessId, address: SocketAddr, now: Instant) {
         let Some(host) = &self.setup.host else {
             return;
         };
@@ -497,7 +589,18 @@
             view: self.view,
         };
         self.setup.datagrams.send(peer, address, renew);
-        self.last_renewal = Some(now);
+    }
+
+    /// Returns the control host after the one last asked whose incarnation is known, other than the
+    /// presumed leader.
+    fn next_other(&self) -> Option<(ProcessId, SocketAddr)> {
+        let leader = self.leader();
+        let is_other =
+            |peer: &&process::Peer| Some(peer.host) != leader && peer.host != self.setup.me;
+        let others = || self.candidates.iter().filter(is_other);
+        let after = others().skip_while(|peer| Some(peer.host) != self.last_asked);
+        let known = |peer: &process::Peer| Some((*self.peers.get(&peer.host)?, peer.address));
+        after.skip(1).chain(others()).find_map(known)
     }
 
     /// Returns the presumed leader's identity and address; `None` until both are known.
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -27,6 +27,9 @@
 impl Control {
     /// Handles a message to the leader; names the leader if this host does not lead.
     pub(crate) fn upward(&mut self, from: ProcessId, upward: Upward) {
+        if let Upward::Table { held } = upward {
+            return self.send_newer_table(from.host, held);
+        }
         if !self.leading {
             let call = match upward {
                 Upward::Propose { call, .. } | Upward::Ask { call, .. } => Some(call),
@@ -120,6 +123,7 @@
         if !self.leading {
             let leader = self.known_leader.filter(|leader| *leader != self.setup.me);
             self.send_not_leader(renewal.peer.host, None, leader);
+            self.state_newest_table(&renewal, false);
             return;
         }
         self.renewals.insert(renewal.peer.host, renewal);
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -138,6 +138,9 @@
 pub struct Serving {
     /// What the host does after it has lost its lease on the settings.
     pub isolated: IsolationPolicy,
+    /// How long an entry host that has heard of a newer route table acts on its own after that was last
+    /// known to be the newest, in milliseconds.
+    pub table_lag_ms: f64,
     /// Longest time for which callers may cache the list of entry hosts, in milliseconds.
     pub max_age_ms: u64,
     /// Time for which a host that shuts down still accepts requests, in milliseconds.
@@ -166,6 +169,7 @@
     fn default() -> Self {
         Self {
             isolated: IsolationPolicy::Refuse,
+            table_lag_ms: 3e3,
             max_age_ms: 10_000,
             leave_ms: 10_000,
             grace_ms: 30e3,
