--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -12,7 +12,7 @@
 use cornelhitch_types::id::{HostId, Term, Version};
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::TargetSoftware;
-use cornelhitch_types::view::View;
+use cornelhitch_types::view::{Change, View};
 use cornelhitch_wire::hello::ProcessId;
 use serde::Serialize;
 use snafu::Snafu;
@@ -34,6 +34,10 @@
 /// Time after which a view that the leader had, and that has not arrived, is asked for again.
 const CATCH_UP_TIME: Duration = Duration::from_secs(1);
 
+/// Time after which changes that were lost are asked for again: longer than the answer takes over a
+/// link between regions.
+const GAP_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time without a lease grant after which other control hosts are asked for their newest route table.
 const GRANT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -400,11 +404,7 @@
             }
             Downward::View(view) => {
                 self.record_leader_message(from);
-                if view.term >= self.term {
-                    self.term = view.term;
-                    self.view = view.to;
-                    let _ = self.setup.events.send(Event::View(view));
-                }
+                self.view_arrived(view);
             }
             Downward::Software(software) => {
                 self.record_leader_message(from);
@@ -419,6 +419,45 @@
         }
     }
 
+    /// Passes a view on, unless changes before it are missing: then these are asked for, and only a route
+    /// table, which stands for itself, is passed on.
+    fn view_arrived(&mut self, view: View) {
+        if view.term < self.term {
+            return;
+        }
+        let follows = view.term == self.term && view.from <= self.view;
+        if view.from > 0 && !follows {
+            for change in view.changes {
+                if let Change::Table(table) = change {
+                    let _ = self.setup.events.send(Event::Table(table));
+                }
+            }
+            return self.subscribe_after_gap(view.term);
+        }
+        let newer = (view.term, view.to);
+        (self.term, self.view) = newer.max((self.term, self.view));
+        let _ = self.setup.events.send(Event::View(view));
+    }
+
+    /// Subscribes again after changes of a term's view were lost, unless the answer may be on its way.
+    fn subscribe_after_gap(&mut self, term: Term) {
+        let needs_full_view = self.view == 0 || self.term < term;
+        let pause = if needs_full_view {
+            CATCH_UP_TIME
+        } else {
+            GAP_PAUSE
+        };
+        if self.last_subscribe.elapsed() >= pause {
+            tracing::info!(
+                term,
+                have = self.view,
+                needs_full_view,
+                "changes of the view were lost: asking for them"
+            );
+            self.subscribe();
+        }
+    }
+
     /// Delivers the answer to a call.
     fn answer(&mut self, from: ProcessId, call: u64, answer: Bytes) {
         self.record_leader_message(from);
@@ -446,10 +485,23 @@
             let until = *sent + length;
             let _ = self.setup.events.send(Event::Lease { until, version });
             self.last_grant = Instant::now();
+            self.follow_grantor(from, term);
         }
         self.check_view(term, view);
     }
 
+    /// Takes the host that granted a lease for the leader, if the presumed one has been silent.
+    fn follow_grantor(&mut self, from: ProcessId, term: Term) {
+        let silent = self.last_leader_message.elapsed() >= GRANT_TIMEOUT;
+        if !silent || term < self.term || self.leader() == Some(from.host) {
+            return;
+        }
+        if let Some(address) = self.setup.links.address(from.host) {
+            let host = from.host;
+            self.redirect(Some(process::Peer { host, address }));
+        }
+    }
+
     /// Handles the version of a control host's newest route table, in answer to a renewal.
     fn table_stated(&mut self, from: ProcessId, sequence: u64, version: Version, leads: bool) {
         let Some(asked) = self.renewals.get(&sequence).copied() else {
@@ -643,7 +695,7 @@
         self.candidates.advance();
         // What an earlier leader told of itself is out of date, also if it is tried again.
         self.registry = None;
-        tracing::debug!(
+        tracing::info!(
             leader = ?self.leader(),
             "switched to another voter as the presumed leader"
         );
