--- a/crates/quorum/src/disk.rs
+++ b/crates/quorum/src/disk.rs
@@ -1,10 +1,11 @@
 //! The on-disk store: a directory with a log file, a snapshot file and a lock file.
 //!
 //! A log file starts with a [`Block::Base`], followed by [`Block::Records`], one frame per sync.
-//! A snapshot, and any write after a failed one, starts a new log file with the next
+//! A snapshot, and any write after a failed sync, starts a new log file with the next
 //! number: it is written under a temporary name, synced and renamed, and the directory is synced;
 //! only then are older files removed. The log file with the largest number is therefore always
-//! complete from its base on.
+//! complete from its base on. After a write that failed for another reason, such as a full disk, the
+//! file is cut back to what was synced before, which needs no room.
 
 mod file;
 mod frame;
@@ -30,6 +31,9 @@
 /// Maximum total payload of the records in one frame, unless a single record is larger.
 const MAX_FRAME_RECORD_BYTES: usize = 8 * 1024 * 1024;
 
+/// What a failed sync is called in its error.
+const SYNC: &str = "sync";
+
 const LOCK_FILE: &str = "lock";
 const LOG_PREFIX: &str = "log-";
 const SNAPSHOT_PREFIX: &str = "snapshot-";
@@ -74,12 +78,28 @@
     state: Recovered,
     log: file::LogFile,
     number: u64,
-    /// Whether the next write must start a new log file, because a write failed and the content
-    /// after the last sync is unknown.
-    rewrite_required: bool,
+    /// What the next write must do first, because one has failed.
+    repair: Option<Repair>,
     fail_after: Option<usize>,
 }
 
+/// How the log file becomes sound again after a failed write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Repair {
+    /// Cut it back to where the failed batch began: all before that is synced.
+    Truncate(file::Position),
+    /// Start a new one: a sync failed, so what of the file is on the disk is unknown.
+    Rewrite,
+}
+
+/// Returns how to repair a log file whose batch began at a position and failed.
+fn repair_after(error: &Error, start: file::Position) -> Repair {
+    match error {
+        Error::Io { what: SYNC, .. } => Repair::Rewrite,
+        _ => Repair::Truncate(start),
+    }
+}
+
 impl DiskStore {
     /// Opens the directory, creating it if missing. A torn tail, left by a crash during a write
     /// that was never reported as synced, is truncated.
@@ -109,7 +129,7 @@
             state,
             log,
             number,
-            rewrite_required: false,
+            repair: None,
             fail_after: None,
         };
         disk.remove_obsolete_files();
@@ -144,7 +164,7 @@
             state,
             log,
             number: 1,
-            rewrite_required: false,
+            repair: None,
             fail_after: None,
         })
     }
@@ -167,6 +187,16 @@
 
     /// Writes the entire state, including `records`, to a new log file.
     fn rewrite(&mut self, records: &[Record]) -> Result<(), Error> {
+        let result = self.try_rewrite(records);
+        match result {
+            Ok(()) => self.remove_obsolete_files(),
+            // An unfinished file takes room. One that has its name already may be the newest log.
+            Err(_) => drop(fs::remove_file(self.dir.join(TEMPORARY_FILE))),
+        }
+        result
+    }
+
+    fn try_rewrite(&mut self, records: &[Record]) -> Result<(), Error> {
         let mut state = self.state.clone();
         records.iter().try_for_each(|record| state.apply(record))?;
         if let Some(snapshot) = &state.snapshot {
@@ -176,8 +206,7 @@
         self.log = write_base(&self.dir, number, &state)?;
         self.number = number;
         self.state = state;
-        self.rewrite_required = false;
-        self.remove_obsolete_files();
+        self.repair = None;
         Ok(())
     }
 
@@ -220,11 +249,22 @@
         let snapshot = records
             .iter()
             .any(|record| matches!(record, Record::Snapshot(_)));
-        if self.rewrite_required || snapshot {
+        if snapshot || self.repair == Some(Repair::Rewrite) {
             return self.rewrite(records);
         }
-        let result = self.write(records);
-        self.rewrite_required = result.is_err();
+        let start = match self.repair {
+            Some(Repair::Truncate(to)) => to,
+            _ => self.log.end(),
+        };
+        let cut = match self.repair {
+            Some(_) => self.log.truncate(start),
+            None => Ok(()),
+        };
+        let result = cut.and_then(|()| self.write(records));
+        self.repair = result
+            .as_ref()
+            .err()
+            .map(|error| repair_after(error, start));
         result
     }
 }
--- a/crates/quorum/src/disk/file.rs
+++ b/crates/quorum/src/disk/file.rs
@@ -6,15 +6,24 @@
 
 use snafu::ResultExt;
 
-use super::{Block, LOG_PREFIX, frame};
+use super::{Block, LOG_PREFIX, SYNC, frame};
 use crate::store::{CorruptSnafu, Error, IoSnafu};
 
+/// A position in a log file up to which it is synced.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Position {
+    /// Bytes before the position.
+    bytes: u64,
+    /// Frames before the position.
+    frames: u64,
+}
+
 /// The log file open for appending.
 #[derive(Debug)]
 pub(super) struct LogFile {
     file: File,
     path: PathBuf,
-    frames: u64,
+    end: Position,
 }
 
 impl LogFile {
@@ -23,10 +32,27 @@
         Ok(Self {
             file,
             path: path.to_owned(),
-            frames: 0,
+            end: Position::default(),
         })
     }
 
+    /// Returns the position after the last synced frame.
+    pub(super) fn end(&self) -> Position {
+        self.end
+    }
+
+    /// Removes everything after a synced position, synced or not.
+    pub(super) fn truncate(&mut self, to: Position) -> Result<(), Error> {
+        let path = &self.path;
+        let io = |what| IoSnafu { what, path };
+        self.file.set_len(to.bytes).context(io("cut"))?;
+        let start = SeekFrom::Start(to.bytes);
+        self.file.seek(start).context(io("seek"))?;
+        self.file.sync_data().context(io(SYNC))?;
+        self.end = to;
+        Ok(())
+    }
+
     /// Opens a log file and truncates its torn tail. Returns the blocks with their file offsets.
     pub(super) fn open(path: &Path) -> Result<(Self, Vec<(u64, Block)>), Error> {
         let io = |what| IoSnafu { what, path };
@@ -50,7 +76,7 @@
         if scan.end < bytes.len() as u64 {
             tracing::info!(file = %path.display(), offset = scan.end, "truncated the torn tail");
             file.set_len(scan.end).context(io("cut"))?;
-            file.sync_all().context(io("sync"))?;
+            file.sync_all().context(io(SYNC))?;
         }
         file.seek(SeekFrom::Start(scan.end)).context(io("read"))?;
         let frames = scan.blocks.len() as u64;
@@ -58,7 +84,10 @@
             Self {
                 file,
                 path: path.to_owned(),
-                frames,
+                end: Position {
+                    bytes: scan.end,
+                    frames,
+                },
             },
             scan.blocks,
         ))
@@ -66,7 +95,7 @@
 
     /// Writes and syncs a block. With `fail_after`, the write fails after that many bytes.
     pub(super) fn append(&mut self, block: &Block, fail_after: Option<usize>) -> Result<(), Error> {
-        let frame = frame::encode(self.frames, block)?;
+        let frame = frame::encode(self.end.frames, block)?;
         let written = match fail_after {
             None => self.file.write_all(&frame),
             Some(bytes) => {
@@ -82,15 +111,18 @@
         })?;
         self.file
             .sync_data()
-            .context(IoSnafu { what: "sync", path })?;
-        self.frames += 1;
+            .context(IoSnafu { what: SYNC, path })?;
+        self.end = Position {
+            bytes: self.end.bytes + frame.len() as u64,
+            frames: self.end.frames + 1,
+        };
         Ok(())
     }
 
     /// Syncs the file and renames it to its final path.
     pub(super) fn rename(&mut self, dir: &Path, path: PathBuf) -> Result<(), Error> {
         self.file.sync_all().context(IoSnafu {
-            what: "sync",
+            what: SYNC,
             path: &self.path,
         })?;
         rename(dir, &self.path, &path)?;
@@ -112,7 +144,7 @@
     };
     let mut file = File::create(temporary).context(io("make"))?;
     file.write_all(data).context(io("write"))?;
-    file.sync_all().context(io("sync"))?;
+    file.sync_all().context(io(SYNC))?;
     rename(dir, temporary, path)
 }
 
@@ -126,7 +158,7 @@
         path: dir,
     })?;
     opened.sync_all().context(IoSnafu {
-        what: "sync",
+        what: SYNC,
         path: dir,
     })
 }
--- a/crates/quorum/tests/disk.rs
+++ b/crates/quorum/tests/disk.rs
@@ -235,6 +235,26 @@
     }
 }
 
+/// Guards against a disk that was full for a moment and has no room for a second log: each write since
+/// would fail, to the end. A folder in the place of the new file takes that room.
+#[test]
+fn after_a_full_disk_the_log_goes_on_without_room_for_a_second_one() {
+    for bytes in [0, 1, HEADER_BYTES, 30, 10_000] {
+        let (dir, _) = dir_with_entries();
+        let mut disk = DiskStore::open(dir.path(), OWNER).unwrap();
+        fs::create_dir(dir.path().join("unfinished")).unwrap();
+        disk.fail_after(bytes);
+        assert!(disk.append(&[entry(10)]).is_err());
+        let again = disk.append(&[entry(10), entry(11)]);
+        assert!(again.is_ok(), "after {bytes} bytes: {again:?}");
+        let recovered = disk.recovered();
+        drop(disk);
+        let reopened = DiskStore::open(dir.path(), OWNER).unwrap();
+        assert_eq!(reopened.recovered(), recovered, "after {bytes} bytes");
+        assert_eq!(recovered.last(), 11);
+    }
+}
+
 /// Modifies the content of a log file, given the offsets of its frames.
 type Corruption = fn(&mut Vec<u8>, &[usize]);
 
