--- a/crates/quorum/examples/commits.rs
+++ b/crates/quorum/examples/commits.rs
@@ -139,6 +139,7 @@
             let disk = open(dir, member);
             let config = Config {
                 snapshot_threshold_entries: u64::MAX,
+                snapshot_threshold_bytes: u64::MAX,
                 ..Config::default()
             };
             let core = Core::new(config, disk.recovered(), member, start.elapsed());
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -58,9 +58,14 @@
     pub max_unsynced_bytes: usize,
     /// Number of entries applied since the last snapshot after which the core requests a new one.
     pub snapshot_threshold_entries: u64,
+    /// Total size of the entries applied since the last snapshot after which the core requests a new
+    /// one, in bytes. It bounds the log on disk, and so the room that a rewrite of it needs.
+    pub snapshot_threshold_bytes: u64,
     /// Number of entries kept in memory before the snapshot, so that slightly lagging members do
     /// not need the snapshot.
     pub trailing_entries: u64,
+    /// Total size of the entries kept in memory before the snapshot, in bytes.
+    pub trailing_bytes: usize,
     /// Maximum size of a snapshot accepted from a leader, in bytes.
     pub max_snapshot_bytes: u64,
     /// Whether a leader serves reads under its lease. Otherwise each read is confirmed by a quorum,
@@ -102,7 +107,9 @@
             max_uncommitted_bytes: 16 * 1024 * 1024,
             max_unsynced_bytes: 16 * 1024 * 1024,
             snapshot_threshold_entries: 10_000,
+            snapshot_threshold_bytes: 8 * 1024 * 1024,
             trailing_entries: 1_000,
+            trailing_bytes: 2 * 1024 * 1024,
             max_snapshot_bytes: 256 * 1024 * 1024,
             lease_reads: true,
             fault: None,
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -39,7 +39,7 @@
 use founding::Founding;
 use persist::WriteQueue;
 use progress::Progress;
-use transfer::IncomingSnapshot;
+use transfer::{IncomingSnapshot, SnapshotRequest};
 
 /// The Raft state machine of one member of a group.
 ///
@@ -95,7 +95,7 @@
     owner_index: Index,
     /// Last applied index at the time a snapshot was requested from the owner; `None` if no request
     /// is pending.
-    snapshot_requested_at: Option<Index>,
+    snapshot_request: SnapshotRequest,
     reported_role: Option<(Role, Term, Option<MemberId>)>,
     dropped: u64,
     actions: Vec<Action>,
@@ -176,7 +176,7 @@
             uncommitted_bytes: 0,
             incoming_snapshot: None,
             owner_index: log.snapshot_index(),
-            snapshot_requested_at: None,
+            snapshot_request: SnapshotRequest::default(),
             reported_role: None,
             dropped: 0,
             actions,
--- a/crates/quorum/src/core/apply.rs
+++ b/crates/quorum/src/core/apply.rs
@@ -12,6 +12,7 @@
                 return;
             };
             self.applied = entry.index;
+            self.snapshot_request.applied_bytes += entry.size() as u64;
             self.apply(entry);
         }
     }
--- a/crates/quorum/src/core/transfer.rs
+++ b/crates/quorum/src/core/transfer.rs
@@ -31,6 +31,15 @@
     }
 }
 
+/// What decides when the owner is asked for the next snapshot.
+#[derive(Debug, Default)]
+pub(super) struct SnapshotRequest {
+    /// The last applied index when a snapshot was requested that has not come yet.
+    pub(super) requested_at: Option<Index>,
+    /// Size of the entries applied since a snapshot was requested or installed, in bytes.
+    pub(super) applied_bytes: u64,
+}
+
 /// A snapshot being received from a leader.
 #[derive(Debug)]
 pub(super) struct IncomingSnapshot {
@@ -48,13 +57,20 @@
 }
 
 impl Core {
-    /// Requests a snapshot from the owner when enough entries were applied since the last one.
+    /// Requests a snapshot from the owner when enough entries, or bytes of them, were applied since the
+    /// last one.
     pub(super) fn request_snapshot(&mut self) {
         let since = self
-            .snapshot_requested_at
+            .snapshot_request
+            .requested_at
             .unwrap_or_else(|| self.log.snapshot_index());
-        if self.applied >= since + self.config.snapshot_threshold_entries {
-            self.snapshot_requested_at = Some(self.applied);
+        let many = self.applied >= since + self.config.snapshot_threshold_entries;
+        let large = self.snapshot_request.applied_bytes >= self.config.snapshot_threshold_bytes;
+        if many || large {
+            self.snapshot_request = SnapshotRequest {
+                requested_at: Some(self.applied),
+                applied_bytes: 0,
+            };
             self.actions.push(Action::NeedSnapshot);
         }
     }
@@ -82,9 +98,10 @@
             membership,
             data,
         };
-        self.snapshot_requested_at = None;
+        self.snapshot_request.requested_at = None;
         self.writes.stage(Record::Snapshot(snapshot.clone()));
-        self.log.compact(snapshot, self.config.trailing_entries);
+        let (entries, bytes) = (self.config.trailing_entries, self.config.trailing_bytes);
+        self.log.compact(snapshot, entries, bytes);
         self.memberships.compact(index);
     }
 
@@ -230,7 +247,7 @@
         self.applied = index;
         self.accepted_index = self.accepted_index.max(index);
         self.owner_index = index;
-        self.snapshot_requested_at = None;
+        self.snapshot_request = SnapshotRequest::default();
         self.fail_unresolved_proposals(index);
         self.actions.push(Action::Restore(snapshot));
     }
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -148,9 +148,10 @@
             .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
     }
 
-    /// Installs a snapshot of this member's owner and keeps up to `trailing` entries before it.
-    pub(crate) fn compact(&mut self, snapshot: Snapshot, trailing: u64) {
-        let offset = snapshot.index.saturating_sub(trailing);
+    /// Installs a snapshot of this member's owner and keeps up to `trailing` entries before it, of
+    /// `trailing_bytes` at most.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, trailing: u64, trailing_bytes: usize) {
+        let offset = self.trailing_offset(snapshot.index, trailing, trailing_bytes);
         while self.offset < offset {
             let Some(entry) = self.entries.pop_front() else {
                 break;
@@ -161,11 +162,25 @@
         self.snapshot = Some(snapshot);
     }
 
+    /// Returns the index before the first entry to keep before a snapshot.
+    fn trailing_offset(&self, index: Index, trailing: u64, trailing_bytes: usize) -> Index {
+        let mut at = index;
+        let mut bytes = 0;
+        while let Some(entry) = self.entry(at) {
+            bytes += entry.size();
+            if index - at >= trailing || bytes > trailing_bytes {
+                break;
+            }
+            at -= 1;
+        }
+        at
+    }
+
     /// Installs a snapshot from a leader. Entries after it are kept if the log matches the
     /// snapshot.
     pub(crate) fn install(&mut self, snapshot: Snapshot) {
         if self.term(snapshot.index) == Some(snapshot.term) {
-            self.compact(snapshot, 0);
+            self.compact(snapshot, 0, 0);
             return;
         }
         self.entries.clear();
--- a/crates/quorum/tests/disk.rs
+++ b/crates/quorum/tests/disk.rs
@@ -33,6 +33,8 @@
     applied: Vec<String>,
     last: Index,
     rejected: Vec<(RequestId, RejectReason)>,
+    /// How many snapshots the core has requested.
+    wanted: usize,
 }
 
 impl Voter {
@@ -64,6 +66,7 @@
             applied,
             last,
             rejected,
+            wanted: 0,
         }
     }
 
@@ -95,6 +98,7 @@
                         self.applied = text.split_terminator(' ').map(str::to_owned).collect();
                     }
                     Action::Rejected { id, reason, .. } => self.rejected.push((id, reason)),
+                    Action::NeedSnapshot => self.wanted += 1,
                     _ => {}
                 }
             }
@@ -235,6 +239,36 @@
     }
 }
 
+/// Guards against a log of large entries that is compacted by their number alone, until it fills the
+/// disk. A log may have a quarter of the users' disk of 128 MB, so that a second one fits beside it.
+#[test]
+fn a_log_of_large_entries_stays_small() {
+    const ENTRY_BYTES: usize = 200_000;
+    const ENTRIES: u64 = 300;
+    const MAX_BYTES: u64 = 32 << 20;
+    let dir = tempfile::tempdir().unwrap();
+    let mut voter = Voter::start(DiskStore::open(dir.path(), OWNER).unwrap());
+    let mut snapshots = 0;
+    for id in 0..ENTRIES {
+        voter.run(Event::Propose {
+            id,
+            payload: vec![b'x'; ENTRY_BYTES].into(),
+        });
+        voter.applied.clear();
+        if std::mem::take(&mut voter.wanted) > 0 {
+            snapshots += 1;
+            voter.snapshot();
+        }
+        let files = fs::read_dir(dir.path()).unwrap();
+        let bytes: u64 = files
+            .map(|file| file.unwrap().metadata().unwrap().len())
+            .sum();
+        assert!(bytes <= MAX_BYTES, "{bytes} bytes after {id} entries");
+    }
+    assert_eq!(voter.rejected, []);
+    assert!(snapshots <= ENTRIES / 10, "{snapshots} snapshots");
+}
+
 /// Guards against a disk that was full for a moment and has no room for a second log: each write since
 /// would fail, to the end. A folder in the place of the new file takes that room.
 #[test]
