--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -368,7 +368,7 @@
         table.filter(|_| !self.is_table_outdated())
     }
 
-    /// Returns how long after this host first heard of it the route table that it has came.
+    /// Returns how long this host knew of a newer route table before the one that it has came.
     #[must_use]
     pub fn table_delay(&self) -> Time {
         self.newest_table.delay()
--- a/crates/entry/src/newest_table.rs
+++ b/crates/entry/src/newest_table.rs
@@ -34,22 +34,22 @@
 pub struct NewestTable {
     /// The newest version that a control host has named.
     version: Version,
-    /// When this host first heard of that version.
-    heard: Time,
+    /// Since when a newer version than the one in force here is known.
+    behind_since: Option<Time>,
     /// The leader's last statement: the version, and when the question left.
     stated: Option<(Version, Time)>,
     /// When the table in force here was last known to be the newest.
     confirmed: Option<Time>,
-    /// How long after its version was heard the table in force here came.
-    delay: Option<Time>,
+    /// How long a newer table was known before the one in force here came.
+    delay: Time,
 }
 
 impl NewestTable {
     /// Records a statement, while the table of version `held` is in force here.
     pub fn learn(&mut self, statement: Statement, held: Version, now: Time) {
-        if statement.version > self.version {
-            self.version = statement.version;
-            self.heard = now;
+        self.version = self.version.max(statement.version);
+        if self.version > held {
+            self.behind_since = self.behind_since.or(Some(now));
         }
         let earlier = self.stated.map_or(Time::ZERO, |(_, asked)| asked);
         if statement.leads && statement.asked >= earlier {
@@ -58,26 +58,28 @@
         }
     }
 
-    /// Whether the newest table is to be asked for: it has not come with the view, or the one of version
-    /// `held` must not be acted on any more.
+    /// Whether the newest table is to be asked for: none newer than version `held` has come with the view
+    /// in time, or that one must not be acted on any more.
     #[must_use]
     pub fn is_missing(&self, held: Version, limit: Duration, now: Time) -> bool {
-        let late = now >= self.heard + DELIVERY_TIME;
+        let since = self.behind_since.unwrap_or(now);
+        let late = now >= since + DELIVERY_TIME;
         self.version > held && (late || self.is_outdated(held, limit, now))
     }
 
     /// Records that the table of version `held` is now in force here.
     pub fn adopt(&mut self, held: Version, now: Time) {
         self.confirm(held);
-        let known_before = held == self.version;
-        self.delay = known_before.then(|| now.saturating_sub(self.heard));
+        let since = self.behind_since.unwrap_or(now);
+        self.delay = now.saturating_sub(since);
+        self.behind_since = (self.version > held).then_some(now);
     }
 
-    /// Returns how long after this host first heard of it the table in force here came; zero if the
+    /// Returns how long this host knew of a newer table before the one in force here came; zero if the
     /// table itself came first.
     #[must_use]
     pub fn delay(&self) -> Time {
-        self.delay.unwrap_or_default()
+        self.delay
     }
 
     /// Returns the newest version that a control host has named.
--- a/crates/entry/tests/newest_table.rs
+++ b/crates/entry/tests/newest_table.rs
@@ -241,14 +241,16 @@
 #[test]
 fn a_table_that_does_not_come_with_the_view_is_asked_for_until_it_comes() {
     let ask = [Action::RequestTable { held: 1 }];
-    let rows: [(u64, Heard, &[Action]); 7] = [
+    let rows: [(u64, Heard, &[Action]); 9] = [
         (1_000, Leader(1, 990), &[]),
         (1_500, Leader(2, 1_490), &[]),
         (2_000, Leader(2, 1_990), &ask),
         (2_500, Other(2, 2_490), &ask),
         (2_600, Other(1, 2_590), &ask),
-        (2_700, Table(2), &[]),
-        (3_000, Leader(2, 2_990), &[]),
+        (2_650, Leader(3, 2_640), &ask),
+        (2_660, Leader(4, 2_650), &ask),
+        (2_700, Table(4), &[]),
+        (3_000, Leader(4, 2_990), &[]),
     ];
     let mut core = host();
     for (now, heard, expected) in rows {
@@ -264,3 +266,16 @@
     let actions = hear(&mut core, Other(2, 60_990), 61_000);
     assert_eq!(actions, [Action::RequestTable { held: 1 }]);
 }
+
+/// Guards against a host that waits anew for each of many changes in a row, of which none arrives.
+#[test]
+fn a_table_is_asked_for_though_newer_ones_are_named_all_the_time() {
+    let mut core = host();
+    hear(&mut core, Leader(1, 90), 100);
+    for step in 1..10 {
+        let now = 500 * step;
+        let actions = hear(&mut core, Leader(1 + step, now - 10), now);
+        let asked = actions == [Action::RequestTable { held: 1 }];
+        assert_eq!(asked, step > 1, "{now} ms");
+    }
+}
