--- a/crates/node/tests/session.rs
+++ b/crates/node/tests/session.rs
@@ -20,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// The ids of the control hosts, the presumed leader first, and of the entry host.
-const CONTROL: [HostId; 2] = [2, 3];
+const CONTROL: [HostId; 3] = [2, 3, 4];
 const ENTRY: HostId = 1;
 /// Time within which what is awaited has to come.
 const BOUND: Duration = Duration::from_secs(4);
@@ -267,3 +267,26 @@
         "{heard:?}"
     );
 }
+
+/// Guards against a host that asks one control host after the other though it knows who grants leases.
+#[tokio::test]
+async fn a_host_that_grants_a_lease_is_followed_when_the_presumed_leader_is_silent() {
+    let mut fleet = Fleet::start().await;
+    let renewal = timeout(BOUND, fleet.next_renewal(2)).await;
+    let (host, address, sequence) = renewal.ok().flatten().expect("a renewal at the last host");
+    let lease = Datagram::Lease {
+        sequence,
+        length: Duration::from_secs(4),
+        version: 1,
+        term: 1,
+        view: 0,
+    };
+    fleet.control[2].datagrams.send(host, address, lease);
+    // The next host in order would be tried first, for 1.6 s.
+    let followed = timeout(2 * QUIET, fleet.next_upward(2)).await;
+    let followed = followed.ok().flatten();
+    assert!(
+        matches!(followed, Some(Upward::Subscribe { .. })),
+        "{followed:?}"
+    );
+}
--- a/crates/quorum/tests/disk.rs
+++ b/crates/quorum/tests/disk.rs
@@ -289,6 +289,21 @@
     }
 }
 
+/// A folder with the next log's name keeps the new file from getting it.
+#[test]
+fn a_log_that_cannot_be_written_anew_leaves_no_unfinished_file() {
+    let (dir, log) = dir_with_entries();
+    let next = log
+        .to_string_lossy()
+        .replace("log-0000000000000001", "log-0000000000000002");
+    let mut disk = DiskStore::open(dir.path(), OWNER).unwrap();
+    fs::create_dir_all(Path::new(&next).join("full")).unwrap();
+    assert!(disk.append(&[snapshot(9)]).is_err());
+    assert!(!dir.path().join("unfinished").exists());
+    fs::remove_dir_all(&next).unwrap();
+    disk.append(&[snapshot(9)]).unwrap();
+}
+
 /// Modifies the content of a log file, given the offsets of its frames.
 type Corruption = fn(&mut Vec<u8>, &[usize]);
 
