--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -490,10 +490,12 @@
         self.check_view(term, view);
     }
 
-    /// Takes the host that granted a lease for the leader, if the presumed one has been silent.
+    /// Takes the host that granted a lease for the leader, if the presumed one has been silent or has sent
+    /// no leader's message yet.
     fn follow_grantor(&mut self, from: ProcessId, term: Term) {
         let silent = self.last_leader_message.elapsed() >= GRANT_TIMEOUT;
-        if !silent || term < self.term || self.leader() == Some(from.host) {
+        let unconfirmed = self.candidates.accepts_hint(from.host, true);
+        if term < self.term || self.leader() == Some(from.host) || !(silent || unconfirmed) {
             return;
         }
         if let Some(address) = self.setup.links.address(from.host) {
--- a/crates/node/tests/session.rs
+++ b/crates/node/tests/session.rs
@@ -20,8 +20,10 @@
 use tokio_util::sync::CancellationToken;
 
 /// The ids of the control hosts, the presumed leader first, and of the entry host.
-const CONTROL: [HostId; 3] = [2, 3, 4];
+const CONTROL: [HostId; 6] = [2, 3, 4, 5, 6, 7];
 const ENTRY: HostId = 1;
+/// The place of the control host that a session would take for the leader last, after 8 s.
+const LAST: usize = CONTROL.len() - 1;
 /// Time within which what is awaited has to come.
 const BOUND: Duration = Duration::from_secs(4);
 /// Time in which nothing may come.
@@ -177,9 +179,20 @@
             .send(ENTRY, Message::Downward(downward));
     }
 
-    /// Returns the next view or table that the session passes on; `None` if there is none for a while.
-    async fn passed_on(&mut self) -> Option<Event> {
-        timeout(QUIET, self.events.recv()).await.ok().flatten()
+    /// Returns the position of the next view that the session passes on, or the version of a table.
+    async fn passed_on(&mut self) -> (u64, u64) {
+        let event = timeout(BOUND, self.events.recv()).await;
+        match event.ok().flatten().expect("a view or table") {
+            Event::View(view) => (view.from, view.to),
+            Event::Table(table) => (0, table.version),
+            other => panic!("neither a view nor a table: {other:?}"),
+        }
+    }
+
+    /// Asserts that the session passes nothing on for a while.
+    async fn assert_quiet(&mut self) {
+        let event = timeout(QUIET, self.events.recv()).await;
+        assert!(event.is_err(), "{event:?}");
     }
 }
 
@@ -199,15 +212,6 @@
     })
 }
 
-/// The position of a view that was passed on, or the version of a table.
-fn passed(event: Option<Event>) -> Option<(u64, u64)> {
-    match event? {
-        Event::View(view) => Some((view.from, view.to)),
-        Event::Table(table) => Some((0, table.version)),
-        other => panic!("neither a view nor a table: {other:?}"),
-    }
-}
-
 /// Guards against a host that tells the leader it has a view whose earlier changes it has lost, and
 /// against full views where a few changes are missing.
 #[tokio::test]
@@ -215,16 +219,16 @@
     let mut fleet = Fleet::start().await;
     fleet.await_subscription(0, 0).await;
     fleet.send(0, view(4, 0, 7, Vec::new()));
-    assert_eq!(passed(fleet.passed_on().await), Some((0, 7)));
+    assert_eq!(fleet.passed_on().await, (0, 7));
     // What comes in place of publication 8 follows once the pause after a subscription is over.
     tokio::time::sleep(Duration::from_millis(300)).await;
     fleet.send(0, view(4, 8, 9, vec![table(5)]));
-    assert_eq!(passed(fleet.passed_on().await), Some((0, 5)));
+    assert_eq!(fleet.passed_on().await, (0, 5));
     fleet.await_subscription(4, 7).await;
     fleet.send(0, view(4, 7, 9, Vec::new()));
-    assert_eq!(passed(fleet.passed_on().await), Some((7, 9)));
+    assert_eq!(fleet.passed_on().await, (7, 9));
     fleet.send(0, view(4, 9, 10, Vec::new()));
-    assert_eq!(passed(fleet.passed_on().await), Some((9, 10)));
+    assert_eq!(fleet.passed_on().await, (9, 10));
 }
 
 #[tokio::test]
@@ -232,13 +236,13 @@
     let mut fleet = Fleet::start().await;
     fleet.await_subscription(0, 0).await;
     fleet.send(0, view(4, 0, 7, Vec::new()));
-    assert_eq!(passed(fleet.passed_on().await), Some((0, 7)));
+    assert_eq!(fleet.passed_on().await, (0, 7));
     fleet.send(0, view(5, 1, 2, Vec::new()));
-    assert_eq!(passed(fleet.passed_on().await), None);
+    fleet.assert_quiet().await;
     fleet.send(0, view(5, 0, 3, Vec::new()));
-    assert_eq!(passed(fleet.passed_on().await), Some((0, 3)));
+    assert_eq!(fleet.passed_on().await, (0, 3));
     fleet.send(0, view(4, 7, 8, Vec::new()));
-    assert_eq!(passed(fleet.passed_on().await), None);
+    fleet.assert_quiet().await;
 }
 
 /// Guards against a host that hears of newer route tables from the presumed leader alone, which is silent.
@@ -272,7 +276,7 @@
 #[tokio::test]
 async fn a_host_that_grants_a_lease_is_followed_when_the_presumed_leader_is_silent() {
     let mut fleet = Fleet::start().await;
-    let renewal = timeout(BOUND, fleet.next_renewal(2)).await;
+    let renewal = timeout(2 * BOUND, fleet.next_renewal(LAST)).await;
     let (host, address, sequence) = renewal.ok().flatten().expect("a renewal at the last host");
     let lease = Datagram::Lease {
         sequence,
@@ -281,9 +285,8 @@
         term: 1,
         view: 0,
     };
-    fleet.control[2].datagrams.send(host, address, lease);
-    // The next host in order would be tried first, for 1.6 s.
-    let followed = timeout(2 * QUIET, fleet.next_upward(2)).await;
+    fleet.control[LAST].datagrams.send(host, address, lease);
+    let followed = timeout(BOUND / 2, fleet.next_upward(LAST)).await;
     let followed = followed.ok().flatten();
     assert!(
         matches!(followed, Some(Upward::Subscribe { .. })),
