--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -233,8 +233,16 @@
         self.urgent = false;
     }
 
-    /// Keeps changes for entry hosts that miss them, and drops the oldest above the limit.
+    /// Keeps changes for entry hosts that miss them, and drops the oldest above the limit. Of the route
+    /// tables, which may be large, only the newest is kept: who misses an earlier one misses that too.
     fn keep_publication(&mut self, changes: Vec<Change>) {
+        if changes.iter().any(is_table) {
+            for publication in &mut self.publications {
+                let before = publication.changes.len();
+                publication.changes.retain(|change| !is_table(change));
+                self.kept_changes -= before - publication.changes.len();
+            }
+        }
         self.kept_changes += changes.len();
         self.publications.push_back(Publication {
             sequence: self.sequence,
@@ -248,3 +256,8 @@
         }
     }
 }
+
+/// Whether a change is a route table.
+fn is_table(change: &Change) -> bool {
+    matches!(change, Change::Table(_))
+}
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -3,15 +3,18 @@
 mod common;
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::{Bench, MODELS, entry_host, heartbeat, model_copy, report, worker};
 use cornelhitch_control::claims::Outcome;
+use cornelhitch_control::current_table::SubmittedTable;
 use cornelhitch_control::prelude::*;
 use cornelhitch_control::strikes::Strike;
 use cornelhitch_control::{claims, current_settings};
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::order::Action;
+use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::{Heartbeat, Holding, Load, Stage};
 use cornelhitch_types::view::{Change, View};
 
@@ -267,6 +270,30 @@
 }
 
 /// A heartbeat sent before the worker announced that it is leaving may reach a later leader.
+/// Guards against a leader that keeps every route table of its term for hosts that may miss changes, until
+/// it has no memory left.
+#[test]
+fn a_host_that_missed_many_route_tables_gets_the_newest_alone() {
+    let mut bench = bench();
+    let first = resync(&mut bench, 1, 0).to;
+    for version in 1..=5 {
+        let table = Arc::new(RouteTable {
+            version,
+            ..RouteTable::default()
+        });
+        let text = format!("version {version}").into();
+        bench.commit(&Command::PublishTable(SubmittedTable { table, text }));
+        run_seconds(&mut bench, 10 + version, 1, &[], 0);
+    }
+    let missed = resync(&mut bench, 1, first);
+    assert!(missed.to >= first + 5, "{missed:?}");
+    let tables = missed.changes.iter().filter_map(|change| match change {
+        Change::Table(table) => Some(table.version),
+        _ => None,
+    });
+    assert_eq!(tables.collect::<Vec<_>>(), [5]);
+}
+
 #[test]
 fn leaving_worker_is_not_loaded_by_a_later_leader() {
     for left in [false, true] {
