--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod sections;
 pub mod state;
 pub mod strikes;
+pub mod submissions;
 mod survivors;
 mod term_state;
 pub mod timing;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -20,6 +20,7 @@
 use cornelhitch_control::input::Input;
 use cornelhitch_control::leader::Leader;
 use cornelhitch_control::state::State;
+use cornelhitch_control::submissions::Submissions;
 use cornelhitch_quorum::action::{self, Action, RejectReason};
 use cornelhitch_quorum::core::Core;
 use cornelhitch_quorum::disk::{WriteResult, Writer};
@@ -165,6 +166,8 @@
     },
     /// Answer a target or operator of this host's registry listener, once committed.
     Local(Answer<()>),
+    /// Answer the operators of this host's registry listener who wait for a route table.
+    Table(Version),
     /// Answer an operator of this host's registry listener with the route table.
     Read(Answer<Option<Bytes>>),
 }
@@ -201,6 +204,8 @@
     pub(crate) forwards: Forwards,
     /// Questions about origins of streams that wait for a confirmation.
     pub(crate) origins: origins::Questions,
+    /// Operators' route tables that wait to be committed.
+    submissions: Submissions<Answer<()>>,
     /// The newest settings version in force on all hosts.
     pub(crate) settings_in_force: Version,
     waiters: HashMap<RequestId, Waiter>,
@@ -245,6 +250,7 @@
         intake: Intake::new(setup.epoch.elapsed()),
         forwards: Forwards::default(),
         origins: origins::Questions::default(),
+        submissions: Submissions::default(),
         settings_in_force: 0,
         waiters: HashMap::new(),
         next: 1,
@@ -420,11 +426,7 @@
                 let _ = answer.send(self.dump());
             }
             TaskMessage::Target(message, answer) => self.target_message(*message, answer),
-            TaskMessage::Publish(submitted, answer) => {
-                let version = submitted.table.version;
-                tracing::info!(version, "operator submitted a route table; committing it");
-                self.commit(&Command::PublishTable(submitted), answer);
-            }
+            TaskMessage::Publish(submitted, answer) => self.submit_table(submitted, answer),
             TaskMessage::Read(answer) => self.read_table(answer),
             TaskMessage::Seeds(mut seeds) => {
                 seeds.retain(|seed| *seed != self.setup.me);
@@ -488,15 +490,6 @@
             Some(Waiter::Host { host, call }) => self.send_committed(host, call, &reply),
             Some(Waiter::Local(answer)) => {
                 let (index, term) = (entry.index, entry.term);
-                if let Command::PublishTable(submitted) = &command {
-                    let version = submitted.table.version;
-                    tracing::info!(
-                        version,
-                        index,
-                        term,
-                        "route table committed; acknowledging it"
-                    );
-                }
                 if let Command::Leave { target, .. } = &command {
                     tracing::info!(
                         target = &**target,
@@ -509,6 +502,9 @@
             }
             _ => {}
         }
+        if matches!(command, Command::PublishTable(_)) {
+            self.acknowledge_tables(&place);
+        }
         if self.leading {
             strike_log::log_decrease(&command, &reply, &place);
             self.handle(Input::Applied { command, reply });
@@ -528,6 +524,11 @@
             Ok(state) => {
                 self.state = state;
                 self.applied = snapshot.index;
+                self.acknowledge_tables(&Entry {
+                    index: snapshot.index,
+                    term: snapshot.term,
+                    ..Entry::default()
+                });
             }
             Err(error) => tracing::error!(%error, "cannot decode a snapshot; state not replaced"),
         }
@@ -539,7 +540,12 @@
             Some((host, call)) => Waiter::Host { host, call },
             None => Waiter::Leader,
         };
-        let id = self.register_waiter(waiting);
+        self.propose_for(waiting, command);
+    }
+
+    /// Proposes a command for a waiter.
+    fn propose_for(&mut self, waiter: Waiter, command: Bytes) {
+        let id = self.register_waiter(waiter);
         let time = self.unix_time();
         let payload = TimestampedCommand { time, command }.encode();
         self.quorum_event(Event::Propose { id, payload });
@@ -575,6 +581,7 @@
                 self.send_answer(host, call, json.into());
             }
             Waiter::Origins => self.refuse_origins(leader),
+            Waiter::Table(version) => drop(self.submissions.failed(version)),
             // Local requesters treat a dropped sender as an unknown outcome.
             Waiter::Local(_)
             | Waiter::Read(_)
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -81,6 +81,7 @@
             self.software = SoftwareRegister::default();
             self.refuse_origins(leader);
             self.forwards = Forwards::default();
+            self.submissions.leadership_lost();
             self.publish_takers();
             self.subscribers.clear();
         }
--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -1,15 +1,16 @@
 //! Requests of targets and operators to the leader through its registry listener.
 
 use bytes::Bytes;
-use cornelhitch_control::command::Command;
+use cornelhitch_control::command::{Command, Entry};
+use cornelhitch_control::current_table::SubmittedTable;
 use cornelhitch_control::input::Input;
+use cornelhitch_control::submissions::Step;
 use cornelhitch_quorum::event::Event;
 use cornelhitch_target::inbound;
 use cornelhitch_types::id::{Incarnation, TargetId};
 
 use super::{Control, Waiter};
 use crate::registry::{Answer, NotLeader};
-use crate::timestamped::TimestampedCommand;
 
 impl Control {
     /// Handles a target's message.
@@ -86,16 +87,56 @@
 
     /// Commits a command and answers the local requester.
     pub(super) fn commit(&mut self, command: &Command, answer: Answer<()>) {
-        let is_table = matches!(command, Command::PublishTable(_));
-        if !self.leading || (is_table && self.refuses_first_table()) {
+        if !self.leading {
+            let _ = answer.send(Err(NotLeader));
+            return;
+        }
+        self.propose_for(Waiter::Local(answer), command.encode());
+    }
+
+    /// Commits an operator's route table, unless it changes nothing, and answers the operator then.
+    pub(super) fn submit_table(&mut self, submitted: SubmittedTable, answer: Answer<()>) {
+        if !self.leading || self.refuses_first_table() {
             let _ = answer.send(Err(NotLeader));
             return;
         }
-        let id = self.register_waiter(Waiter::Local(answer));
-        let time = self.unix_time();
-        let command = command.encode();
-        let payload = TimestampedCommand { time, command }.encode();
-        self.quorum_event(Event::Propose { id, payload });
+        let version = submitted.table.version;
+        let in_force = self.state.current_table().table().map(|it| it.version);
+        self.submissions.retain(|waiting| !waiting.is_closed());
+        match self.submissions.submit(version, in_force, answer) {
+            Step::Acknowledge(answer) => {
+                tracing::info!(
+                    version,
+                    in_force,
+                    "operator submitted a route table that changes nothing; acknowledging it"
+                );
+                let _ = answer.send(Ok(()));
+            }
+            Step::Wait => tracing::info!(
+                version,
+                "operator submitted a route table; it or a newer one is being committed"
+            ),
+            Step::Propose => {
+                tracing::info!(version, "operator submitted a route table; committing it");
+                let command = Command::PublishTable(submitted);
+                self.propose_for(Waiter::Table(version), command.encode());
+            }
+        }
+    }
+
+    /// Answers the operators whose route tables are now committed, by the entry at `place`.
+    pub(super) fn acknowledge_tables(&mut self, place: &Entry) {
+        let version = self.state.current_table().version();
+        for answer in self.submissions.committed(version) {
+            let (index, term) = (place.index, place.term);
+            tracing::info!(
+                version,
+                index,
+                term,
+                "route table committed; acknowledging it"
+            );
+            let _ = answer.send(Ok(()));
+        }
     }
 
     /// Whether the operator's first route table is refused until the group has more voters.
