--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -325,6 +325,7 @@
             last: self.log.last(),
             durable: self.writes.durable,
             snapshot: self.log.snapshot_index(),
+            log_bytes: self.log.bytes(),
             members: self.membership().clone(),
             matched,
             unresponsive_for: self.unresponsive_for(),
--- a/crates/quorum/src/disk.rs
+++ b/crates/quorum/src/disk.rs
@@ -80,7 +80,21 @@
     number: u64,
     /// What the next write must do first, because one has failed.
     repair: Option<Repair>,
-    fail_after: Option<usize>,
+    /// How the next write fails.
+    failure: Option<InjectedFailure>,
+}
+
+/// A failure of the next write, for tests.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InjectedFailure {
+    /// The write fails after some bytes, as on a full disk.
+    Write {
+        /// The bytes that are written.
+        after: usize,
+    },
+    /// All bytes are written, and their sync fails.
+    Sync,
 }
 
 /// How the log file becomes sound again after a failed write.
@@ -130,7 +144,7 @@
             log,
             number,
             repair: None,
-            fail_after: None,
+            failure: None,
         };
         disk.remove_obsolete_files();
         Ok(disk)
@@ -165,20 +179,20 @@
             log,
             number: 1,
             repair: None,
-            fail_after: None,
+            failure: None,
         })
     }
 
-    /// Makes the next write fail after `bytes` bytes, like a full disk; for tests.
+    /// Makes the next write fail; for tests.
     #[doc(hidden)]
-    pub fn fail_after(&mut self, bytes: usize) {
-        self.fail_after = Some(bytes);
+    pub fn fail_next(&mut self, failure: InjectedFailure) {
+        self.failure = Some(failure);
     }
 
     fn write(&mut self, records: &[Record]) -> Result<(), Error> {
         for group in split_into_frames(records) {
             let block = Block::Records(group.to_vec());
-            self.log.append(&block, self.fail_after.take())?;
+            self.log.append(&block, self.failure.take())?;
         }
         records
             .iter()
--- a/crates/quorum/src/disk/file.rs
+++ b/crates/quorum/src/disk/file.rs
@@ -6,7 +6,7 @@
 
 use snafu::ResultExt;
 
-use super::{Block, LOG_PREFIX, SYNC, frame};
+use super::{Block, InjectedFailure, LOG_PREFIX, SYNC, frame};
 use crate::store::{CorruptSnafu, Error, IoSnafu};
 
 /// A position in a log file up to which it is synced.
@@ -93,25 +93,31 @@
         ))
     }
 
-    /// Writes and syncs a block. With `fail_after`, the write fails after that many bytes.
-    pub(super) fn append(&mut self, block: &Block, fail_after: Option<usize>) -> Result<(), Error> {
+    /// Writes and syncs a block, unless it is to fail.
+    pub(super) fn append(
+        &mut self,
+        block: &Block,
+        failure: Option<InjectedFailure>,
+    ) -> Result<(), Error> {
         let frame = frame::encode(self.end.frames, block)?;
-        let written = match fail_after {
-            None => self.file.write_all(&frame),
-            Some(bytes) => {
-                let part = &frame[..bytes.min(frame.len())];
+        let written = match failure {
+            Some(InjectedFailure::Write { after }) => {
+                let part = &frame[..after.min(frame.len())];
                 let full = Err(io::Error::from(io::ErrorKind::StorageFull));
                 self.file.write_all(part).and(full)
             }
+            None | Some(InjectedFailure::Sync) => self.file.write_all(&frame),
         };
         let path = &self.path;
         written.context(IoSnafu {
             what: "write",
             path,
         })?;
-        self.file
-            .sync_data()
-            .context(IoSnafu { what: SYNC, path })?;
+        let synced = match failure {
+            Some(InjectedFailure::Sync) => Err(io::Error::other("the disk has failed")),
+            _ => self.file.sync_data(),
+        };
+        synced.context(IoSnafu { what: SYNC, path })?;
         self.end = Position {
             bytes: self.end.bytes + frame.len() as u64,
             frames: self.end.frames + 1,
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -92,6 +92,11 @@
         self.offset + self.entries.len() as u64
     }
 
+    /// Returns the size of the entries in memory, in bytes.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.entries.iter().map(|entry| entry.size() as u64).sum()
+    }
+
     pub(crate) fn last_term(&self) -> Term {
         self.entries.back().map_or(self.offset_term, |e| e.term)
     }
--- a/crates/quorum/src/status.rs
+++ b/crates/quorum/src/status.rs
@@ -61,6 +61,8 @@
     pub durable: Index,
     /// Index of the last entry covered by the snapshot; 0 without a snapshot.
     pub snapshot: Index,
+    /// Size of the entries in memory, in bytes.
+    pub log_bytes: u64,
     /// The latest membership in the log, committed or not.
     pub members: Membership,
     /// On a leader, the last index synced by each other member.
--- a/crates/quorum/tests/disk.rs
+++ b/crates/quorum/tests/disk.rs
@@ -6,7 +6,7 @@
 use std::sync::mpsc::{Receiver, channel};
 
 use cornelhitch_quorum::disk::{
-    Block, DiskStore, ExpectedIdentity, MAX_PAYLOAD_BYTES, Writer, scan,
+    Block, DiskStore, ExpectedIdentity, InjectedFailure, MAX_PAYLOAD_BYTES, Writer, scan,
 };
 use cornelhitch_quorum::log::{Entry, Payload, Snapshot};
 use cornelhitch_quorum::prelude::*;
@@ -203,7 +203,7 @@
         voter.propose(0..3);
         drop(voter);
         let mut disk = DiskStore::open(dir.path(), OWNER).unwrap();
-        disk.fail_after(bytes);
+        disk.fail_next(InjectedFailure::Write { after: bytes });
         let mut voter = Voter::new(disk);
         voter.tick(1);
         assert!(
@@ -226,7 +226,7 @@
     for bytes in [0, 1, HEADER_BYTES, 30, 10_000] {
         let (dir, _) = dir_with_entries();
         let mut disk = DiskStore::open(dir.path(), OWNER).unwrap();
-        disk.fail_after(bytes);
+        disk.fail_next(InjectedFailure::Write { after: bytes });
         assert!(disk.append(&[entry(10)]).is_err());
         assert_eq!(disk.recovered().last(), 9);
         disk.append(&[entry(10), entry(11)]).unwrap();
@@ -240,12 +240,16 @@
 }
 
 /// Guards against a log of large entries that is compacted by their number alone, until it fills the
-/// disk. A log may have a quarter of the users' disk of 128 MB, so that a second one fits beside it.
+/// disk and the memory. A log may have a quarter of the users' disk of 128 MB, so that a second one fits
+/// beside it. Of the users' 256 MB of memory it may have a sixteenth; once a snapshot is taken, it may have
+/// what is kept before the snapshot.
 #[test]
 fn a_log_of_large_entries_stays_small() {
     const ENTRY_BYTES: usize = 200_000;
     const ENTRIES: u64 = 300;
     const MAX_BYTES: u64 = 32 << 20;
+    const MAX_BYTES_IN_MEMORY: u64 = 16 << 20;
+    let kept_bytes = Config::default().trailing_bytes as u64;
     let dir = tempfile::tempdir().unwrap();
     let mut voter = Voter::start(DiskStore::open(dir.path(), OWNER).unwrap());
     let mut snapshots = 0;
@@ -258,7 +262,14 @@
         if std::mem::take(&mut voter.wanted) > 0 {
             snapshots += 1;
             voter.snapshot();
+            let kept = voter.core.status().log_bytes;
+            assert!(kept <= kept_bytes, "{kept} bytes kept after {id} entries");
         }
+        let in_memory = voter.core.status().log_bytes;
+        assert!(
+            in_memory <= MAX_BYTES_IN_MEMORY,
+            "{in_memory} bytes after {id} entries"
+        );
         let files = fs::read_dir(dir.path()).unwrap();
         let bytes: u64 = files
             .map(|file| file.unwrap().metadata().unwrap().len())
@@ -277,7 +288,7 @@
         let (dir, _) = dir_with_entries();
         let mut disk = DiskStore::open(dir.path(), OWNER).unwrap();
         fs::create_dir(dir.path().join("unfinished")).unwrap();
-        disk.fail_after(bytes);
+        disk.fail_next(InjectedFailure::Write { after: bytes });
         assert!(disk.append(&[entry(10)]).is_err());
         let again = disk.append(&[entry(10), entry(11)]);
         assert!(again.is_ok(), "after {bytes} bytes: {again:?}");
@@ -289,6 +300,23 @@
     }
 }
 
+/// Guards against a log that goes on after a failed sync: which of its bytes the disk has is unknown, and a
+/// later sync may succeed without them.
+#[test]
+fn after_a_failed_sync_the_log_is_written_anew() {
+    let (dir, log) = dir_with_entries();
+    let mut disk = DiskStore::open(dir.path(), OWNER).unwrap();
+    disk.fail_next(InjectedFailure::Sync);
+    assert!(disk.append(&[entry(10)]).is_err());
+    disk.append(&[entry(10), entry(11)]).unwrap();
+    let recovered = disk.recovered();
+    drop(disk);
+    assert!(!log.exists(), "the log whose sync failed is still in use");
+    let reopened = DiskStore::open(dir.path(), OWNER).unwrap();
+    assert_eq!(reopened.recovered(), recovered);
+    assert_eq!(recovered.last(), 11);
+}
+
 /// A folder with the next log's name keeps the new file from getting it.
 #[test]
 fn a_log_that_cannot_be_written_anew_leaves_no_unfinished_file() {
--- a/crates/quorum/tests/membership_policy.rs
+++ b/crates/quorum/tests/membership_policy.rs
@@ -42,6 +42,7 @@
         last: 9,
         durable: 9,
         snapshot: 0,
+        log_bytes: 0,
         members,
         matched: matched.collect(),
         unresponsive_for: silent.collect(),
