--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -25,6 +25,7 @@
 use crate::metrics::{Count, Metrics};
 use crate::problem::{Problem, not_run};
 use crate::request::{self, Endpoint};
+use crate::request_memory::RequestBodies;
 use crate::server::Service;
 
 /// The largest body of a target's message, in bytes.
@@ -38,6 +39,8 @@
     pub fleet: watch::Receiver<Arc<FleetSettings>>,
     /// The encoding of targets' messages.
     pub protocol: Arc<dyn Protocol>,
+    /// Reads the bodies of requests.
+    pub bodies: RequestBodies,
     /// The metrics of this process.
     pub metrics: Metrics,
     /// The id for the next request.
@@ -112,7 +115,7 @@
     ) -> Result<Response<Body>, Refusal> {
         self.metrics.increment(Count::Requests);
         let limit = self.fleet.borrow().refusing.body;
-        let body = collect(body, limit).await?;
+        let body = self.bodies.read(body, limit, from.ip()).await?;
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let (request, payload) = request::read(id, endpoint, &parts, body, from)?;
         let streaming = request.streaming;
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -26,13 +26,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{self, Body};
-use crate::callers::{CallerGuard, caller_response, collect};
+use crate::callers::{CallerGuard, caller_response};
 use crate::entry::Input;
 use crate::exchange::{NewRequest, PART_QUEUE_CAPACITY, Payload, Routed};
 use crate::header;
 use crate::log_limit::LogLimiter;
 use crate::metrics::{Count, Metrics};
 use crate::problem::not_run;
+use crate::request_memory::RequestBodies;
 use crate::server::{HEAD_TIMEOUT, Service};
 
 /// Period after its start in which a host holds requests until it has a route table, which takes
@@ -141,6 +142,8 @@
     pub routes: watch::Receiver<Option<Arc<Routes>>>,
     /// The callers' protocol.
     pub protocol: Arc<dyn RoutedRequestProtocol>,
+    /// Reads the bodies of requests.
+    pub bodies: RequestBodies,
     /// The metrics of this process.
     pub metrics: Metrics,
     /// The id for the next request.
@@ -248,7 +251,8 @@
             .find(&parts)
             .ok_or_else(|| not_run(Reason::Unknown, "no route has this host and path"))?;
         let metadata = self.protocol.read_metadata(&parts.headers)?;
-        let body = collect(body, routes.table.limits.max_body_bytes).await?;
+        let limit = routes.table.limits.max_body_bytes;
+        let body = self.bodies.read(body, limit, from.ip()).await?;
         build_call(id, route, &routes.table, metadata, parts, body, from)
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -85,6 +85,8 @@
     ControlSuperseded,
     /// Answers of targets that were given up because they had no end within what is buffered.
     AnswersGivenUp,
+    /// Requests that were refused because their bodies had no room.
+    BodiesRefused,
     /// Times at which an entry host stopped acting on its route table, since it knew of a newer one.
     TablesOutdated,
 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,16 +3,18 @@
 use cornelhitch_entry::event::{Event, Failure};
 use cornelhitch_target::client::{Chunks, DeclineReason, ForwardedRequest, ForwardedResponse};
 use cornelhitch_target::sse::{self, EventSplitter};
+use cornelhitch_types::id::TargetId;
 use cornelhitch_types::target::Statement;
 use futures_util::StreamExt;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, StatusCode};
 use tokio::sync::oneshot;
 
-use crate::answer_memory::{Reservation, Segments};
+use crate::answer_memory::Segments;
 use crate::attempt::{AnswerRecord, Attempt, AttemptEnd, SignalReceivers, end_to_end_headers};
 use crate::exchange::{Head, Part, Payload, Routed};
 use crate::metrics::Count;
+use crate::shared_memory::Reservation;
 
 /// The largest answer that is buffered, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -148,7 +150,7 @@
     async fn read_body(
         &self,
         mut body: Chunks,
-        memory: &mut Reservation,
+        memory: &mut Reservation<TargetId>,
     ) -> Result<Segments, AttemptEnd> {
         let mut segments = Segments::default();
         while let Some(chunk) = body.next().await {
--- /dev/null
+++ b/crates/node/src/request_memory.rs
@@ -0,0 +1,164 @@
+//! Memory for the bodies of requests, shared by all requests of a host. Each caller has its share.
+//!
+//! A body is kept until the last part of the host that may send it has let go of it. A request whose body
+//! has no room is refused before it is read.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cornelhitch_types::refusal::{Reason, Refusal};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+
+use crate::metrics::{Count, Metrics};
+use crate::problem::not_run;
+use crate::shared_memory::{Reservation, SharedMemory};
+
+/// Part of a host's memory that may hold the bodies of requests.
+const PART: f64 = 0.5;
+
+/// Bytes of a megabyte.
+const MEGABYTE: f64 = 1e6;
+
+/// What one caller may hold, relative to what is free: three quarters of all if it is alone.
+const SHARE: usize = 3;
+
+/// When a request that had no room may find some.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Reads the bodies of callers' requests, within the memory that a host has for them.
+#[derive(Debug)]
+pub struct RequestBodies {
+    memory: SharedMemory<IpAddr>,
+    metrics: Metrics,
+}
+
+/// A body, and the memory that it has reserved.
+struct HeldBody {
+    bytes: Vec<u8>,
+    reservation: Reservation<IpAddr>,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Why a body cannot be kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Lack {
+    /// It is over the limit for one body.
+    Limit,
+    /// Its caller's share of the memory has no room for it.
+    Memory,
+}
+
+impl HeldBody {
+    /// Makes room for more bytes, at most `limit` in all.
+    fn grow(&mut self, more: usize, limit: usize) -> Result<(), Lack> {
+        let needed = self.bytes.len().saturating_add(more);
+        if needed > limit {
+            return Err(Lack::Limit);
+        }
+        let capacity = self.bytes.capacity();
+        if needed <= capacity {
+            return Ok(());
+        }
+        let next = match capacity {
+            0 => needed,
+            _ => needed.max(2 * capacity).min(limit),
+        };
+        if !self.reservation.resize(next) {
+            return Err(Lack::Memory);
+        }
+        self.bytes.reserve_exact(next - self.bytes.len());
+        Ok(())
+    }
+}
+
+impl RequestBodies {
+    /// Creates the reader of a host that has so many megabytes of memory.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn new(memory_mb: f64, metrics: Metrics) -> Self {
+        let limit = (PART * memory_mb * MEGABYTE) as usize;
+        Self {
+            memory: SharedMemory::new(limit, SHARE),
+            metrics,
+        }
+    }
+
+    /// Reads a complete body.
+    ///
+    /// # Errors
+    /// Returns a refusal if the body is over `limit` bytes, the caller's share of the memory has no room
+    /// for it, or the connection breaks. What is left of the body is read and dropped then, so that the
+    /// caller gets the refusal.
+    pub async fn read(
+        &self,
+        mut body: Incoming,
+        limit: usize,
+        caller: IpAddr,
+    ) -> Result<Bytes, Refusal> {
+        let mut held = HeldBody {
+            bytes: Vec::new(),
+            reservation: self.memory.reservation(&caller),
+        };
+        let announced = body.size_hint().exact().unwrap_or(0);
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        let mut room = held.grow(announced, limit);
+        while room.is_ok()
+            && let Some(frame) = body.frame().await
+        {
+            let broken = |error| not_run(Reason::Malformed, format!("the body: {error}"));
+            if let Ok(data) = frame.map_err(broken)?.into_data() {
+                room = held.grow(data.len(), limit);
+                if room.is_ok() {
+                    held.bytes.extend_from_slice(&data);
+                }
+            }
+        }
+        match room {
+            Ok(()) => Ok(Bytes::from_owner(held)),
+            Err(lack) => {
+                drain(body, limit);
+                Err(self.refusal(lack, limit, caller))
+            }
+        }
+    }
+
+    /// Returns the refusal of a request whose body cannot be kept.
+    fn refusal(&self, lack: Lack, limit: usize, caller: IpAddr) -> Refusal {
+        if lack == Lack::Limit {
+            return not_run(Reason::TooLarge, format!("the body is over {limit} bytes"));
+        }
+        self.metrics.increment(Count::BodiesRefused);
+        if self.memory.allow_log_line() {
+            let reserved = self.memory.reserved();
+            tracing::warn!(%caller, reserved, "request refused: no room for its body");
+        }
+        Refusal {
+            retry_after: Some(RETRY_AFTER),
+            ..not_run(
+                Reason::Overloaded,
+                "this host has no room for the request's body",
+            )
+        }
+    }
+}
+
+/// Reads and drops up to `limit` bytes of a body. A connection that is closed with unread bytes is reset,
+/// and the caller may lose the answer.
+fn drain(mut body: Incoming, limit: usize) {
+    tokio::spawn(async move {
+        let mut left = limit;
+        while let Some(Ok(frame)) = body.frame().await {
+            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+            if left == 0 {
+                return;
+            }
+        }
+    });
+}
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -41,6 +41,7 @@
 use crate::operators::Operators;
 use crate::protocols::Protocols;
 use crate::registry::Registry;
+use crate::request_memory::RequestBodies;
 use crate::secret::{self, Token};
 use crate::server;
 use crate::session;
@@ -345,6 +346,8 @@
         routes: watch::Receiver<Option<Arc<Routes>>>,
     ) -> JoinHandle<()> {
         let metrics = self.metrics.clone();
+        let memory_mb = self.process.serving.memory_mb;
+        let bodies = RequestBodies::new(memory_mb, metrics.clone());
         let next = AtomicU64::new(1);
         let Listening {
             listener,
@@ -356,6 +359,7 @@
                 inputs,
                 routes,
                 protocol,
+                bodies,
                 metrics,
                 next,
                 leaving,
@@ -368,6 +372,7 @@
             inputs,
             fleet,
             protocol: self.protocols.target_messages.clone(),
+            bodies,
             metrics,
             next,
             leaving,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -141,6 +141,8 @@
     /// How long an entry host that has heard of a newer route table acts on its own after that was last
     /// known to be the newest, in milliseconds.
     pub table_lag_ms: f64,
+    /// Memory of the process, in megabytes. Half of it may hold bodies of requests.
+    pub memory_mb: f64,
     /// Longest time for which callers may cache the list of entry hosts, in milliseconds.
     pub max_age_ms: u64,
     /// Time for which a host that shuts down still accepts requests, in milliseconds.
@@ -170,6 +172,7 @@
         Self {
             isolated: IsolationPolicy::Refuse,
             table_lag_ms: 3e3,
+            memory_mb: 256.0,
             max_age_ms: 10_000,
             leave_ms: 10_000,
             grace_ms: 30e3,
