--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -25,7 +25,7 @@
 use crate::metrics::{Count, Metrics};
 use crate::problem::{Problem, not_run};
 use crate::request::{self, Endpoint};
-use crate::request_memory::RequestBodies;
+use crate::request_memory::{RequestBodies, drain};
 use crate::server::Service;
 
 /// The largest body of a target's message, in bytes.
@@ -219,14 +219,15 @@
     response
 }
 
-/// Reads the complete body of a request.
+/// Reads the complete body of a target's or operator's message.
 ///
 /// # Errors
 /// Returns a refusal if the body is over `limit` bytes or the connection breaks.
-pub async fn collect(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
+pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(&mut body, limit).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => {
+            drain(body);
             let detail = format!("the body is over {limit} bytes");
             Err(not_run(Reason::TooLarge, detail))
         }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -25,8 +25,9 @@
 use crate::session;
 use crate::takers::Takers;
 
-/// The largest message in bytes; a table of a few thousand routes is smaller.
-const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// The largest message of an operator or target, in bytes. The log takes a table with its text, which is no
+/// smaller than the table.
+const MAX_MESSAGE_BYTES: usize = 2 << 20;
 
 /// Timeout for an answer of the control task; clients switch to another host after a similar time.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
--- a/crates/node/src/request_memory.rs
+++ b/crates/node/src/request_memory.rs
@@ -24,6 +24,9 @@
 /// What one caller may hold, relative to what is free: three quarters of all if it is alone.
 const SHARE: usize = 3;
 
+/// Bytes of a refused body that are read and dropped.
+const MAX_DRAINED_BYTES: usize = 16 << 20;
+
 /// When a request that had no room may find some.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -123,7 +126,7 @@
         match room {
             Ok(()) => Ok(Bytes::from_owner(held)),
             Err(lack) => {
-                drain(body, limit);
+                drain(body);
                 Err(self.refusal(lack, limit, caller))
             }
         }
@@ -149,11 +152,11 @@
     }
 }
 
-/// Reads and drops up to `limit` bytes of a body. A connection that is closed with unread bytes is reset,
-/// and the caller may lose the answer.
-fn drain(mut body: Incoming, limit: usize) {
+/// Reads and drops the rest of a body, up to [`MAX_DRAINED_BYTES`]. A connection that is closed with unread
+/// bytes is reset, and its other side may lose the answer.
+pub(crate) fn drain(mut body: Incoming) {
     tokio::spawn(async move {
-        let mut left = limit;
+        let mut left = MAX_DRAINED_BYTES;
         while let Some(Ok(frame)) = body.frame().await {
             left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
             if left == 0 {
--- a/crates/quorum/src/action.rs
+++ b/crates/quorum/src/action.rs
@@ -86,7 +86,7 @@
     /// Too many uncommitted bytes are in flight, or another membership change is in progress; the
     /// request had no effect.
     Busy,
-    /// The payload exceeds the maximum message size; the request had no effect.
+    /// The payload exceeds the maximum size of one; the request had no effect.
     TooLarge,
     /// Another entry was committed at the proposal's index; the proposal never takes effect.
     Superseded,
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -47,8 +47,10 @@
     /// Longest time that a membership change waits without progress for a learner to catch up or
     /// for a quorum to respond.
     pub catch_up_timeout: Duration,
-    /// Maximum total payload per message, in bytes.
+    /// Maximum total payload per message, in bytes; a larger entry has a message of its own.
     pub max_message_bytes: usize,
+    /// Maximum payload of a proposal, in bytes.
+    pub max_payload_bytes: usize,
     /// Maximum number of unacknowledged messages with entries per member.
     pub max_inflight_messages: usize,
     /// Maximum total payload of uncommitted proposals, in bytes.
@@ -103,6 +105,7 @@
             write_retry_delay: Duration::from_millis(500),
             catch_up_timeout: Duration::from_mins(1),
             max_message_bytes: 256 * 1024,
+            max_payload_bytes: 4 * 1024 * 1024,
             max_inflight_messages: 16,
             max_uncommitted_bytes: 16 * 1024 * 1024,
             max_unsynced_bytes: 16 * 1024 * 1024,
--- a/crates/quorum/src/core/replicate.rs
+++ b/crates/quorum/src/core/replicate.rs
@@ -23,7 +23,7 @@
         if self.is_founding() {
             return self.reject(id, RejectReason::Busy);
         }
-        if payload.len() > self.config.max_message_bytes {
+        if payload.len() > self.config.max_payload_bytes {
             return self.reject(id, RejectReason::TooLarge);
         }
         if self.uncommitted_bytes + payload.len() > self.config.max_uncommitted_bytes {
