--- a/crates/node/src/request_memory.rs
+++ b/crates/node/src/request_memory.rs
@@ -1,7 +1,8 @@
 //! Memory for the bodies of requests, shared by all requests of a host. Each caller has its share.
 //!
-//! A body is kept until the last part of the host that may send it has let go of it. A request whose body
-//! has no room is refused before it is read.
+//! A body is kept until the last part of the host that may send it has let go of it. A body whose
+//! length is announced gets its room before it is read; one in chunks grows while it is read, and is refused
+//! once it finds no more.
 
 use std::net::IpAddr;
 use std::time::Duration;
