--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -8,6 +8,7 @@
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::{Load, Statement, TargetSoftware};
+use cornelhitch_types::team::{Team, TokenUsage};
 use cornelhitch_types::view::View;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter};
@@ -84,6 +85,12 @@
     pub bytes: u64,
     /// The limits of the request's route, or `None` if it did not arrive through one.
     pub terms: Option<Box<RouteLimits>>,
+    /// The team that sends the request; `None` if its route needs no key.
+    #[serde(skip)]
+    pub team: Option<Arc<Team>>,
+    /// The token counts that the request states.
+    #[serde(default)]
+    pub usage: Option<TokenUsage>,
 }
 
 /// What tells a routed request from others.
@@ -176,6 +183,8 @@
             streaming: false,
             bytes: 0,
             terms: None,
+            team: None,
+            usage: None,
         }
     }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -17,6 +17,7 @@
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::refusal::{Reason, Refusal};
 use cornelhitch_types::route::{self, RetryPolicy, Route, RouteIndex, RouteTable};
+use cornelhitch_types::team::TokenUsage;
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
@@ -66,6 +67,8 @@
     pub model: Option<Name>,
     /// The adapter to apply to the model.
     pub adapter: Option<Name>,
+    /// The token counts that the request states.
+    pub usage: Option<TokenUsage>,
     /// The sections of the prompt, in order.
     pub prompt: Vec<PromptSection>,
     /// The id of the last event that the caller has, if it resumes a stream.
@@ -323,6 +326,7 @@
     let (prefixes, sizes) = prefixes(&metadata.prompt);
     call.prefixes = prefixes;
     call.sections = shared_sections(&metadata.prompt);
+    call.usage = metadata.usage;
     call.streaming = route.is_stream;
     call.bytes = body.len() as u64;
     call.terms = Some(Box::new(RouteLimits {
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -57,6 +57,8 @@
     Row { reason: Reason::TargetFailed, status: StatusCode::BAD_GATEWAY, title: "The target failed." },
     Row { reason: Reason::Quarantined, status: StatusCode::UNPROCESSABLE_ENTITY, title: "Targets fail while running this request." },
     Row { reason: Reason::Forgotten, status: StatusCode::GONE, title: "The outcome of this request is no longer kept." },
+    Row { reason: Reason::Unauthenticated, status: StatusCode::UNAUTHORIZED, title: "This route needs a known API key." },
+    Row { reason: Reason::Quota, status: StatusCode::TOO_MANY_REQUESTS, title: "The team has used its quota." },
 ];
 
 impl From<&Refusal> for Problem {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod refusal;
 pub mod route;
 pub mod target;
+pub mod team;
 pub mod view;
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -71,6 +71,10 @@
     Quarantined,
     /// The outcome of the idempotency key was recorded, but is no longer kept.
     Forgotten,
+    /// The route needs an API key, and the request has none that is known.
+    Unauthenticated,
+    /// The caller's team has used its quota.
+    Quota,
 }
 
 /// A refusal as the caller receives it.
--- a/crates/types/src/route.rs
+++ b/crates/types/src/route.rs
@@ -4,12 +4,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
 use crate::id::{ModelId, Name, Version};
+use crate::team::Access;
 
 /// Separates the service from the model name in a [`ModelId`].
 const SEPARATOR: char = '/';
@@ -26,6 +28,10 @@
     pub services: Vec<Service>,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// Who may call which routes; `None` if no route needs a key. Not part of the encoded table,
+    /// whose bytes stay as they are for tables without teams.
+    #[serde(skip)]
+    pub access: Option<Arc<Access>>,
 }
 
 /// Maps requests for one host and path prefix to services.
--- a/crates/types/tests/route.rs
+++ b/crates/types/tests/route.rs
@@ -41,6 +41,7 @@
         routes,
         services: vec![service("s"), service("t")],
         limits: Limits::default(),
+        access: None,
     }
 }
 
