Route tables with teams are encoded in variants of their own

Change: GuardedTable carries a table and its access together. The Debug output of a submitted table leaves out the text, which contains keys.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -10,7 +10,7 @@
 
 use crate::claims::{self, Claim, Finish, Holder, Key};
 use crate::current_settings::{self, Apply};
-use crate::current_table::{self, SubmittedTable};
+use crate::current_table::{self, SubmittedGuardedTable, SubmittedTable};
 use crate::error::{
     CommandKindSnafu, Error, FormatVersionSnafu, MalformedSnafu, TrailingBytesSnafu,
 };
@@ -161,6 +161,8 @@
     StrikeSections(sections::Strike),
     /// Clears crashes of prompt sections that were answered completely.
     AcquitSections(sections::Acquittal),
+    /// Brings a route table with teams into force.
+    PublishGuardedTable(SubmittedGuardedTable),
     /// Several commands in one entry, applied in order.
     ///
     /// Nested batches are flattened by the encoding.
@@ -186,7 +188,7 @@
     Claim(claims::ClaimResult),
     /// The result of [`Command::Strike`], [`Command::ClearStrikes`] and [`Command::Survived`].
     Strike(strikes::Answer),
-    /// The result of [`Command::PublishTable`].
+    /// The result of [`Command::PublishTable`] and [`Command::PublishGuardedTable`].
     Document(current_table::Answer),
     /// The result of [`Command::StrikeSections`], [`Command::AcquitSections`] and, for the sections,
     /// of [`Command::Survived`].
@@ -212,6 +214,16 @@
         Self::Batch(vec![strike, Self::StrikeSections(sections)])
     }
 
+    /// Returns the command that brings a route table into force, which for a table without teams
+    /// is [`Command::PublishTable`].
+    #[must_use]
+    pub fn publish_table(submitted: SubmittedTable) -> Self {
+        match SubmittedGuardedTable::of(&submitted) {
+            Some(guarded) => Self::PublishGuardedTable(guarded),
+            None => Self::PublishTable(submitted),
+        }
+    }
+
     /// Encodes the command for the log.
     ///
     /// ```
--- a/crates/control/src/current_table.rs
+++ b/crates/control/src/current_table.rs
@@ -1,14 +1,17 @@
 //! The route table in force, with the text from which operators submitted it.
 
+use std::fmt;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cornelhitch_types::guarded_table::{GuardedTable, with_access};
 use cornelhitch_types::id::Version;
 use cornelhitch_types::route::RouteTable;
+use cornelhitch_types::team::Access;
 use serde::{Deserialize, Serialize};
 
 /// A route table submitted by an operator.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SubmittedTable {
     /// The parsed and validated table.
     pub table: Arc<RouteTable>,
@@ -16,6 +19,53 @@
     pub text: Bytes,
 }
 
+/// Leaves the text out, which contains API keys.
+impl fmt::Debug for SubmittedTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SubmittedTable")
+            .field("table", &self.table)
+            .field("text_bytes", &self.text.len())
+            .finish()
+    }
+}
+
+/// A submitted route table with teams, in the form in which the log contains it.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmittedGuardedTable {
+    table: GuardedTable,
+    text: Bytes,
+}
+
+/// Leaves the text out, which contains API keys.
+impl fmt::Debug for SubmittedGuardedTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SubmittedGuardedTable")
+            .field("table", &self.table)
+            .field("text_bytes", &self.text.len())
+            .finish()
+    }
+}
+
+impl SubmittedGuardedTable {
+    /// Returns the form in which the log contains a table with teams; `None` if it has none.
+    #[must_use]
+    pub fn of(submitted: &SubmittedTable) -> Option<Self> {
+        Some(Self {
+            table: GuardedTable::of(&submitted.table)?,
+            text: submitted.text.clone(),
+        })
+    }
+}
+
+impl From<SubmittedGuardedTable> for SubmittedTable {
+    fn from(guarded: SubmittedGuardedTable) -> Self {
+        Self {
+            table: guarded.table.into_table(),
+            text: guarded.text,
+        }
+    }
+}
+
 /// The result of submitting a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
@@ -69,6 +119,18 @@
         self.newest.as_ref().map(|newest| &newest.text)
     }
 
+    /// Returns the teams and public routes of the table in force, which its encoding leaves out.
+    pub(crate) fn access(&self) -> Option<&Arc<Access>> {
+        self.table()?.access.as_ref()
+    }
+
+    /// Adds the teams and public routes to a table that was decoded without them.
+    pub(crate) fn restore_access(&mut self, access: Arc<Access>) {
+        if let Some(newest) = &mut self.newest {
+            newest.table = with_access(newest.table.clone(), access);
+        }
+    }
+
     /// Accepts a table if its version is higher than the one in force.
     pub fn publish(&mut self, submitted: SubmittedTable) -> Answer {
         if let Some(newest) = &self.newest
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -236,10 +236,10 @@
     /// Keeps changes for entry hosts that miss them, and drops the oldest above the limit. Of the route
     /// tables, which may be large, only the newest is kept: who misses an earlier one misses that too.
     fn keep_publication(&mut self, changes: Vec<Change>) {
-        if changes.iter().any(is_table) {
+        if changes.iter().any(Change::is_table) {
             for publication in &mut self.publications {
                 let before = publication.changes.len();
-                publication.changes.retain(|change| !is_table(change));
+                publication.changes.retain(|change| !change.is_table());
                 self.kept_changes -= before - publication.changes.len();
             }
         }
@@ -256,8 +256,3 @@
         }
     }
 }
-
-/// Whether a change is a route table.
-fn is_table(change: &Change) -> bool {
-    matches!(change, Change::Table(_))
-}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -18,9 +18,12 @@
 use crate::sections::SectionStrikes;
 use crate::strikes::{Strikes, TargetIncarnation};
 
-/// The format version of a snapshot, its first byte.
+/// The format version of a snapshot, its first byte, unless its route table has teams.
 pub const FORMAT_VERSION: u8 = 3;
 
+/// The format version of a snapshot whose route table has teams, which follow the rest.
+const WITH_ACCESS: u8 = 4;
+
 /// The format version of a snapshot without the crashes of prompt sections.
 const WITHOUT_SECTIONS: u8 = 2;
 
@@ -197,6 +200,9 @@
             Command::PublishTable(submitted) => {
                 Reply::Document(self.current_table.publish(submitted))
             }
+            Command::PublishGuardedTable(submitted) => {
+                Reply::Document(self.current_table.publish(submitted.into()))
+            }
             Command::Batch(commands) => {
                 Reply::Batch(commands.into_iter().map(|it| self.run(it)).collect())
             }
@@ -326,9 +332,14 @@
             strikes: &self.strikes,
             current_table: &self.current_table,
         };
-        let mut bytes = vec![FORMAT_VERSION];
+        let access = self.current_table.access();
+        let version = access.map_or(FORMAT_VERSION, |_| WITH_ACCESS);
+        let mut bytes = vec![version];
         bytes.extend(postcard::to_stdvec(&image).unwrap_or_default());
         bytes.extend(postcard::to_stdvec(&self.section_strikes).unwrap_or_default());
+        if let Some(access) = access {
+            bytes.extend(postcard::to_stdvec(access).unwrap_or_default());
+        }
         bytes.into()
     }
 
@@ -344,20 +355,25 @@
             .split_first()
             .ok_or(Error::IncompleteHeader { what })?;
         ensure!(
-            matches!(version, FORMAT_VERSION | WITHOUT_SECTIONS),
+            matches!(version, FORMAT_VERSION | WITHOUT_SECTIONS | WITH_ACCESS),
             FormatVersionSnafu {
                 what,
                 found: version,
                 known: FORMAT_VERSION
             }
         );
-        let (image, left): (Image, &[u8]) =
+        let (mut image, mut left): (Image, &[u8]) =
             postcard::take_from_bytes(rest).context(MalformedSnafu { what })?;
-        let (section_strikes, left) = if version == WITHOUT_SECTIONS {
-            (SectionStrikes::default(), left)
-        } else {
-            postcard::take_from_bytes(left).context(MalformedSnafu { what })?
-        };
+        let mut section_strikes = SectionStrikes::default();
+        if version != WITHOUT_SECTIONS {
+            (section_strikes, left) =
+                postcard::take_from_bytes(left).context(MalformedSnafu { what })?;
+        }
+        if version == WITH_ACCESS {
+            let access;
+            (access, left) = postcard::take_from_bytes(left).context(MalformedSnafu { what })?;
+            image.current_table.restore_access(access);
+        }
         ensure!(
             left.is_empty(),
             TrailingBytesSnafu {
--- a/crates/control/src/view_builder.rs
+++ b/crates/control/src/view_builder.rs
@@ -104,7 +104,7 @@
     /// Returns the route table, if there is one.
     pub(crate) fn table(&self) -> Option<Change> {
         let table = self.state.current_table().table()?;
-        Some(Change::Table(table.clone()))
+        Some(Change::of_table(table))
     }
 
     /// Returns the change that publishes a strike count; expired strikes count 0.
--- a/crates/entry/src/updates.rs
+++ b/crates/entry/src/updates.rs
@@ -85,6 +85,7 @@
             }
             Change::Settings(version, text) => self.apply_settings(version, &text),
             Change::Table(table) => self.adopt_table(table),
+            Change::GuardedTable(guarded) => self.adopt_table(guarded.into_table()),
             Change::ColdStartEstimate(model, ms) => {
                 self.fleet_view.set_cold_start_estimate(model, ms);
             }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -502,7 +502,10 @@
             }
             _ => {}
         }
-        if matches!(command, Command::PublishTable(_)) {
+        if matches!(
+            command,
+            Command::PublishTable(_) | Command::PublishGuardedTable(_)
+        ) {
             self.acknowledge_tables(&place);
         }
         if self.leading {
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -305,7 +305,7 @@
             version,
             "sending a host the route table that it asked for"
         );
-        let downward = Downward::Table(table.clone());
+        let downward = Downward::of_table(table);
         self.setup.links.send(host, Message::Downward(downward));
     }
 
--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -118,7 +118,7 @@
             ),
             Step::Propose => {
                 tracing::info!(version, "operator submitted a route table; committing it");
-                let command = Command::PublishTable(submitted);
+                let command = Command::publish_table(submitted);
                 self.propose_for(Waiter::Table(version), command.encode());
             }
         }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -8,6 +8,7 @@
 use cornelhitch_settings::process;
 use cornelhitch_types::demand::DemandReport;
 use cornelhitch_types::entry::Host;
+use cornelhitch_types::guarded_table::GuardedTable;
 use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Term, Time, Version};
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::{
@@ -214,6 +215,17 @@
     },
     /// The newest route table that the control host has.
     Table(Arc<RouteTable>),
+    /// The newest route table that the control host has, if it has teams.
+    GuardedTable(GuardedTable),
+}
+
+impl Downward {
+    /// Returns the message that carries a route table, which for a table without teams is
+    /// [`Downward::Table`].
+    #[must_use]
+    pub fn of_table(table: &Arc<RouteTable>) -> Self {
+        GuardedTable::of(table).map_or_else(|| Self::Table(table.clone()), Self::GuardedTable)
+    }
 }
 
 /// The content of one datagram, encoded with postcard.
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -12,7 +12,7 @@
 use cornelhitch_types::id::{HostId, Term, Version};
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::TargetSoftware;
-use cornelhitch_types::view::{Change, View};
+use cornelhitch_types::view::View;
 use cornelhitch_wire::hello::ProcessId;
 use serde::Serialize;
 use snafu::Snafu;
@@ -413,6 +413,9 @@
             Downward::Table(table) => {
                 let _ = self.setup.events.send(Event::Table(table));
             }
+            Downward::GuardedTable(guarded) => {
+                let _ = self.setup.events.send(Event::Table(guarded.into_table()));
+            }
             Downward::HeartbeatsTaken { .. } => {}
             Downward::Committed { call, reply } => self.answer(from, call, reply),
             Downward::Answer { call, json } => self.answer(from, call, json),
@@ -428,7 +431,7 @@
         let follows = view.term == self.term && view.from <= self.view;
         if view.from > 0 && !follows {
             for change in view.changes {
-                if let Change::Table(table) = change {
+                if let Some(table) = change.into_table() {
                     let _ = self.setup.events.send(Event::Table(table));
                 }
             }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod demand;
 pub mod entry;
+pub mod guarded_table;
 pub mod id;
 pub mod model;
 pub mod order;
--- a/crates/types/src/team.rs
+++ b/crates/types/src/team.rs
@@ -125,6 +125,24 @@
 }
 
 impl Access {
+    /// Returns whether requests on a route need a key.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use cornelhitch_types::team::{Access, Team};
+    ///
+    /// let team = Team { name: "red".into(), keys: Vec::new(), priority: None, quota: None };
+    /// let access = Access { teams: vec![Arc::new(team)], public_routes: vec!["status".into()] };
+    /// assert!(access.needs_key("reports"));
+    /// assert!(!access.needs_key("status"));
+    /// assert!(!Access::default().needs_key("reports"));
+    /// ```
+    #[must_use]
+    pub fn needs_key(&self, route: &str) -> bool {
+        let is_public = self.public_routes.iter().any(|public| &**public == route);
+        !self.teams.is_empty() && !is_public
+    }
+
     /// Returns the team that holds a key.
     #[must_use]
     pub fn team_of(&self, key: ApiKeyDigest) -> Option<&Arc<Team>> {
--- a/crates/types/src/view.rs
+++ b/crates/types/src/view.rs
@@ -10,6 +10,7 @@
 use strum::Display;
 
 use crate::entry;
+use crate::guarded_table::GuardedTable;
 use crate::id::{Incarnation, ModelId, Name, RegionId, ReplicaId, TargetId, Term, Version, ZoneId};
 use crate::route::RouteTable;
 use crate::target::{CacheEvent, Kind, Load, RequestRate};
@@ -124,6 +125,33 @@
     TargetLimit(TargetId, Incarnation, Option<RequestRate>),
     /// The crashes that are held against a prompt section changed; none ends its quarantine.
     SectionCrashes(u64, Vec<SectionCrash>),
+    /// The route table in force, if it has teams.
+    GuardedTable(GuardedTable),
+}
+
+impl Change {
+    /// Returns the change that publishes a route table, which for a table without teams is
+    /// [`Change::Table`].
+    #[must_use]
+    pub fn of_table(table: &Arc<RouteTable>) -> Self {
+        GuardedTable::of(table).map_or_else(|| Self::Table(table.clone()), Self::GuardedTable)
+    }
+
+    /// Returns the published route table; `None` if the change is about something else.
+    #[must_use]
+    pub fn into_table(self) -> Option<Arc<RouteTable>> {
+        match self {
+            Self::Table(table) => Some(table),
+            Self::GuardedTable(guarded) => Some(guarded.into_table()),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the change publishes a route table.
+    #[must_use]
+    pub fn is_table(&self) -> bool {
+        matches!(self, Self::Table(_) | Self::GuardedTable(_))
+    }
 }
 
 /// Changes that advance a view from one sequence number to another.
