Routes need a key if the table has teams

Cause: listeners served every request, whoever sent it. Change: the listener takes the key from the headers, finds the team by the key's digest and refuses with 401 before it reads the body, which is dropped as it arrives so that the answer is not lost with the connection. The team's priority replaces the route's at the host and at the target. Targets are told the team's name; a name that the caller sent is removed. The core refuses requests that have not been sent when their key is revoked, as not run, with 401: a retry with the same key cannot succeed.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -105,6 +105,9 @@
                 self.with_other_hosts(rejection.after(newest_table::RETRY_AFTER))
             });
         }
+        if let Some(rejection) = self.revocation_rejection(request) {
+            return Some(rejection);
+        }
         if !self.is_known(request) {
             let detail = format!("there is no {}", request.what);
             return refuse(Reason::Unknown, &detail);
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -46,6 +46,11 @@
 impl Core {
     /// Handles `Sent`: the owner has connected and asks to write the first byte.
     pub(crate) fn on_sent(&mut self, id: CallId, attempt: Attempt) {
+        let call = self.calls.get(&id);
+        let is_current = call.is_some_and(|call| call.run(attempt).is_some());
+        if is_current && self.refuse_if_revoked(id) {
+            return;
+        }
         let Some(run) = self.calls.get(&id).and_then(|call| call.run(attempt)) else {
             return;
         };
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -249,6 +249,7 @@
         if held > before {
             self.newest_table.adopt(held, self.now);
             self.dirty.extend(self.queue.keys());
+            self.refuse_revoked();
         }
     }
 
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -8,7 +8,7 @@
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::{Load, Statement, TargetSoftware};
-use cornelhitch_types::team::{Team, TokenUsage};
+use cornelhitch_types::team::{ApiKeyDigest, Team, TokenUsage};
 use cornelhitch_types::view::View;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter};
@@ -88,6 +88,9 @@
     /// The team that sends the request; `None` if its route needs no key.
     #[serde(skip)]
     pub team: Option<Arc<Team>>,
+    /// The digest of the key that the request carried; `None` if its route needs no key.
+    #[serde(skip)]
+    pub api_key: Option<ApiKeyDigest>,
     /// The token counts that the request states.
     #[serde(default)]
     pub usage: Option<TokenUsage>,
@@ -184,6 +187,7 @@
             bytes: 0,
             terms: None,
             team: None,
+            api_key: None,
             usage: None,
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -65,6 +65,7 @@
 mod held;
 mod leave;
 mod resume;
+mod revocation;
 mod stated;
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cornelhitch_entry::event::Request;
 use cornelhitch_target::client::{ApiFormat, RequestId};
-use cornelhitch_types::id::CallerId;
+use cornelhitch_types::id::{CallerId, Name};
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::refusal::Refusal;
 use http::{HeaderMap, Method, StatusCode};
@@ -71,6 +71,8 @@
     pub attempts: u32,
     /// The id of the last event that the caller has, if it resumes a stream.
     pub resume: Option<u64>,
+    /// The name of the team that sends the request, if its route needs a key.
+    pub team: Option<Name>,
 }
 
 /// A part of the answer to a caller.
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -17,8 +17,8 @@
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::refusal::{Reason, Refusal};
 use cornelhitch_types::route::{self, RetryPolicy, Route, RouteIndex, RouteTable};
-use cornelhitch_types::team::TokenUsage;
-use http::header::HOST;
+use cornelhitch_types::team::{ApiKeyDigest, TokenUsage};
+use http::header::{EXPECT, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
 use hyper::body::Incoming;
@@ -26,6 +26,7 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+use crate::authentication::authenticate;
 use crate::body::{self, Body};
 use crate::callers::{CallerGuard, caller_response};
 use crate::entry::Input;
@@ -34,7 +35,7 @@
 use crate::log_limit::LogLimiter;
 use crate::metrics::{Count, Metrics};
 use crate::problem::not_run;
-use crate::request_memory::RequestBodies;
+use crate::request_memory::{RequestBodies, drain};
 use crate::server::{HEAD_TIMEOUT, Service};
 
 /// Period after its start in which a host holds requests until it has a route table, which takes
@@ -94,6 +95,10 @@
     /// Returns a refusal that names the wrong header.
     fn read_metadata(&self, headers: &HeaderMap) -> Result<RequestMetadata, Refusal>;
 
+    /// Removes the API key, and whatever else could carry one, from the headers and returns the
+    /// key's digest; `None` if there is no single key. Called only for tables with teams.
+    fn take_api_key(&self, headers: &mut HeaderMap) -> Option<ApiKeyDigest>;
+
     /// Recognizes a request that this host answers itself; `None` if it needs a target.
     fn local_request(&self, method: &Method, uri: &Uri) -> Option<LocalRequest>;
 
@@ -246,17 +251,33 @@
         &self,
         id: u64,
         routes: &Routes,
-        parts: Parts,
+        mut parts: Parts,
         body: Incoming,
         from: SocketAddr,
     ) -> Result<(Call, Routed), Refusal> {
         let route = routes
             .find(&parts)
             .ok_or_else(|| not_run(Reason::Unknown, "no route has this host and path"))?;
+        let protocol = self.protocol.as_ref();
+        let expects_continue = parts.headers.contains_key(EXPECT);
+        let caller = authenticate(protocol, &routes.table, &route.name, &mut parts.headers);
+        let caller = match caller {
+            // A caller that does not wait for `100 Continue` may lose the answer if its connection
+            // is closed while it writes the body.
+            Err(refusal) if !expects_continue => {
+                drain(body);
+                return Err(refusal);
+            }
+            caller => caller?,
+        };
         let metadata = self.protocol.read_metadata(&parts.headers)?;
         let limit = routes.table.limits.max_body_bytes;
         let body = self.bodies.read(body, limit, from.ip()).await?;
-        build_call(id, route, &routes.table, metadata, parts, body, from)
+        let mut built = build_call(id, route, &routes.table, metadata, parts, body, from)?;
+        if let Some(caller) = caller {
+            caller.assign_to(&mut built.0, &mut built.1);
+        }
+        Ok(built)
     }
 
     /// Logs a request that was refused before it reached the core.
@@ -352,6 +373,7 @@
         rank: route.priority,
         attempts: if call.repeatable { route.attempts } else { 1 },
         resume: metadata.resume,
+        team: None,
     };
     Ok((call, routed))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod answer_memory;
 pub mod attempt;
+pub mod authentication;
 pub mod backlog;
 pub mod body;
 pub mod callers;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -117,6 +117,7 @@
             deadline: self.exchange.time_left(),
             rank: routed.rank,
             resume: self.resume,
+            team: routed.team.clone(),
         }
     }
 
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -159,6 +159,8 @@
     pub rank: u8,
     /// The id of the last event that the caller has, if a stream is resumed.
     pub resume: Option<u64>,
+    /// The name of the team that sends the request; `None` if it has none.
+    pub team: Option<Name>,
 }
 
 /// The reason why a target did not run a forwarded request.
