Messages by which hosts lease quotas, and the settings of quotas

Cause: quotas are to hold over all hosts; the shared types had no messages and the settings no window, overshoot and slack.

--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -165,6 +165,12 @@
     /// Window over which retries are counted, in milliseconds; 0 counts them on each host
     /// separately.
     pub retry_window_ms: f64,
+    /// Window over which teams' quotas are measured, in milliseconds.
+    pub quota_window_ms: f64,
+    /// Share by which a team may exceed its quota in a window.
+    pub quota_overshoot: f64,
+    /// Units by which a team may exceed its quota in a window besides.
+    pub quota_slack: f64,
 }
 
 impl Default for Serving {
@@ -182,6 +188,9 @@
             retry_ratio: 0.2,
             retry_slack: 64.0,
             retry_window_ms: 0.0,
+            quota_window_ms: 8_000.0,
+            quota_overshoot: 0.1,
+            quota_slack: 0.0,
         }
     }
 }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -255,6 +255,9 @@
         optional("retry-ratio", ValueType::Number(0.0, 10.0), "Retries that each first send earns for the entry hosts together; 0.2."),
         optional("retry-slack", ValueType::Number(0.0, 100_000.0), "Retries that all entry hosts together may make besides, in `retry-window-ms`; 64."),
         optional("retry-window-ms", ValueType::Number(0.0, 86_400_000.0), "The time over which retries are counted, in milliseconds; 0, the default, counts them on each host alone."),
+        optional("quota-window-ms", ValueType::Number(100.0, 86_400_000.0), "The time over which quotas of teams are measured, in milliseconds; 8000. Read by the leader."),
+        optional("quota-overshoot", ValueType::Number(0.0, 10.0), "The part by which a team may exceed its quota in `quota-window-ms`; 0.1. Read by the leader."),
+        optional("quota-slack", ValueType::Number(0.0, 1e12), "Units (tokens or requests) by which a team may exceed its quota in `quota-window-ms` besides; 0. Read by the leader."),
     ],
 };
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod model;
 pub mod order;
 pub mod prelude;
+pub mod quota;
 pub mod refusal;
 pub mod route;
 pub mod target;
