--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -50,6 +50,7 @@
 mod plan;
 mod planner_input;
 pub mod prelude;
+pub mod quota;
 mod replica_orders;
 pub mod replicas;
 mod rules;
