Hosts' allowances, charged before requests are queued

Cause: a host has to know what it may send of a team's quota without asking for each request. Change: entry::quota holds leased allowances ahead of a moving average of demand, asks at once for requests that they do not cover, and returns the rest; entry::charge charges requests before the queue, and again for each further send, and refuses with 429 or, without a leader, 503. Conclusion: requests of teams without a quota take the same path as before.

--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cornelhitch_types::id::{CallerId, Incarnation, Name, ReplicaId, TargetId, Version};
+use cornelhitch_types::quota;
 use cornelhitch_types::refusal::Refusal;
 use cornelhitch_types::target::RequestRate;
 use serde::{Deserialize, Serialize};
@@ -248,4 +249,7 @@
     CloseListener,
     /// All requests have ended: the process may exit.
     Drained,
+    /// Send the leader a report about teams' quotas; answered by
+    /// [`Event::Quota`](crate::event::Event::Quota).
+    ReportQuota(quota::Report),
 }
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -276,6 +276,7 @@
             trial_until: Time::ZERO,
             tried_knowing: Knowledge::default(),
             stalled: false,
+            charge: None,
             request,
         }
     }
@@ -406,8 +407,12 @@
         }
     }
 
-    /// Queues a request. If the queue exceeds its limit, sheds the request that is last in turn.
+    /// Queues a request, once it is charged. If the queue exceeds its limit, sheds the request that
+    /// is last in turn.
     pub(crate) fn enqueue(&mut self, id: CallId) {
+        if !self.charge(id) {
+            return;
+        }
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -49,7 +49,7 @@
         let Some(run) = self.calls.get(&id).and_then(|call| call.run(attempt)) else {
             return;
         };
-        if !self.still_accepts(run) {
+        if !self.still_accepts(run) || !self.spend_charge(id) {
             self.cancel_attempt(id);
             self.requeue(id, Duration::ZERO);
             return;
@@ -289,8 +289,11 @@
         let routed = call.request.terms.is_some();
         let declined = matches!(failure, Failure::Refused | Failure::WrongTarget);
         if routed && declined && run.progress == Progress::Sent {
-            call.undo_run();
+            self.undo_declined(id, attempt);
         }
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
         let (repeatable, progress) = (call.repeatable, call.progress);
         let service = matches!(call.request.what, RequestedResource::Service { .. });
         let (answered, fingerprint) = (call.answered, call.request.fingerprint);
@@ -536,7 +539,9 @@
         let within_budget = service.is_some_and(|service| self.budget_allows(&service));
         let within_limit = self.takes_requests_now(&run.place.target, run.incarnation);
         match same_place {
-            Some(candidate) if reachable && within_budget && within_limit => {
+            Some(candidate)
+                if reachable && within_budget && within_limit && !self.is_charged(id) =>
+            {
                 if let Some(call) = self.calls.get_mut(&id) {
                     call.stage = Stage::Waiting;
                 }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -32,6 +32,7 @@
 use crate::newest_table::{NewestTable, Statement};
 use crate::quarantine::Quarantine;
 use crate::queue::{Queue, QueueKey};
+use crate::quota::{Allowances, TeamCountersByName};
 use crate::request::{Call, Stage};
 use crate::route::Place;
 use crate::share::Shares;
@@ -91,6 +92,7 @@
     pub(crate) software: Software,
     pub(crate) cancelled: CancelledAttempts,
     pub(crate) budget: Budget,
+    pub(crate) allowances: Allowances,
     pub(crate) counters: Counters,
     pub(crate) orphaned_claims: OrphanedClaims,
     /// In-flight requests by place.
@@ -119,6 +121,7 @@
         let random = SmallRng::seed_from_u64(config.seed);
         let budget = Budget::new(&config.serving, now);
         let suspects = Suspects::new(config.serving.section_strikes);
+        let allowances = Allowances::new(config.incarnation);
         Self {
             config,
             now,
@@ -145,6 +148,7 @@
             software: Software::new(now),
             cancelled: CancelledAttempts::default(),
             budget,
+            allowances,
             counters: Counters::default(),
             orphaned_claims: OrphanedClaims::default(),
             in_flight: BTreeMap::new(),
@@ -217,6 +221,7 @@
                 self.shutdown.start(phases, self.now);
             }
             Event::Tick => {}
+            Event::Quota(answer) => self.on_quota(&answer),
         }
         self.process_due();
         std::mem::take(&mut self.actions)
@@ -288,6 +293,7 @@
             self.ejections.next_probe(),
             self.quarantine.next_expiry(),
             self.shutdown.next_step(),
+            self.allowances.next_wake(self.now),
         ];
         wakes.into_iter().flatten().min()
     }
@@ -417,6 +423,12 @@
         &self.counters
     }
 
+    /// Returns what teams used and were refused at this host.
+    #[must_use]
+    pub fn team_counters(&self) -> &TeamCountersByName {
+        self.allowances.counters()
+    }
+
     /// Returns a snapshot of the state for operators.
     #[must_use]
     pub fn dump(&self) -> Dump {
@@ -460,6 +472,7 @@
             self.dispatch(&key);
         }
         self.release_idle_reservations();
+        self.advance_allowances();
         self.advance_shutdown();
     }
 
@@ -528,6 +541,10 @@
             }
         }
         Stage::Running(_) => row.running += 1,
-        Stage::Claiming | Stage::AskingTrial | Stage::AskingOrigin | Stage::Recording => {}
+        Stage::Claiming
+        | Stage::AskingTrial
+        | Stage::AskingOrigin
+        | Stage::AwaitingAllowance
+        | Stage::Recording => {}
     }
 }
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -12,6 +12,7 @@
 use crate::event::{Attempt, CallId};
 use crate::quarantine::TargetInstance;
 use crate::queue::QueueKey;
+use crate::quota::Allowances;
 use crate::request::{Call, Claim, Progress};
 use crate::route::Place;
 use crate::target_limits::TargetLimits;
@@ -52,6 +53,8 @@
     pub budget: Budget,
     /// The limits that targets name.
     pub limits: TargetLimits,
+    /// What this host holds of teams' quotas.
+    pub quotas: Allowances,
     /// What targets state of themselves besides.
     pub notices: TargetNotices,
     /// All requests.
@@ -158,6 +161,7 @@
             services: core.counters.clone(),
             budget: core.budget.clone(),
             limits: core.target_limits.clone(),
+            quotas: core.allowances.clone(),
             notices: core.target_notices.clone(),
             calls,
         }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -6,6 +6,7 @@
 
 use cornelhitch_types::id::{CallerId, ClassId, Incarnation, Name, TargetId, Time, Version};
 use cornelhitch_types::model::Reference;
+use cornelhitch_types::quota;
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::{Load, Statement, TargetSoftware};
 use cornelhitch_types::team::{Team, TokenUsage};
@@ -415,4 +416,6 @@
     Drain,
     /// The time returned by `next_wake` has been reached.
     Tick,
+    /// The leader answered a report about teams' quotas.
+    Quota(quota::Answer),
 }
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -127,6 +127,7 @@
             self.set_timer(id, self.now + LINGER_TIMEOUT);
         } else {
             self.cancel_attempt(id);
+            self.release_charge(id);
             self.settle_claim(id);
         }
     }
@@ -271,6 +272,7 @@
         match call.stage {
             Stage::Claiming => self.claiming = self.claiming.saturating_sub(1),
             Stage::Waiting => self.queue.remove(&call.key, call.rank, id),
+            Stage::AwaitingAllowance => self.stop_awaiting_allowance(id),
             Stage::AskingTrial | Stage::AskingOrigin | Stage::Running(_) | Stage::Recording => {}
         }
     }
@@ -278,6 +280,7 @@
     /// Removes a request with its timers.
     pub(crate) fn remove_call(&mut self, id: CallId) {
         self.dequeue(id);
+        self.release_charge(id);
         if let Some(call) = self.calls.remove(&id) {
             self.timers.remove(&(call.timer, id));
             self.backoffs.remove(&(call.retry_at, id));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod prelude;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 pub mod request;
 pub mod retry_policy;
 pub mod route;
@@ -58,6 +59,7 @@
 
 mod admit;
 mod attempt;
+mod charge;
 mod choice;
 mod dispatch;
 mod fault;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -8,6 +8,7 @@
 use crate::cancelled::Suspect;
 use crate::event::{Attempt, Request};
 use crate::queue::{QueueKey, Rank};
+use crate::quota::Charge;
 use crate::route::Place;
 use crate::software::SoftwareVersion;
 use crate::suspects::{Knowledge, Suspicion};
@@ -57,6 +58,8 @@
     AskingTrial,
     /// Control's answer which version began the stream that it takes up.
     AskingOrigin,
+    /// The allowance of its team's quota.
+    AwaitingAllowance,
     /// A place to run.
     Waiting,
     /// The end of an attempt.
@@ -128,6 +131,8 @@
     pub tried_knowing: Knowledge,
     /// Whether its response stalled once and the attempt was cancelled for it.
     pub stalled: bool,
+    /// What it was charged, if its team has a quota.
+    pub charge: Option<Charge>,
 }
 
 impl Call {
