--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,6 +6,7 @@
 mod leading;
 mod members;
 pub(crate) mod origins;
+mod quotas;
 mod requests;
 mod strike_log;
 
@@ -19,6 +20,7 @@
 use cornelhitch_control::current_table::SubmittedTable;
 use cornelhitch_control::input::Input;
 use cornelhitch_control::leader::Leader;
+use cornelhitch_control::quota::Terms;
 use cornelhitch_control::state::State;
 use cornelhitch_control::submissions::Submissions;
 use cornelhitch_quorum::action::{self, Action, RejectReason};
@@ -122,6 +124,8 @@
     pub takers: watch::Sender<Vec<SocketAddr>>,
     /// Decides on membership changes, on clusters whose hosts join and leave without an operator.
     pub membership_policy: Option<MembershipPolicy>,
+    /// How far teams may go beyond their quotas.
+    pub quota_terms: Terms,
     /// Cancelled when the process stops.
     pub stop: CancellationToken,
     /// The instant from which the log's core measures time.
@@ -196,6 +200,8 @@
     pub(crate) reservations: Reservations,
     /// Trials of request parts that this leader granted.
     pub(crate) trials: Trials,
+    /// Quotas of teams, while this host leads.
+    pub(crate) quotas: Option<quotas::TermQuotas>,
     /// What this leader knows of the targets' software.
     pub(crate) software: SoftwareRegister,
     /// Heartbeats that this host takes while another one leads.
@@ -246,6 +252,7 @@
         renewals: HashMap::new(),
         reservations: Reservations::default(),
         trials: Trials::default(),
+        quotas: None,
         software: SoftwareRegister::default(),
         intake: Intake::new(setup.epoch.elapsed()),
         forwards: Forwards::default(),
@@ -373,6 +380,7 @@
         if self.leading {
             self.excuse_delayed_heartbeats();
             self.handle(Input::Tick);
+            self.advance_quotas();
             self.send_changed_voters();
             self.adjust_membership();
         } else {
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -43,6 +43,7 @@
                 tracing::info!(term, "this host now leads");
                 self.leading = true;
                 self.software = SoftwareRegister::new(self.now());
+                self.start_quotas();
                 self.handle(Input::Elected { term });
                 self.propose_initial_settings();
                 self.announce_leader(self.setup.me);
@@ -78,6 +79,7 @@
             self.handle(Input::LeadershipLost);
             self.reservations = Reservations::default();
             self.trials = Trials::default();
+            self.quotas = None;
             self.software = SoftwareRegister::default();
             self.refuse_origins(leader);
             self.forwards = Forwards::default();
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -212,6 +212,7 @@
         self.setup.session.send(Upward::Report(report));
         let core = &self.setup.core;
         self.setup.metrics.show_services(core.counters());
+        self.setup.metrics.show_teams(core.team_counters());
         let (load, draining, settings) = (core.load(), core.draining(), core.settings_version());
         self.setup.host_state.send_modify(|host| {
             host.load = load;
@@ -261,6 +262,7 @@
                 let until = until.saturating_duration_since(self.setup.epoch);
                 self.handle_event(Event::Lease { until, version });
             }
+            session::Event::Quota(answer) => self.handle_event(Event::Quota(answer)),
         }
     }
 
@@ -493,6 +495,7 @@
                 target,
                 incarnation,
             }),
+            Action::ReportQuota(report) => self.setup.session.send(Upward::Quota(report)),
             Action::ReportStreams { streams } => {
                 self.setup.session.send(Upward::StreamsBegun(streams));
             }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -9,6 +9,7 @@
 use cornelhitch_types::demand::DemandReport;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Term, Time, Version};
+use cornelhitch_types::quota;
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::{
     AnnouncedHeartbeat, Announcement, Heartbeat, RequestRate, TargetSoftware,
@@ -117,6 +118,8 @@
         /// The version that the host has; 0 if it has none.
         held: Version,
     },
+    /// What an entry host holds of teams' quotas, and what it needs.
+    Quota(quota::Report),
 }
 
 /// A query that only the leader can answer; the answer is JSON.
@@ -214,6 +217,8 @@
     },
     /// The newest route table that the control host has.
     Table(Arc<RouteTable>),
+    /// The answer to a report about teams' quotas.
+    Quota(quota::Answer),
 }
 
 /// The content of one datagram, encoded with postcard.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -7,7 +7,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use cornelhitch_control::quota::TeamState;
 use cornelhitch_entry::counters::{Counters, ServiceCounters};
+use cornelhitch_entry::quota::{TeamCounters, TeamCountersByName};
 use cornelhitch_types::refusal::{Reason, Refusal};
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use serde::Serialize;
@@ -133,6 +135,74 @@
     },
 ];
 
+/// A counter that is kept for each team.
+struct TeamCount {
+    name: &'static str,
+    read: fn(&TeamCounters) -> u64,
+}
+
+/// The counters that an entry host keeps for each team with a quota.
+const TEAM_COUNTS: [TeamCount; 6] = [
+    TeamCount {
+        name: "cornelhitch_team_sends_total",
+        read: |counters| counters.sends,
+    },
+    TeamCount {
+        name: "cornelhitch_team_charged_total",
+        read: |counters| counters.charged,
+    },
+    TeamCount {
+        name: "cornelhitch_team_declined_total",
+        read: |counters| counters.declined,
+    },
+    TeamCount {
+        name: "cornelhitch_team_expired_total",
+        read: |counters| counters.expired,
+    },
+    TeamCount {
+        name: "cornelhitch_team_refused_total",
+        read: |counters| counters.refused,
+    },
+    TeamCount {
+        name: "cornelhitch_team_unanswered_total",
+        read: |counters| counters.unanswered,
+    },
+];
+
+/// A figure of a team's bucket.
+struct BucketFigure {
+    name: &'static str,
+    read: fn(&TeamState) -> u64,
+}
+
+/// The figures that the leader shows for each team with a quota.
+const BUCKET_FIGURES: [BucketFigure; 6] = [
+    BucketFigure {
+        name: "cornelhitch_quota_available",
+        read: |state| state.available,
+    },
+    BucketFigure {
+        name: "cornelhitch_quota_held",
+        read: |state| state.held,
+    },
+    BucketFigure {
+        name: "cornelhitch_quota_granted_total",
+        read: |state| state.totals.granted,
+    },
+    BucketFigure {
+        name: "cornelhitch_quota_spent_total",
+        read: |state| state.totals.spent,
+    },
+    BucketFigure {
+        name: "cornelhitch_quota_expired_total",
+        read: |state| state.totals.expired,
+    },
+    BucketFigure {
+        name: "cornelhitch_quota_refused_total",
+        read: |state| state.totals.refused,
+    },
+];
+
 /// The metrics of one process; clones share them.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -148,6 +218,10 @@
     reasons: Vec<AtomicU64>,
     /// Requests and repeats of each service, as last published by the entry task.
     services: Mutex<Counters>,
+    /// What teams used and were refused, as last published by the entry task.
+    teams: Mutex<TeamCountersByName>,
+    /// The buckets of teams, as last published by the control task.
+    buckets: Mutex<Vec<TeamState>>,
     histograms: Vec<Histogram<f64>>,
     latencies: Vec<Latency>,
 }
@@ -169,6 +243,8 @@
             totals: Count::iter().map(|_| AtomicU64::new(0)).collect(),
             reasons: Reason::iter().map(|_| AtomicU64::new(0)).collect(),
             services: Mutex::default(),
+            teams: Mutex::default(),
+            buckets: Mutex::default(),
             histograms: Timing::iter().map(histogram).collect(),
             latencies: Timing::iter().map(|_| Latency::default()).collect(),
         };
@@ -272,6 +348,31 @@
         }
     }
 
+    /// Publishes what teams used and were refused at this host.
+    ///
+    /// ```
+    /// use cornelhitch_entry::quota::TeamCountersByName;
+    /// use cornelhitch_node::metrics::Metrics;
+    ///
+    /// let (metrics, mut counters) = (Metrics::default(), TeamCountersByName::default());
+    /// counters.of(&"night-desk".into()).refused = 2;
+    /// metrics.show_teams(&counters);
+    /// assert!(metrics.text().contains("cornelhitch_team_refused_total{team=\"night-desk\"} 2\n"));
+    /// ```
+    pub fn show_teams(&self, counters: &TeamCountersByName) {
+        let teams = &self.instruments.teams;
+        let mut published = teams.lock().unwrap_or_else(PoisonError::into_inner);
+        if *published != *counters {
+            published.clone_from(counters);
+        }
+    }
+
+    /// Publishes the state of teams' buckets at the leader.
+    pub fn show_buckets(&self, states: Vec<TeamState>) {
+        let buckets = &self.instruments.buckets;
+        *buckets.lock().unwrap_or_else(PoisonError::into_inner) = states;
+    }
+
     /// Returns a counter's total since the start of the process.
     #[must_use]
     pub fn sum(&self, count: Count) -> u64 {
@@ -310,12 +411,40 @@
             }
         }
         drop(services);
+        self.write_teams(&mut text);
         for timing in Timing::iter() {
             let name = prometheus_name(timing.into());
             self.instruments.latencies[timing as usize].write(&name, &mut text);
         }
         text
     }
+
+    /// Writes the metrics of teams with quotas.
+    fn write_teams(&self, text: &mut String) {
+        let teams = &self.instruments.teams;
+        let teams = teams.lock().unwrap_or_else(PoisonError::into_inner);
+        for TeamCount { name, read } in TEAM_COUNTS {
+            for (team, counters) in teams.iter() {
+                let (team, count) = (label_value(team), read(counters));
+                let _ = writeln!(text, "{name}{{team=\"{team}\"}} {count}");
+            }
+        }
+        let buckets = &self.instruments.buckets;
+        let buckets = buckets.lock().unwrap_or_else(PoisonError::into_inner);
+        for BucketFigure { name, read } in BUCKET_FIGURES {
+            for state in buckets.iter() {
+                let (team, figure) = (label_value(&state.team), read(state));
+                let _ = writeln!(text, "{name}{{team=\"{team}\"}} {figure}");
+            }
+        }
+    }
+}
+
+/// Escapes the characters that end a label's value in the Prometheus text format.
+fn label_value(name: &str) -> String {
+    name.replace('\\', "\\\\")
+        .replace('"', "\\\"")
+        .replace('\n', "\\n")
 }
 
 /// Converts a metric name to the characters that Prometheus allows.
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -10,6 +10,7 @@
 use cornelhitch_settings::process;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Term, Version};
+use cornelhitch_types::quota;
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::TargetSoftware;
 use cornelhitch_types::view::{Change, View};
@@ -75,6 +76,8 @@
         /// The settings version that the lease is for.
         version: Version,
     },
+    /// The leader answered a report about teams' quotas.
+    Quota(quota::Answer),
 }
 
 /// Why a call failed.
@@ -414,6 +417,10 @@
                 let _ = self.setup.events.send(Event::Table(table));
             }
             Downward::HeartbeatsTaken { .. } => {}
+            Downward::Quota(answer) => {
+                self.record_leader_message(from);
+                let _ = self.setup.events.send(Event::Quota(answer));
+            }
             Downward::Committed { call, reply } => self.answer(from, call, reply),
             Downward::Answer { call, json } => self.answer(from, call, json),
         }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -9,6 +9,7 @@
 use cornelhitch_control::command::Command;
 use cornelhitch_control::current_settings::Apply;
 use cornelhitch_control::leader::Leader;
+use cornelhitch_control::quota::Terms;
 use cornelhitch_entry::config::Config;
 use cornelhitch_entry::core::Core;
 use cornelhitch_planner::policy::Policy;
@@ -226,6 +227,7 @@
             initial_settings: self.initial_settings()?,
             registry: self.process.registry,
             takers,
+            quota_terms: Terms::from(&self.process.serving),
             membership_policy: seeded.then(|| self.membership_policy()),
             stop: self.stop.clone(),
             epoch: self.epoch,
--- a/crates/node/src/upward.rs
+++ b/crates/node/src/upward.rs
@@ -69,6 +69,7 @@
                 let now = self.now();
                 self.software.record_streams(streams, now);
             }
+            Upward::Quota(report) => self.quota_report(from, &report),
             Upward::Ask { call, question } => self.answer_question(from.host, call, question),
             about_target => self.on_target_report(from.host, about_target),
         }
@@ -193,6 +194,7 @@
             "digest": hex(&self.state.digest()),
             "state": self.state.dump(),
             "software": self.software.dump(),
+            "quotas": self.dump_quotas(),
             "leader": self.setup.leader.dump(&self.state, self.unix_time()),
         })
     }
