--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -10,6 +10,7 @@
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::guarded_table::GuardedTable;
 use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Term, Time, Version};
+use cornelhitch_types::quota;
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::{
     AnnouncedHeartbeat, Announcement, Heartbeat, RequestRate, TargetSoftware,
@@ -118,6 +119,8 @@
         /// The version that the host has; 0 if it has none.
         held: Version,
     },
+    /// What an entry host holds of teams' quotas, and what it needs.
+    Quota(quota::Report),
 }
 
 /// A query that only the leader can answer; the answer is JSON.
@@ -217,6 +220,8 @@
     Table(Arc<RouteTable>),
     /// The newest route table that the control host has, if it has teams.
     GuardedTable(GuardedTable),
+    /// The answer to a report about teams' quotas.
+    Quota(quota::Answer),
 }
 
 impl Downward {
