Setting `serving.routing`; targets' slots and pace; features that a deployment requires

Cause: targets state their slots and how long work takes there now, and a deployment names what it requires; neither was read. Change: `LoadReport` (load, slots, pace) in place of `Load` in responses of targets; `serving.routing`, `load` by default; `features`, a list of names that the platform's crate maps to settings (`pressure` to expected-time routing) and otherwise ignores.

--- a/crates/cornelhitch/src/daemon.rs
+++ b/crates/cornelhitch/src/daemon.rs
@@ -253,7 +253,7 @@
 ///
 /// # Errors
 /// The host fails to start.
-pub async fn run(process: ProcessSettings) -> Result<(), Error> {
+pub async fn run(mut process: ProcessSettings) -> Result<(), Error> {
     let metrics_provider = match &process.otlp {
         Some(endpoint) => Some(telemetry::export(endpoint)?),
         None => None,
@@ -263,12 +263,15 @@
     let sockets = Sockets::bind(&process).await?;
     let protocols = match process.protocol {
         Protocol::Own => Protocols::default(),
-        Protocol::Platform => cornelhitch_platform::protocols(process.host),
+        Protocol::Platform => {
+            cornelhitch_platform::feature::apply(&mut process);
+            cornelhitch_platform::protocols(process.host)
+        }
     };
     let file = process.file.clone();
     tracing::info!(
         host = process.host, zone = &*process.zone, roles = ?process.roles, seeds = ?process.seeds,
-        bootstrap = process.bootstrap, "starting"
+        bootstrap = process.bootstrap, routing = %process.serving.routing, "starting"
     );
     let node = Node::start_with(process, sockets, protocols)?;
     tracing::info!(addresses = ?node.addresses, "started");
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -87,6 +87,10 @@
     /// Settings of an entry host.
     #[serde(default)]
     pub serving: Serving,
+    /// Names of features that the deployment requires; the protocol maps those that it knows to
+    /// settings, and ignores the others.
+    #[serde(default)]
+    pub features: Vec<String>,
     /// Whether only hosts of this cluster can reach `peers` and `operators`, so that `keys` and
     /// `token` may be left out.
     #[serde(default)]
@@ -165,6 +169,22 @@
     /// Window over which retries are counted, in milliseconds; 0 counts them on each host
     /// separately.
     pub retry_window_ms: f64,
+    /// How the target of a request is chosen.
+    pub routing: Routing,
+}
+
+/// How the target of a request is chosen.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Routing {
+    /// By the number of requests in flight.
+    #[default]
+    Load,
+    /// By the expected time to the first byte of the response.
+    ExpectedTime,
 }
 
 impl Default for Serving {
@@ -182,6 +202,7 @@
             retry_ratio: 0.2,
             retry_slack: 64.0,
             retry_window_ms: 0.0,
+            routing: Routing::Load,
         }
     }
 }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -219,6 +219,7 @@
         optional("ready", ValueType::Text(TextFormat::Address), "Where others ask whether this host takes requests, besides `callers`; for the role entry."),
         optional("metrics", ValueType::Text(TextFormat::Address), "Where counters are read as text."),
         optional("serving", ValueType::Map(&SERVING), "How an entry host serves."),
+        optional("features", ValueType::List(&ValueType::Text(TextFormat::Sentence)), "Names of features that the deployment requires. The protocol `platform` sets `serving` by those that it knows; others have no effect."),
         optional("trusted-network", ValueType::Bool, "Whether only hosts of this cluster reach `peers` and `operators`, so that `keys` and `token` may be left out."),
         optional("data", ValueType::Text(TextFormat::Path), "The folder for durable state; for the role control, and only for it."),
         optional("keys", ValueType::Text(TextFormat::Path), "The file with the keys that peers share, one a line; the first is used to send; required without `trusted-network`."),
@@ -255,6 +256,7 @@
         optional("retry-ratio", ValueType::Number(0.0, 10.0), "Retries that each first send earns for the entry hosts together; 0.2."),
         optional("retry-slack", ValueType::Number(0.0, 100_000.0), "Retries that all entry hosts together may make besides, in `retry-window-ms`; 64."),
         optional("retry-window-ms", ValueType::Number(0.0, 86_400_000.0), "The time over which retries are counted, in milliseconds; 0, the default, counts them on each host alone."),
+        optional("routing", ValueType::Choice(&["load", "expected-time"]), "How the target of a request is chosen: by the number of requests in flight, or by the expected time to the first byte of the response; load."),
     ],
 };
 
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -8,7 +8,7 @@
 use cornelhitch_types::id::{Name, ReplicaId, TargetId};
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::order::{Order, Outcome};
-use cornelhitch_types::target::{Inspection, Load, Statement};
+use cornelhitch_types::target::{Inspection, LoadReport, Statement};
 use futures_util::stream::BoxStream;
 use http::{HeaderMap, Method, StatusCode};
 use strum::{Display, EnumIter, EnumString};
@@ -180,7 +180,7 @@
     /// The reason why the target did not run the request, if it states that it did not.
     pub declined: Option<DeclineReason>,
     /// The load that the target reported with the response.
-    pub load: Option<Load>,
+    pub load: Option<LoadReport>,
     /// What the target states of itself.
     pub statement: Statement,
     /// The response body.
--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -280,6 +280,7 @@
         directory: None,
         ready: None,
         metrics: None,
+        features: Vec::new(),
         serving: Serving::default(),
         protocol: Protocol::Own,
         zones: Vec::new(),
--- a/crates/types/src/target.rs
+++ b/crates/types/src/target.rs
@@ -191,6 +191,37 @@
     }
 }
 
+/// How long work takes at a target now, in hundredths of the usual time: 100 is as usual, 250 is 2.5
+/// times as long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Pace(pub u32);
+
+impl Pace {
+    /// Returns the time that work takes relative to the usual time.
+    ///
+    /// ```
+    /// use cornelhitch_types::target::Pace;
+    ///
+    /// assert!((Pace(250).ratio() - 2.5).abs() < 1e-9);
+    /// ```
+    #[must_use]
+    pub fn ratio(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
+/// What a target reports of its load with a response, measured when the response began.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Running and queued requests.
+    pub load: Load,
+    /// Requests that it runs concurrently, if it states them.
+    pub slots: Option<u32>,
+    /// How long work takes there now, if it states that.
+    pub pace: Option<Pace>,
+}
+
 /// A change to a prefix cache; events arrive late, and some are lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
