Routing by expected time, behind `serving.routing`

Change: `expected_time` (cost and router), `pace` (stated and observed speed of each target), `prompt_speed` (time of a prompt token, learned), `work_ahead` (own prompt tokens in flight), `busy_share` (share of time with prompts to process), `peer_load` and `peer_reporter` (work in flight that the entry hosts of a region tell each other in datagrams, 8 kB a second and host at most). Preferred targets of shared prompt parts are weighted by speed, three a part. With `load`, none of this is read or written, and no datagram is sent.

--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cornelhitch_types::id::{CallerId, Incarnation, Name, ReplicaId, TargetId, Version};
+use cornelhitch_types::id::{CallerId, HostId, Incarnation, Name, ReplicaId, TargetId, Version};
 use cornelhitch_types::refusal::Refusal;
 use cornelhitch_types::target::RequestRate;
 use serde::{Deserialize, Serialize};
 
 use crate::claim;
 use crate::event::{Attempt, CallId, Digest};
+use crate::peer_load::PeerReport;
 use crate::software::StreamBegun;
 use crate::suspects::Suspicion;
 
@@ -225,6 +226,13 @@
         /// The incarnation of the target.
         incarnation: Incarnation,
     },
+    /// Tell other entry hosts of the region what this host has in flight; the message may be lost.
+    TellPeers {
+        /// The hosts, with the incarnations of their processes.
+        hosts: Vec<(HostId, Incarnation)>,
+        /// What this host has in flight.
+        report: PeerReport,
+    },
     /// Send a demand report now: a request waits for a model or adapter that is not ready anywhere.
     Report,
     /// Ask control for the complete view: changes were lost.
--- a/crates/entry/src/affinity.rs
+++ b/crates/entry/src/affinity.rs
@@ -26,7 +26,7 @@
 const GAP_TRUST_FACTOR: f64 = 0.5;
 
 /// Number of tokens in one block, where the sizes of prefixes are known.
-const BLOCK_TOKENS: f64 = 177.0;
+pub const BLOCK_TOKENS: f64 = 177.0;
 
 /// The last known state of one prefix on one target.
 #[derive(Debug, Clone, Copy, Serialize)]
@@ -146,15 +146,65 @@
     sizes: &[u32],
 ) -> Option<(&'a TargetId, f64)> {
     let shared = prefixes.len().checked_sub(2)?;
-    let weight = |target: &&TargetId| {
-        let mut hasher = DefaultHasher::new();
-        (prefixes[shared], &***target).hash(&mut hasher);
-        hasher.finish()
-    };
+    let weight = |target: &&TargetId| hash(prefixes[shared], target);
     let target = targets.into_iter().max_by_key(weight)?;
     Some((target, length(shared, sizes) * PREFERRED_TRUST))
 }
 
+/// Returns the targets that all hosts prefer for prompts that share all but their last part, as
+/// indices of `targets`, which come with their weights, best first, and the length of the shared part in blocks. Empty if there is
+/// no shared part.
+///
+/// Targets are first for a share of the prompts in proportion to their weights (weighted rendezvous
+/// hashing, Schindelhauer and Schomaker 2005). A host that finds the first one busy takes the next one, so that the
+/// shared part is held by few targets (consistent hashing with bounded loads, Mirrokni et al. 2016).
+///
+/// ```
+/// use cornelhitch_entry::affinity::preference_order;
+/// use cornelhitch_types::id::TargetId;
+///
+/// let targets: [TargetId; 3] = ["worker-1".into(), "worker-2".into(), "worker-3".into()];
+/// let weighted = targets.iter().map(|target| (target, 1.0));
+/// let (order, blocks) = preference_order(weighted, &[7, 8], &[], 2);
+/// assert_eq!((order.len(), blocks), (2, 1.0));
+/// ```
+pub fn preference_order<'a>(
+    targets: impl IntoIterator<Item = (&'a TargetId, f64)>,
+    prefixes: &[u64],
+    sizes: &[u32],
+    count: usize,
+) -> (Vec<usize>, f64) {
+    let Some(shared) = prefixes.len().checked_sub(2) else {
+        return (Vec::new(), 0.0);
+    };
+    let mut best: Vec<(f64, usize)> = Vec::with_capacity(count + 1);
+    for (index, (target, weight)) in targets.into_iter().enumerate() {
+        let weight = weighted_score(hash(prefixes[shared], target), weight);
+        let position = best.partition_point(|(known, _)| *known >= weight);
+        if position < count {
+            best.insert(position, (weight, index));
+            best.truncate(count);
+        }
+    }
+    let order = best.into_iter().map(|(_, index)| index);
+    (order.collect(), length(shared, sizes))
+}
+
+/// Returns the score of a target with this weight in rendezvous hashing; the largest is the best.
+fn weighted_score(hash: u64, weight: f64) -> f64 {
+    // The upper 32 bits, as a number between 0 and 1, both excluded.
+    let upper = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
+    let uniform = (f64::from(upper) + 0.5) / 4_294_967_296.0;
+    -weight / uniform.ln()
+}
+
+/// Returns the hash of a target for a prefix in rendezvous hashing.
+fn hash(prefix: u64, target: &TargetId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (prefix, &**target).hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Cache {
     /// Applies one event.
     fn apply(&mut self, event: CacheEvent) {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::core::Core;
 use crate::durations::Kind;
 use crate::event::{Attempt, CallId, Failure, RequestedResource};
+use crate::expected_time::Work;
 use crate::fault::Fault;
 use crate::finish::Rejection;
 use crate::queue::{QueueKey, RESUME_WEIGHT};
@@ -180,6 +181,7 @@
         let first = call.progress < Progress::Begun;
         call.progress = Progress::Begun;
         let key = call.key.clone();
+        self.observe_first_byte(id, elapsed);
         if answered {
             return;
         }
@@ -295,6 +297,9 @@
         let service = matches!(call.request.what, RequestedResource::Service { .. });
         let (answered, fingerprint) = (call.answered, call.request.fingerprint);
         let suspect = call.suspect(&run);
+        if !declined && failure != Failure::Connect {
+            self.observe_failure(&run.place.target);
+        }
         self.record_failure(&run, suspect, failure);
         if failure == Failure::Stalled {
             self.remember_cancelled(id, &run);
@@ -573,6 +578,7 @@
             cached: 0.0,
             distance_ms: 0.0,
             price: 0.0,
+            work: Work::default(),
         })
     }
 }
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use cornelhitch_settings::process::Serving;
+use cornelhitch_settings::process::{Routing, Serving};
 use cornelhitch_types::id::{HostId, Incarnation, RegionId, ZoneId};
 
 use crate::route::{self, Router};
@@ -86,11 +86,11 @@
         self
     }
 
-    /// Sets the seed, and replaces the router by the default one with this seed.
+    /// Sets the seed, and replaces the router by the one of the settings with this seed.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
         self.seed = seed;
-        self.router = Box::new(route::TwoChoiceRouter::with_all_costs(seed));
+        self.router = route::router(self.serving.routing, seed);
         self
     }
 
@@ -108,10 +108,14 @@
         self
     }
 
-    /// Sets the process settings for serving requests.
+    /// Sets the process settings for serving requests, and replaces the router if they name another
+    /// one than the default.
     #[must_use]
     pub fn serving(mut self, serving: Serving) -> Self {
         self.serving = serving;
+        if serving.routing != Routing::default() {
+            self.router = route::router(serving.routing, self.seed);
+        }
         self
     }
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -39,6 +39,7 @@
 use crate::suspects::Suspects;
 use crate::target_limits::TargetLimits;
 use crate::target_notices::TargetNotices;
+use crate::timing::Timing;
 
 /// Interval at which the queue is searched for requests that can no longer meet their deadline.
 const SWEEP_INTERVAL: Time = Time::from_millis(100);
@@ -81,6 +82,7 @@
     pub(crate) latencies: Latencies,
     pub(crate) durations: Durations,
     pub(crate) shares: Shares,
+    pub(crate) timing: Timing,
     pub(crate) target_limits: TargetLimits,
     pub(crate) target_notices: TargetNotices,
     pub(crate) ejections: Ejections,
@@ -135,6 +137,7 @@
             latencies: Latencies::default(),
             durations: Durations::default(),
             shares: Shares::default(),
+            timing: Timing::default(),
             target_limits: TargetLimits::default(),
             target_notices: TargetNotices::default(),
             ejections: Ejections::default(),
@@ -212,6 +215,7 @@
                 incarnation,
                 statement,
             } => self.on_stated(&target, incarnation, statement),
+            Event::PeerReport(received) => self.on_peer_report(&received),
             Event::Drain => {
                 let phases = Phases::from(&self.config.serving);
                 self.shutdown.start(phases, self.now);
@@ -288,6 +292,7 @@
             self.ejections.next_probe(),
             self.quarantine.next_expiry(),
             self.shutdown.next_step(),
+            self.next_peer_report(),
         ];
         wakes.into_iter().flatten().min()
     }
@@ -460,6 +465,7 @@
             self.dispatch(&key);
         }
         self.release_idle_reservations();
+        self.report_to_peers();
         self.advance_shutdown();
     }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::core::Core;
 use crate::estimate::Supply;
 use crate::event::{CallId, RequestedResource};
+use crate::expected_time::Work;
 use crate::fault::Fault;
 use crate::fleet_view::Target;
 use crate::quarantine::TargetInstance;
@@ -117,20 +118,14 @@
             replica,
         };
         // A target that reports its slots shares them among all replicas that it holds.
-        let own = match view.slots {
+        let slots = self.slots(target);
+        let own = match slots {
             Some(_) => self.own_in_flight(&view.target),
             None => self.in_flight.get(&place).copied().unwrap_or(0),
         };
         let concurrency = self.catalogue.concurrency(model.map(|model| &**model));
-        let capacity = view.slots.unwrap_or(concurrency);
-        let (distance_ms, _) =
-            self.catalogue
-                .distance_and_price(&self.config.region, &view.region, 0);
-        let zone_ms = if view.zone == self.config.zone {
-            0.0
-        } else {
-            0.5
-        };
+        let capacity = slots.unwrap_or(concurrency);
+        let distance_ms = self.distance_ms(target);
         let reported = view.load.running.saturating_add(view.load.queued);
         let candidate = Candidate {
             incarnation: view.incarnation,
@@ -142,11 +137,12 @@
             age: self.now.saturating_sub(target.measured),
             capacity,
             cached: 0.0,
-            distance_ms: distance_ms + zone_ms,
+            distance_ms,
             price: 0.0,
+            work: Work::default(),
             place,
         };
-        let limit = match view.slots {
+        let limit = match slots {
             Some(slots) => slots,
             None => self.limit(&candidate, capacity),
         };
@@ -161,6 +157,23 @@
         })
     }
 
+    /// Returns the round-trip time to a target in milliseconds.
+    fn distance_ms(&self, target: &Target) -> f64 {
+        let view = &target.view;
+        let (region_ms, _) =
+            self.catalogue
+                .distance_and_price(&self.config.region, &view.region, 0);
+        if self.uses_expected_time() {
+            return self.expected_distance_ms(region_ms, target);
+        }
+        let zone_ms = if view.zone == self.config.zone {
+            0.0
+        } else {
+            0.5
+        };
+        region_ms + zone_ms
+    }
+
     /// Returns how many requests this host may have in flight at a place that does not report
     /// slots.
     fn limit(&self, candidate: &Candidate, capacity: u32) -> u32 {
@@ -277,9 +290,15 @@
             .iter()
             .map(|index| self.with_request_costs(call, &options[*index].candidate))
             .collect();
-        credit_preferred(call, &mut candidates);
+        if self.uses_expected_time() {
+            self.credit_caches(call, &mut candidates);
+        } else {
+            credit_preferred(call, &mut candidates);
+        }
         let response_ms = response_time.as_secs_f64() * 1_000.0;
+        self.observe_busy(&mut candidates);
         let chosen = self.config.router.choose(response_ms, &candidates)?;
+        self.observe_choice(id, &candidates[chosen]);
         fitting.get(chosen).copied()
     }
 
@@ -358,6 +377,9 @@
                 .caches
                 .blocks(target, &reference.model, prefixes, sizes);
         }
+        if self.uses_expected_time() {
+            candidate.work = self.work_at(call, &candidate);
+        }
         candidate
     }
 
--- a/crates/entry/src/estimate.rs
+++ b/crates/entry/src/estimate.rs
@@ -32,6 +32,12 @@
         Duration::from_secs_f64(seconds.unwrap_or(0.0))
     }
 
+    /// Returns the mean time to the first byte of a response, or `None` if none was measured.
+    #[must_use]
+    pub fn first_byte(&self) -> Option<Duration> {
+        self.first_byte.map(Duration::from_secs_f64)
+    }
+
     /// Returns the mean time for which a request occupies a slot, or `None` if none was measured.
     #[must_use]
     pub fn response_time(&self) -> Option<Duration> {
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -7,7 +7,7 @@
 use cornelhitch_types::id::{CallerId, ClassId, Incarnation, Name, TargetId, Time, Version};
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::route::RouteTable;
-use cornelhitch_types::target::{Load, Statement, TargetSoftware};
+use cornelhitch_types::target::{LoadReport, Statement, TargetSoftware};
 use cornelhitch_types::team::{Team, TokenUsage};
 use cornelhitch_types::view::View;
 use serde::{Deserialize, Serialize};
@@ -15,6 +15,7 @@
 
 use crate::claim;
 use crate::newest_table;
+use crate::peer_load::ReceivedReport;
 use crate::software::OriginAnswer;
 use crate::suspects::Parts;
 
@@ -408,9 +409,11 @@
         target: TargetId,
         /// The incarnation of the target.
         incarnation: Incarnation,
-        /// Its load.
-        load: Load,
+        /// Its load, with its slots and pace if it states them.
+        load: LoadReport,
     },
+    /// Another entry host of the region told what it has in flight.
+    PeerReport(ReceivedReport),
     /// The process was asked to shut down.
     Drain,
     /// The time returned by `next_wake` has been reached.
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -175,6 +175,7 @@
                 self.in_flight.remove(&run.place);
             }
         }
+        self.observe_end(id);
         self.release_fingerprint(fingerprint, &run.place.target);
         if run.reserved {
             let instance: TargetInstance = (run.place.target, run.incarnation);
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -8,12 +8,15 @@
 
 use std::net::SocketAddr;
 
+use cornelhitch_settings::process::Routing;
 use cornelhitch_types::id::{Incarnation, RegionId, ReplicaId, TargetId, Time, ZoneId};
 use rand::rngs::SmallRng;
 use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
+use crate::expected_time::{ExpectedTimeRouter, Work};
+
 /// Where a request runs: a target and, for a model, one of its replicas.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Place {
@@ -50,6 +53,8 @@
     pub distance_ms: f64,
     /// Network price of the request's bytes.
     pub price: f64,
+    /// What is known of the target's work; only set for expected-time routing.
+    pub work: Work,
 }
 
 /// The inputs of a cost term besides the candidate.
@@ -74,6 +79,15 @@
     fn choose(&mut self, response_ms: f64, candidates: &[Candidate]) -> Option<usize>;
 }
 
+/// Returns the router for a setting, with this seed.
+#[must_use]
+pub fn router(routing: Routing, seed: u64) -> Box<dyn Router> {
+    match routing {
+        Routing::Load => Box::new(TwoChoiceRouter::with_all_costs(seed)),
+        Routing::ExpectedTime => Box::new(ExpectedTimeRouter::new(seed)),
+    }
+}
+
 /// The cost of load: this host's own in-flight requests, and the reported ones of other hosts,
 /// whose weight decays with the age of the report.
 ///
--- a/crates/entry/src/updates.rs
+++ b/crates/entry/src/updates.rs
@@ -2,7 +2,7 @@
 
 use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Version};
 use cornelhitch_types::refusal::Reason;
-use cornelhitch_types::target::Load;
+use cornelhitch_types::target::LoadReport;
 use cornelhitch_types::view::{self, Change, View};
 
 use crate::action::Action;
@@ -73,6 +73,7 @@
             }
             Change::EntryRemoved(host) => {
                 self.fleet_view.hosts.remove(&host);
+                self.forget_peer(host);
             }
             Change::Cache(target, events) => self.caches.apply(&target, events),
             Change::StrikeCount(fingerprint, strikes) => {
@@ -120,6 +121,7 @@
             self.ejections.readmit(&id);
             self.health.forget(&id);
             self.caches.forget(&id);
+            self.forget_timing(&id);
         }
         self.target_limits.forget_before(&id, incarnation);
         self.target_notices.forget_before(&id, incarnation);
@@ -170,14 +172,20 @@
     }
 
     /// Updates the load of a target that reported it with a response.
-    pub(crate) fn on_loaded(&mut self, target: &TargetId, incarnation: Incarnation, load: Load) {
+    pub(crate) fn on_loaded(
+        &mut self,
+        target: &TargetId,
+        incarnation: Incarnation,
+        report: LoadReport,
+    ) {
         let own = self.own_in_flight(target);
         let now = self.now;
         let known = self.fleet_view.targets.get_mut(target);
         if let Some(known) = known.filter(|known| known.view.incarnation == incarnation) {
-            known.view.load = load;
+            known.view.load = report.load;
             known.measured = now;
             known.own = own;
+            self.observe_report(target, incarnation, report);
         }
     }
 
@@ -200,6 +208,7 @@
         self.ejections.readmit(target);
         self.health.forget(target);
         self.caches.forget(target);
+        self.forget_timing(target);
         self.target_limits.forget(target);
         let place = Place {
             target: target.clone(),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -16,12 +16,14 @@
 use cornelhitch_entry::entries::{self, CallerLocation};
 use cornelhitch_entry::event::{Attempt as AttemptNumber, CallId, Event};
 use cornelhitch_entry::newest_table::Statement;
+use cornelhitch_entry::peer_load::{PeerReport, ReceivedReport};
 use cornelhitch_settings::fleet::FleetSettings;
 use cornelhitch_target::client::Client;
 use cornelhitch_target::inbound::{Message as TargetMessage, Receipt};
 use cornelhitch_types::entry::Host;
-use cornelhitch_types::id::{Name, Version};
+use cornelhitch_types::id::{HostId, Incarnation, Name, Version};
 use cornelhitch_types::view::{Change, View};
+use cornelhitch_wire::hello::ProcessId;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
@@ -30,9 +32,11 @@
 
 use crate::answer_memory::AnswerMemory;
 use crate::attempt::{self, Attempt, Signals};
+use crate::datagrams::DatagramSocket;
 use crate::exchange::{Exchange, NewRequest, Payload, Recorded};
 use crate::ingress::Routes;
-use crate::message::Upward;
+use crate::links::Links;
+use crate::message::{Datagram, Upward};
 use crate::metrics::{Count, Metrics, Timing};
 use crate::request_log::RequestLog;
 use crate::section_ids::SectionIds;
@@ -99,6 +103,10 @@
     pub events: mpsc::UnboundedReceiver<session::Event>,
     /// The session with the leader.
     pub session: session::Handle,
+    /// The links to peers, which know their addresses.
+    pub links: Links,
+    /// The socket for datagrams to peers.
+    pub datagrams: DatagramSocket,
     /// The client for requests to targets.
     pub client: Arc<dyn Client>,
     /// Publishes this host's current load, drain state and settings version.
@@ -257,6 +265,14 @@
                 }));
             }
             session::Event::Table(table) => self.handle_event(Event::Table(table)),
+            session::Event::PeerReport { from, report } => {
+                self.setup.metrics.increment(Count::PeerReportsReceived);
+                self.handle_event(Event::PeerReport(ReceivedReport {
+                    host: from.host,
+                    incarnation: from.incarnation,
+                    report,
+                }));
+            }
             session::Event::Lease { until, version } => {
                 let until = until.saturating_duration_since(self.setup.epoch);
                 self.handle_event(Event::Lease { until, version });
@@ -471,6 +487,7 @@
             question @ (Action::Reserve { .. }
             | Action::AskTrial { .. }
             | Action::AskOrigin { .. }) => self.ask_leader(question),
+            Action::TellPeers { hosts, report } => self.tell_peers(hosts, &report),
             Action::Report => self.urgent = true,
             Action::RequestView { .. } => self.setup.session.request_full_view(),
             Action::RequestTable { held } => self.setup.session.request_table(held),
@@ -525,6 +542,19 @@
         }
     }
 
+    /// Sends a report of this host's work in flight to other entry hosts whose address is known.
+    fn tell_peers(&self, hosts: Vec<(HostId, Incarnation)>, report: &PeerReport) {
+        for (host, incarnation) in hosts {
+            let Some(address) = self.setup.links.address(host) else {
+                continue;
+            };
+            self.setup.metrics.increment(Count::PeerReportsSent);
+            let to = ProcessId { host, incarnation };
+            let datagram = Datagram::InFlight(report.clone());
+            self.setup.datagrams.send(to, address, datagram);
+        }
+    }
+
     /// Sends a signal to an attempt, if it is still waiting for it.
     fn signal(
         &mut self,
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cornelhitch_entry::peer_load::PeerReport;
 use cornelhitch_entry::software::StreamBegun;
 use cornelhitch_settings::process;
 use cornelhitch_types::demand::DemandReport;
@@ -252,6 +253,8 @@
         /// Whether the control host holds the leader's lease, so that no newer table is committed.
         leads: bool,
     },
+    /// An entry host tells another one of its region what it has in flight.
+    InFlight(PeerReport),
 }
 
 /// An event from a peer.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -89,6 +89,10 @@
     BodiesRefused,
     /// Times at which an entry host stopped acting on its route table, since it knew of a newer one.
     TablesOutdated,
+    /// Reports of work in flight sent to other entry hosts.
+    PeerReportsSent,
+    /// Reports of work in flight received from other entry hosts.
+    PeerReportsReceived,
 }
 
 /// The latency histograms; each variant is exported under its name.
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cornelhitch_entry::peer_load::PeerReport;
 use cornelhitch_settings::process;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Term, Version};
@@ -75,6 +76,13 @@
         /// The settings version that the lease is for.
         version: Version,
     },
+    /// Another entry host of the region told what it has in flight.
+    PeerReport {
+        /// The host.
+        from: ProcessId,
+        /// What it told.
+        report: PeerReport,
+    },
 }
 
 /// Why a call failed.
@@ -373,6 +381,9 @@
             ) => {
                 self.table_stated(from, sequence, version, leads);
             }
+            PeerEvent::Datagram(Datagram::InFlight(report), _) => {
+                let _ = self.setup.events.send(Event::PeerReport { from, report });
+            }
             PeerEvent::Datagram(datagram, _) => self.lease_granted(from, &datagram),
             PeerEvent::Message(_) => tracing::debug!(
                 host = from.host,
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -317,6 +317,8 @@
             input_sender: input.clone(),
             events,
             session: session.clone(),
+            links: self.links.clone(),
+            datagrams: self.datagrams.clone(),
             client: self.protocols.target_client.clone(),
             host_state,
             fleet,
