--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -8,7 +8,7 @@
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::quota;
 use cornelhitch_types::route::RouteTable;
-use cornelhitch_types::target::{Load, Statement, TargetSoftware};
+use cornelhitch_types::target::{LoadReport, Statement, TargetSoftware};
 use cornelhitch_types::team::{ApiKeyDigest, Team, TokenUsage};
 use cornelhitch_types::view::View;
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,7 @@
 
 use crate::claim;
 use crate::newest_table;
+use crate::peer_load::ReceivedReport;
 use crate::software::OriginAnswer;
 use crate::suspects::Parts;
 
@@ -413,9 +414,11 @@
         target: TargetId,
         /// The incarnation of the target.
         incarnation: Incarnation,
-        /// Its load.
-        load: Load,
+        /// Its load, with its slots and pace if it states them.
+        load: LoadReport,
     },
+    /// Another entry host of the region told what it has in flight.
+    PeerReport(ReceivedReport),
     /// The process was asked to shut down.
     Drain,
     /// The time returned by `next_wake` has been reached.
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cornelhitch_entry::peer_load::PeerReport;
 use cornelhitch_settings::process;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Term, Version};
@@ -78,6 +79,13 @@
     },
     /// The leader answered a report about teams' quotas.
     Quota(quota::Answer),
+    /// Another entry host of the region told what it has in flight.
+    PeerReport {
+        /// The host.
+        from: ProcessId,
+        /// What it told.
+        report: PeerReport,
+    },
 }
 
 /// Why a call failed.
@@ -376,6 +384,9 @@
             ) => {
                 self.table_stated(from, sequence, version, leads);
             }
+            PeerEvent::Datagram(Datagram::InFlight(report), _) => {
+                let _ = self.setup.events.send(Event::PeerReport { from, report });
+            }
             PeerEvent::Datagram(datagram, _) => self.lease_granted(from, &datagram),
             PeerEvent::Message(_) => tracing::debug!(
                 host = from.host,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -87,6 +87,10 @@
     /// Settings of an entry host.
     #[serde(default)]
     pub serving: Serving,
+    /// Names of features that the deployment requires; the protocol maps those that it knows to
+    /// settings, and ignores the others.
+    #[serde(default)]
+    pub features: Vec<String>,
     /// Whether only hosts of this cluster can reach `peers` and `operators`, so that `keys` and
     /// `token` may be left out.
     #[serde(default)]
@@ -171,6 +175,25 @@
     pub quota_overshoot: f64,
     /// Units by which a team may exceed its quota in a window besides.
     pub quota_slack: f64,
+    /// How the target of a request is chosen.
+    pub routing: Routing,
+}
+
+/// How the target of a request is chosen.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Routing {
+    /// By the number of requests in flight.
+    #[default]
+    Load,
+    /// By the expected time to the first byte of the response.
+    ExpectedTime,
+    /// By the number of requests in flight until a target states its pace, and by the expected time
+    /// from then on.
+    Auto,
 }
 
 impl Default for Serving {
@@ -191,6 +214,7 @@
             quota_window_ms: 8_000.0,
             quota_overshoot: 0.1,
             quota_slack: 0.0,
+            routing: Routing::Load,
         }
     }
 }
