Sudden demand in the quota property test; fewer reports for what is wanted ahead

Cause: with even demand the property test did not meet full buckets; while a quota was used up, each host asked for allowances ahead five times a second. Change: plans with silent periods; reports only for allowances ahead are 600 ms apart.

--- a/crates/entry/src/quota/team.rs
+++ b/crates/entry/src/quota/team.rs
@@ -17,6 +17,10 @@
 /// The time left at which a lease on something held is renewed, so that two reports may be lost.
 const RENEWAL_TIME: Duration = Duration::from_millis(900);
 
+/// The minimum interval between reports only for what is wanted ahead: while the quota is used up,
+/// the leader cannot grant it.
+const AHEAD_INTERVAL: Duration = Duration::from_millis(600);
+
 /// Multiple of what is wanted ahead above which allowances are returned.
 const EXCESS_FACTOR: u64 = 2;
 
@@ -160,7 +164,7 @@
             || spent
             || self.renewal().is_some_and(|at| at <= now)
             || self.excess(now) > 0
-            || self.lacks(now)
+            || self.ahead_report(now).is_some_and(|at| at <= now)
     }
 
     /// Returns when the account will need a report, if nothing else happens.
@@ -168,7 +172,8 @@
         if self.needs_report(now) {
             return Some(now);
         }
-        let times = [self.current.next_settlement(), self.renewal()];
+        let settlement = self.current.next_settlement();
+        let times = [settlement, self.renewal(), self.ahead_report(now)];
         times.into_iter().flatten().min()
     }
 
@@ -182,10 +187,15 @@
         Some(due.max(repeated))
     }
 
-    /// Whether less than half of what is wanted ahead is free.
-    fn lacks(&self, now: Time) -> bool {
+    /// Returns when a report is due because less than half of what is wanted ahead is free; `None`
+    /// if more is.
+    fn ahead_report(&self, now: Time) -> Option<Time> {
         let ahead = self.demand.ahead(now);
-        ahead > 0 && self.current.free() < ahead.div_ceil(2)
+        let lacks = ahead > 0 && self.current.free() < ahead.div_ceil(2);
+        let earliest = self
+            .reported_at
+            .map_or(Time::ZERO, |at| at + AHEAD_INTERVAL);
+        lacks.then_some(earliest)
     }
 
     /// Returns what is free and not wanted.
--- a/crates/node/tests/quotas/plan.rs
+++ b/crates/node/tests/quotas/plan.rs
@@ -67,6 +67,9 @@
     pub largest: u64,
     /// How the demand is spread.
     pub spread: Spread,
+    /// If set, requests arrive only in every other period of this length, so that full buckets meet
+    /// a sudden demand.
+    pub bursts: Option<Duration>,
     /// Whether refused callers come back when told.
     pub returning: bool,
     /// How long charged requests wait for a target, at most.
@@ -88,6 +91,7 @@
         demand: 1.0 / 1.8,
         largest: 18_000,
         spread: Spread::Even,
+        bursts: None,
         returning: true,
         queueing: Duration::from_millis(100),
         faults: Faults {
--- a/crates/node/tests/quotas/simulation.rs
+++ b/crates/node/tests/quotas/simulation.rs
@@ -236,7 +236,12 @@
     fn schedule_arrival(&mut self) {
         let mean_cost = self.plan.largest as f64 / 2.0;
         let per_second = self.plan.demand * self.plan.rate as f64 / mean_cost;
-        let at = self.now + self.exponential(1.0 / per_second);
+        let mut at = self.now + self.exponential(1.0 / per_second);
+        if let Some(period) = self.plan.bursts {
+            let periods = at.as_millis() / period.as_millis();
+            let is_silent = periods % 2 == 0;
+            at += if is_silent { period } else { Duration::ZERO };
+        }
         self.next_key += 1;
         let caller = Caller {
             key: self.next_key,
