Limits on connections, heads, bodies and unread answers at every listener

Cause: a listener bounded neither the number of connections nor what incomplete heads hold; the HTTP library's automatic version detection waits without a limit, HTTP/2 connections may be idle for good, bodies and unread answers may stall for good, and its default buffers are 400 KB a connection and a stream.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cornelhitch_entry::event::{CallId, Event};
 use cornelhitch_settings::fleet::FleetSettings;
 use cornelhitch_target::inbound::{Message as TargetMessage, Protocol, Receipt};
@@ -12,7 +12,6 @@
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -25,8 +24,9 @@
 use crate::metrics::{Count, Metrics};
 use crate::problem::{Problem, not_run};
 use crate::request::{self, Endpoint};
-use crate::request_memory::{RequestBodies, drain};
+use crate::request_memory::{BODY_TIMEOUT, RequestBodies, drain, next_frame, overdue};
 use crate::server::Service;
+use crate::unread_answers::UnreadAnswers;
 
 /// The largest body of a target's message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
@@ -41,6 +41,8 @@
     pub protocol: Arc<dyn Protocol>,
     /// Reads the bodies of requests.
     pub bodies: RequestBodies,
+    /// The memory for answers that callers have not read.
+    pub unread: UnreadAnswers,
     /// The metrics of this process.
     pub metrics: Metrics,
     /// The id for the next request.
@@ -130,7 +132,7 @@
             inputs: self.inputs.clone(),
         };
         let _ = self.inputs.send(Input::NewRequest(Box::new(intake)));
-        caller_response(answer, guard, |_| streaming).await
+        caller_response(answer, guard, (&self.unread, from), |_| streaming).await
     }
 
     /// Serves a message from a target.
@@ -222,24 +224,33 @@
 /// Reads the complete body of a target's or operator's message.
 ///
 /// # Errors
-/// Returns a refusal if the body is over `limit` bytes or the connection breaks.
+/// Returns a refusal if the body is over `limit` bytes, no byte of it comes for too long, or the
+/// connection breaks.
 pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(&mut body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            drain(body);
-            let detail = format!("the body is over {limit} bytes");
-            Err(not_run(Reason::TooLarge, detail))
+    let mut whole = BytesMut::new();
+    loop {
+        let next = next_frame(&mut body, BODY_TIMEOUT).await;
+        let Some(frame) = next.map_err(|_| overdue(BODY_TIMEOUT))? else {
+            return Ok(whole.freeze());
+        };
+        let broken = |error| not_run(Reason::Malformed, format!("the body: {error}"));
+        if let Ok(data) = frame.map_err(broken)?.into_data() {
+            if whole.len() + data.len() > limit {
+                drain(body);
+                let detail = format!("the body is over {limit} bytes");
+                return Err(not_run(Reason::TooLarge, detail));
+            }
+            whole.extend_from_slice(&data);
         }
-        Err(error) => Err(not_run(Reason::Malformed, format!("the body: {error}"))),
     }
 }
 
 /// Waits for the answer to begin and returns the response. `streams` decides by the status whether
-/// the body is streamed or buffered.
+/// the body is streamed or buffered; a buffered one takes room from the caller's share.
 pub(crate) async fn caller_response(
     mut answer: mpsc::Receiver<Part>,
     guard: CallerGuard,
+    unread: (&UnreadAnswers, SocketAddr),
     streams: impl FnOnce(StatusCode) -> bool,
 ) -> Result<Response<Body>, Refusal> {
     let head = match answer.recv().await {
@@ -250,7 +261,7 @@
     let body = if streams(head.status) {
         body::streaming(answer, guard)
     } else {
-        body::full(collect_parts(answer).await?)
+        body::full(collect_parts(answer, unread).await?)
     };
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
@@ -259,12 +270,14 @@
 }
 
 /// Buffers the body of an answer that is not streamed.
-async fn collect_parts(mut answer: mpsc::Receiver<Part>) -> Result<Bytes, Refusal> {
-    let mut whole = Vec::new();
+async fn collect_parts(
+    mut answer: mpsc::Receiver<Part>,
+    (unread, caller): (&UnreadAnswers, SocketAddr),
+) -> Result<Bytes, Refusal> {
+    let mut whole = unread.begin(caller.ip());
     loop {
         match answer.recv().await {
-            Some(Part::Data(bytes)) if whole.is_empty() => whole = Vec::from(bytes),
-            Some(Part::Data(bytes)) => whole.extend_from_slice(&bytes),
+            Some(Part::Data(bytes)) => unread.append(&mut whole, &bytes)?,
             Some(Part::End) => return Ok(whole.into()),
             Some(Part::Refusal(refusal)) => return Err(refusal),
             Some(Part::Head(_)) | None => return Err(stopped()),
--- /dev/null
+++ b/crates/node/src/guarded_stream.rs
@@ -0,0 +1,250 @@
+//! A caller's socket that ends when a head, a pause between requests or an unread answer lasts too long.
+//!
+//! The HTTP library limits the size of heads, and the time from the end of one request to the end of the
+//! next head. It has no limit on the time for which a head is incomplete, on a connection before its first
+//! byte, on an idle HTTP/2 connection, nor on answers that are not read.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use crate::connection::Connection;
+use crate::metrics::Count;
+
+/// The beginning of the connection preface of HTTP/2 (RFC 9113, section 3.4).
+const HTTP2_PREFACE: &[u8] = b"PRI";
+
+/// Bytes that are read from one connection before others have their turn. Callers that send without
+/// end, as pings or the length of a chunk, would keep a thread otherwise.
+const MAX_BURST_BYTES: usize = 32 << 10;
+
+/// Bytes that a connection without a request in progress may receive before the next one, relative to
+/// the largest head. HTTP/2 limits heads, but not the other frames between requests.
+const UNREQUESTED_FACTOR: usize = 2;
+
+/// The answer to a head that takes too long. The library answers none.
+const HEAD_OVERDUE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// A caller's socket.
+#[derive(Debug)]
+pub(crate) struct GuardedStream {
+    socket: TcpStream,
+    connection: Arc<Connection>,
+    /// Longest time without a request.
+    idle_timeout: Duration,
+    /// Whether the first bytes are those of HTTP/2; `None` before these.
+    is_http2: Option<bool>,
+    /// When the first byte of the incomplete head was received.
+    head_since: Option<Instant>,
+    /// Bytes received since the last request while none was in progress.
+    unrequested: usize,
+    /// Bytes read since others had their turn.
+    burst: usize,
+    /// Number of requests when a head was last looked for.
+    requests: usize,
+    /// Wakes the reader when a head or a pause is overdue.
+    read_timer: Pin<Box<Sleep>>,
+    /// Runs while the socket takes no more bytes.
+    write_timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl GuardedStream {
+    /// Guards a socket.
+    pub(crate) fn new(
+        socket: TcpStream,
+        connection: Arc<Connection>,
+        idle_timeout: Duration,
+    ) -> Self {
+        Self {
+            socket,
+            connection,
+            idle_timeout,
+            is_http2: None,
+            head_since: None,
+            unrequested: 0,
+            burst: 0,
+            requests: 0,
+            read_timer: Box::pin(sleep_until(Instant::now() + idle_timeout)),
+            write_timer: None,
+        }
+    }
+
+    /// Accounts for bytes that were received; fails if they are too many without a request.
+    fn received(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.is_http2.is_none() {
+            self.is_http2 = Some(bytes.starts_with(HTTP2_PREFACE));
+        }
+        if !self.connection.is_busy() {
+            self.head_since.get_or_insert_with(Instant::now);
+            self.connection.receive(bytes.len());
+            self.unrequested += bytes.len();
+        }
+        let table = self.connection.table();
+        if self.unrequested <= UNREQUESTED_FACTOR * table.limits.head_bytes {
+            return Ok(());
+        }
+        table.closed(Count::ConnectionsWithoutRequests, self.connection.from);
+        let detail = "too many bytes without a request";
+        Err(io::Error::new(io::ErrorKind::InvalidData, detail))
+    }
+
+    /// Returns whether others have their turn before more is read; wakes the task for its next one.
+    fn yields(&mut self, context: &mut Context<'_>) -> bool {
+        let yields = self.burst >= MAX_BURST_BYTES;
+        if yields {
+            self.burst = 0;
+            context.waker().wake_by_ref();
+        }
+        yields
+    }
+
+    /// Returns when the connection has to end unless more happens; `None` while a request is in progress.
+    fn read_deadline(&self) -> Option<(Instant, bool)> {
+        if self.connection.is_busy() {
+            return None;
+        }
+        let head = self.head_since.filter(|_| self.is_http2 == Some(false));
+        let head_timeout = self.connection.table().limits.head_timeout;
+        Some(match head {
+            Some(since) => (since + head_timeout, true),
+            None => (self.connection.idle_since() + self.idle_timeout, false),
+        })
+    }
+
+    /// Fails if a head or a pause is overdue; else wakes the task when one may be.
+    fn poll_overdue(&mut self, context: &mut Context<'_>) -> io::Result<()> {
+        loop {
+            let deadline = self.read_deadline();
+            if let Some((deadline, is_head)) = deadline
+                && deadline <= Instant::now()
+            {
+                return Err(self.end_overdue(is_head));
+            }
+            let wake = deadline.map_or(Instant::now() + self.idle_timeout, |(at, _)| at);
+            if deadline.is_some() || self.read_timer.is_elapsed() {
+                self.read_timer.as_mut().reset(wake);
+            }
+            if self.read_timer.as_mut().poll(context).is_pending() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Answers a head that is overdue, and returns the error that ends the connection.
+    fn end_overdue(&self, is_head: bool) -> io::Error {
+        if is_head {
+            // An unsent answer leaves the closed connection, which says the same.
+            let _ = self.socket.try_write(HEAD_OVERDUE);
+            let from = self.connection.from;
+            let table = self.connection.table();
+            table.closed(Count::HeadsOverdue, from);
+        }
+        io::Error::new(io::ErrorKind::TimedOut, "no complete request in time")
+    }
+
+    /// Fails if the socket has taken no bytes for too long.
+    fn poll_unread(&mut self, context: &mut Context<'_>) -> io::Result<()> {
+        let timeout = self.idle_timeout;
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + timeout)));
+        if timer.as_mut().poll(context).is_pending() {
+            return Ok(());
+        }
+        let from = self.connection.from;
+        let table = self.connection.table();
+        table.closed(Count::AnswersUnread, from);
+        let detail = "the caller reads no answer";
+        Err(io::Error::new(io::ErrorKind::TimedOut, detail))
+    }
+
+    /// Accounts for an attempt to write.
+    fn after_write(
+        &mut self,
+        context: &mut Context<'_>,
+        polled: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if polled.is_pending() {
+            return match self.poll_unread(context) {
+                Ok(()) => Poll::Pending,
+                Err(error) => Poll::Ready(Err(error)),
+            };
+        }
+        self.write_timer = None;
+        self.connection.record_write();
+        polled
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let requests = self.connection.requests();
+        if requests != self.requests {
+            self.requests = requests;
+            self.head_since = None;
+            self.unrequested = 0;
+        }
+        if self.yields(context) {
+            return Poll::Pending;
+        }
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
+        let received = &buffer.filled()[before..];
+        if received.is_empty() {
+            self.burst = 0;
+        } else {
+            self.burst += received.len();
+            if let Err(error) = self.received(received) {
+                return Poll::Ready(Err(error));
+            }
+        }
+        if let Err(error) = self.poll_overdue(context) {
+            return Poll::Ready(Err(error));
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.socket).poll_write(context, bytes);
+        self.after_write(context, polled)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.socket).poll_write_vectored(context, bytes);
+        self.after_write(context, polled)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+}
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -20,7 +20,7 @@
 use cornelhitch_types::team::TokenUsage;
 use http::header::HOST;
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout_at};
@@ -36,6 +36,7 @@
 use crate::problem::not_run;
 use crate::request_memory::RequestBodies;
 use crate::server::{HEAD_TIMEOUT, Service};
+use crate::unread_answers::UnreadAnswers;
 
 /// Period after its start in which a host holds requests until it has a route table, which takes
 /// about a second if the voters were started too. Requests after that are refused at once.
@@ -147,6 +148,8 @@
     pub protocol: Arc<dyn RoutedRequestProtocol>,
     /// Reads the bodies of requests.
     pub bodies: RequestBodies,
+    /// The memory for answers that callers have not read.
+    pub unread: UnreadAnswers,
     /// The metrics of this process.
     pub metrics: Metrics,
     /// The id for the next request.
@@ -238,7 +241,8 @@
             inputs: self.inputs.clone(),
         };
         let _ = self.inputs.send(Input::NewRequest(Box::new(intake)));
-        caller_response(answer, guard, |status| streams && status.is_success()).await
+        let streams = |status: StatusCode| streams && status.is_success();
+        caller_response(answer, guard, (&self.unread, from), streams).await
     }
 
     /// Finds the route of a request, reads its body and prepares it for the core.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -57,6 +57,20 @@
     DroppedMalformed,
     /// Callers' connections closed because a request cannot be parsed.
     ConnectionsUnread,
+    /// Connections closed at once, since their listener or their address had too many.
+    ConnectionsRefused,
+    /// Connections without a request in progress closed to make room for others.
+    ConnectionsEvicted,
+    /// Connections closed because the head of a request took too long.
+    HeadsOverdue,
+    /// Connections closed because their caller did not read for too long.
+    AnswersUnread,
+    /// Connections closed because they carried much and no request.
+    ConnectionsWithoutRequests,
+    /// Answers that were dropped because their callers leave too many unread.
+    AnswersDropped,
+    /// Requests that were refused because their bodies took too long.
+    BodiesOverdue,
     /// Refused links: wrong cluster, wrong key or garbage.
     LinksRefused,
     /// Refused datagrams: wrong cluster, wrong key, replayed or garbage.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,6 @@
 //! Starts and stops the tasks of one cornelhitch process.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use cornelhitch_entry::drain::Phases;
@@ -16,10 +16,10 @@
 use crate::entry::Input;
 pub use crate::error::Error;
 use crate::error::SystemSnafu;
+use crate::listener_limits::Audience;
 use crate::metrics::Metrics;
 use crate::protocols::Protocols;
 use crate::secret::Token;
-use crate::server;
 use crate::session;
 use crate::socket::{Addresses, Sockets};
 use crate::startup::{Startup, inboxes};
@@ -117,7 +117,8 @@
         let control_sender = control.clone();
         let service =
             startup.operators(token, &session, drain.clone(), control, drain_token.clone());
-        let serve = server::run(operators, Arc::new(service), startup.stop.clone());
+        let stop = startup.stop.clone();
+        let serve = startup.listen(operators, service, Audience::Operators, stop);
         let operators = tokio::spawn(serve);
         Ok(Self {
             addresses,
--- a/crates/node/src/request_memory.rs
+++ b/crates/node/src/request_memory.rs
@@ -8,9 +8,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cornelhitch_settings::process::Serving;
 use cornelhitch_types::refusal::{Reason, Refusal};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
+use tokio::time::error::Elapsed;
+use tokio::time::timeout;
 
 use crate::metrics::{Count, Metrics};
 use crate::problem::not_run;
@@ -28,6 +31,9 @@
 /// Bytes of a refused body that are read and dropped.
 const MAX_DRAINED_BYTES: usize = 16 << 20;
 
+/// Longest time without a byte of a body that is refused, or not a caller's; the default of `body-ms`.
+pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// When a request that had no room may find some.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -35,6 +41,8 @@
 #[derive(Debug)]
 pub struct RequestBodies {
     memory: SharedMemory<IpAddr>,
+    /// Longest time without a byte of a body.
+    timeout: Duration,
     metrics: Metrics,
 }
 
@@ -57,6 +65,8 @@
     Limit,
     /// Its caller's share of the memory has no room for it.
     Memory,
+    /// No byte of it came in time.
+    Overdue,
 }
 
 impl HeldBody {
@@ -83,13 +93,14 @@
 }
 
 impl RequestBodies {
-    /// Creates the reader of a host that has so many megabytes of memory.
+    /// Creates the reader of a host that serves with these settings.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn new(memory_mb: f64, metrics: Metrics) -> Self {
-        let limit = (PART * memory_mb * MEGABYTE) as usize;
+    pub fn new(serving: &Serving, metrics: Metrics) -> Self {
+        let limit = (PART * serving.memory_mb * MEGABYTE) as usize;
         Self {
             memory: SharedMemory::new(limit, SHARE),
+            timeout: Duration::from_millis(serving.body_ms),
             metrics,
         }
     }
@@ -113,9 +124,12 @@
         let announced = body.size_hint().exact().unwrap_or(0);
         let announced = usize::try_from(announced).unwrap_or(usize::MAX);
         let mut room = held.grow(announced, limit);
-        while room.is_ok()
-            && let Some(frame) = body.frame().await
-        {
+        while room.is_ok() {
+            let Ok(frame) = next_frame(&mut body, self.timeout).await else {
+                room = Err(Lack::Overdue);
+                break;
+            };
+            let Some(frame) = frame else { break };
             let broken = |error| not_run(Reason::Malformed, format!("the body: {error}"));
             if let Ok(data) = frame.map_err(broken)?.into_data() {
                 room = held.grow(data.len(), limit);
@@ -127,7 +141,9 @@
         match room {
             Ok(()) => Ok(Bytes::from_owner(held)),
             Err(lack) => {
-                drain(body);
+                if lack != Lack::Overdue {
+                    drain(body);
+                }
                 Err(self.refusal(lack, limit, caller))
             }
         }
@@ -138,6 +154,10 @@
         if lack == Lack::Limit {
             return not_run(Reason::TooLarge, format!("the body is over {limit} bytes"));
         }
+        if lack == Lack::Overdue {
+            self.metrics.increment(Count::BodiesOverdue);
+            return overdue(self.timeout);
+        }
         self.metrics.increment(Count::BodiesRefused);
         if self.memory.allow_log_line() {
             let reserved = self.memory.reserved();
@@ -153,12 +173,25 @@
     }
 }
 
+/// Returns the next part of a body; fails if it takes too long.
+pub(crate) async fn next_frame(
+    body: &mut Incoming,
+    limit: Duration,
+) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed> {
+    timeout(limit, body.frame()).await
+}
+
+/// Returns the refusal of a request whose body takes too long.
+pub(crate) fn overdue(limit: Duration) -> Refusal {
+    not_run(Reason::Expired, format!("no byte of the body in {limit:?}"))
+}
+
 /// Reads and drops the rest of a body, up to [`MAX_DRAINED_BYTES`]. A connection that is closed with unread
 /// bytes is reset, and its other side may lose the answer.
 pub(crate) fn drain(mut body: Incoming) {
     tokio::spawn(async move {
         let mut left = MAX_DRAINED_BYTES;
-        while let Some(Ok(frame)) = body.frame().await {
+        while let Ok(Some(Ok(frame))) = next_frame(&mut body, BODY_TIMEOUT).await {
             left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
             if left == 0 {
                 return;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -17,12 +17,26 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
+use crate::connection::{AnswerBody, Connection, ConnectionTable};
+use crate::guarded_stream::GuardedStream;
+use crate::listener_limits::{ListenerLimits, MAX_HEADERS};
+use crate::metrics::Metrics;
 
 /// Timeout for the head of a request.
 pub const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Maximum number of header lines of a request: fits a head of 16 KiB at 16 bytes each.
-const MAX_HEADERS: usize = 1_024;
+/// Memory of one HTTP/2 stream for a body that its request has not read, and for an answer that its
+/// caller has not; in bytes.
+const STREAM_BUFFER_BYTES: u32 = 64 << 10;
+
+/// Memory of one HTTP/2 connection for bodies that its requests have not read, in bytes.
+const CONNECTION_BUFFER_BYTES: u32 = 256 << 10;
+
+/// Requests in progress on one HTTP/2 connection; callers are told the limit (RFC 9113, section 5.1.2).
+const MAX_STREAMS: u32 = 100;
+
+/// Size that HTTP/2 adds to each header field when the list is measured (RFC 9113, section 6.5.2).
+const FIELD_OVERHEAD_BYTES: usize = 32;
 
 /// Pause after a connection could not be accepted, as when file descriptors have run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -55,7 +69,14 @@
 }
 
 /// Accepts connections until `close` is cancelled, then lets open ones finish their requests.
-pub async fn run<S: Service>(listener: TcpListener, service: Arc<S>, close: CancellationToken) {
+pub async fn run<S: Service>(
+    listener: TcpListener,
+    service: Arc<S>,
+    limits: ListenerLimits,
+    metrics: Metrics,
+    close: CancellationToken,
+) {
+    let table = ConnectionTable::new(limits, metrics);
     let connections = TaskTracker::new();
     loop {
         let accepted = tokio::select! {
@@ -64,8 +85,9 @@
         };
         match accepted {
             Ok((stream, from)) => {
-                let task = connection(stream, from, service.clone(), close.clone());
-                connections.spawn(task);
+                if let Some(connection) = table.open(from) {
+                    connections.spawn(serve(stream, connection, service.clone(), close.clone()));
+                }
             }
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a connection; retrying after a pause");
@@ -93,30 +115,58 @@
     response
 }
 
+/// Returns the limits for the HTTP library.
+fn builder(limits: &ListenerLimits, idle_timeout: Duration) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(limits.head_bytes)
+        .header_read_timeout(idle_timeout + limits.head_timeout);
+    let list_bytes = limits.head_bytes + MAX_HEADERS * FIELD_OVERHEAD_BYTES;
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(u32::try_from(list_bytes).unwrap_or(u32::MAX))
+        .initial_stream_window_size(STREAM_BUFFER_BYTES)
+        .initial_connection_window_size(CONNECTION_BUFFER_BYTES)
+        .max_send_buf_size(STREAM_BUFFER_BYTES as usize);
+    builder
+}
+
 /// Serves one connection.
-async fn connection<S: Service>(
+async fn serve<S: Service>(
     stream: TcpStream,
-    from: SocketAddr,
+    connection: Arc<Connection>,
     service: Arc<S>,
     close: CancellationToken,
 ) {
     let _ = stream.set_nodelay(true);
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .max_headers(MAX_HEADERS)
-        .header_read_timeout(service.idle_timeout());
-    builder.http2().timer(TokioTimer::new());
+    let from = connection.from;
+    let idle_timeout = service.idle_timeout();
+    let builder = builder(&connection.table().limits, idle_timeout);
     let requests = service.clone();
+    let owner = connection.clone();
     let answer = service_fn(move |request| {
         let service = requests.clone();
-        async move { Ok::<_, Infallible>(respond(&*service, request, from).await) }
+        let begun = owner.begin();
+        async move {
+            let response = respond(&*service, request, from).await;
+            Ok::<_, Infallible>(response.map(|body| AnswerBody {
+                body,
+                request: begun,
+            }))
+        }
     });
-    let serving = builder.serve_connection(TokioIo::new(stream), answer);
+    let closer = connection.closer.clone();
+    let guarded = GuardedStream::new(stream, connection, idle_timeout);
+    let serving = builder.serve_connection(TokioIo::new(guarded), answer);
     tokio::pin!(serving);
     let served = tokio::select! {
         served = &mut serving => served,
+        () = closer.cancelled() => return,
         () = close.cancelled() => {
             serving.as_mut().graceful_shutdown();
             serving.await
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -36,6 +36,7 @@
 use crate::exposition::Exposition;
 use crate::ingress::{FIRST_TABLE_WAIT, LocalRequestService, RoutedService, Routes};
 use crate::links::{self, Inbox, Links};
+use crate::listener_limits::{Audience, ListenerLimits};
 use crate::message::Incoming;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
@@ -43,10 +44,11 @@
 use crate::registry::Registry;
 use crate::request_memory::RequestBodies;
 use crate::secret::{self, Token};
-use crate::server;
+use crate::server::{self, Service};
 use crate::session;
 use crate::socket::Addresses;
 use crate::takers::Takers;
+use crate::unread_answers::UnreadAnswers;
 
 /// Election timeout of a cluster that runs without operators: several round trips between regions,
 /// and less than callers wait.
@@ -346,8 +348,8 @@
         routes: watch::Receiver<Option<Arc<Routes>>>,
     ) -> JoinHandle<()> {
         let metrics = self.metrics.clone();
-        let memory_mb = self.process.serving.memory_mb;
-        let bodies = RequestBodies::new(memory_mb, metrics.clone());
+        let bodies = RequestBodies::new(&self.process.serving, metrics.clone());
+        let unread = UnreadAnswers::new(&self.process.serving, metrics.clone());
         let next = AtomicU64::new(1);
         let Listening {
             listener,
@@ -360,24 +362,39 @@
                 routes,
                 protocol,
                 bodies,
+                unread,
                 metrics,
                 next,
                 leaving,
                 first_table_until: Instant::now() + FIRST_TABLE_WAIT,
                 log_limit: Mutex::default(),
             };
-            return tokio::spawn(server::run(listener, Arc::new(service), close));
+            return tokio::spawn(self.listen(listener, service, Audience::Callers, close));
         }
         let callers = Callers {
             inputs,
             fleet,
             protocol: self.protocols.target_messages.clone(),
             bodies,
+            unread,
             metrics,
             next,
             leaving,
         };
-        tokio::spawn(server::run(listener, Arc::new(callers), close))
+        tokio::spawn(self.listen(listener, callers, Audience::Callers, close))
+    }
+
+    /// Returns the task that serves a listener within its limits.
+    pub(crate) fn listen<S: Service>(
+        &self,
+        listener: TcpListener,
+        service: S,
+        audience: Audience,
+        close: CancellationToken,
+    ) -> impl Future<Output = ()> + use<S> {
+        let limits = ListenerLimits::new(&self.process.serving, audience);
+        let metrics = self.metrics.clone();
+        server::run(listener, Arc::new(service), limits, metrics, close)
     }
 
     /// Starts the registry listener of a control host, if the settings have an address for it.
@@ -401,7 +418,7 @@
             takers: Takers::new(takers),
             epoch: self.epoch,
         };
-        tokio::spawn(server::run(listener, Arc::new(registry), self.stop.clone()));
+        tokio::spawn(self.listen(listener, registry, Audience::Registry, self.stop.clone()));
     }
 
     /// Creates the operators' service; without a token it refuses all requests.
@@ -430,11 +447,7 @@
         let exposition = Exposition {
             metrics: self.metrics.clone(),
         };
-        tokio::spawn(server::run(
-            listener,
-            Arc::new(exposition),
-            self.stop.clone(),
-        ));
+        tokio::spawn(self.listen(listener, exposition, Audience::Metrics, self.stop.clone()));
     }
 
     /// Starts the listeners for requests that need no target.
@@ -451,7 +464,7 @@
                 inputs: inputs.clone(),
                 protocol: protocol.clone(),
             };
-            tokio::spawn(server::run(listener, Arc::new(pages), self.stop.clone()));
+            tokio::spawn(self.listen(listener, pages, Audience::Pages, self.stop.clone()));
         }
     }
 }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -165,6 +165,19 @@
     /// Window over which retries are counted, in milliseconds; 0 counts them on each host
     /// separately.
     pub retry_window_ms: f64,
+    /// Largest head of a request on any listener, in bytes.
+    pub head_bytes: u64,
+    /// Longest time from the first byte of a head to its end, in milliseconds.
+    pub head_ms: u64,
+    /// Longest time without a byte of a request's body, in milliseconds.
+    pub body_ms: u64,
+    /// Memory for incomplete heads of one listener, in megabytes; 0 for a sixteenth of
+    /// [`Serving::memory_mb`].
+    pub heads_mb: f64,
+    /// Connections on the callers' listener; 0 for two fifths of the process's file descriptors.
+    pub connections: u64,
+    /// Connections on the callers' listener from one address; 0 for three times as many as are free.
+    pub address_connections: u64,
 }
 
 impl Default for Serving {
@@ -182,6 +195,12 @@
             retry_ratio: 0.2,
             retry_slack: 64.0,
             retry_window_ms: 0.0,
+            head_bytes: 64 << 10,
+            head_ms: 10_000,
+            body_ms: 15_000,
+            heads_mb: 0.0,
+            connections: 0,
+            address_connections: 0,
         }
     }
 }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -255,6 +255,12 @@
         optional("retry-ratio", ValueType::Number(0.0, 10.0), "Retries that each first send earns for the entry hosts together; 0.2."),
         optional("retry-slack", ValueType::Number(0.0, 100_000.0), "Retries that all entry hosts together may make besides, in `retry-window-ms`; 64."),
         optional("retry-window-ms", ValueType::Number(0.0, 86_400_000.0), "The time over which retries are counted, in milliseconds; 0, the default, counts them on each host alone."),
+        optional("head-bytes", ValueType::Integer(32_768, 1 << 20), "Largest head of a request on any listener, in bytes; 65536. A longer one is answered with 431 and its connection closed."),
+        optional("head-ms", ValueType::Integer(100, DAY_MS), "Longest time from the first byte of a request's head to its end, in milliseconds; 10000. A slower one is answered with 408 and its connection closed."),
+        optional("body-ms", ValueType::Integer(100, DAY_MS), "Longest time without a byte of a request's body, in milliseconds; 15000. A slower one is refused, not run."),
+        optional("heads-mb", ValueType::Number(0.0, 1e6), "Memory for the incomplete heads of one listener, in MB; 0, the default, is a sixteenth of `memory-mb`. Beyond it the connections that hold most are closed first."),
+        optional("connections", ValueType::Integer(0, MAX_COUNT), "Connections on `callers`; 0, the default, is two fifths of the process's limit on file descriptors. Beyond it the connections that never had a request, and then the longest idle ones, are closed first."),
+        optional("address-connections", ValueType::Integer(0, MAX_COUNT), "Connections on `callers` from one address; 0, the default, is three times as many as are free."),
     ],
 };
 
