--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -11,7 +11,7 @@
 use cornelhitch_types::refusal::{Reason, Refusal};
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::request::Parts;
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{Extensions, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -117,7 +117,10 @@
     ) -> Result<Response<Body>, Refusal> {
         self.metrics.increment(Count::Requests);
         let limit = self.fleet.borrow().refusing.body;
-        let body = self.bodies.read(body, limit, from.ip()).await?;
+        let body = self
+            .bodies
+            .read(body, &parts.extensions, limit, from.ip())
+            .await?;
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let (request, payload) = request::read(id, endpoint, &parts, body, from)?;
         let streaming = request.streaming;
@@ -137,7 +140,7 @@
 
     /// Serves a message from a target.
     async fn serve_target(&self, parts: &Parts, body: Incoming) -> Response<Body> {
-        let receipt = match collect(body, MAX_MESSAGE_BYTES).await {
+        let receipt = match collect(body, &parts.extensions, MAX_MESSAGE_BYTES).await {
             Ok(body) => {
                 let path = parts.uri.path();
                 let message = self.protocol.decode(&parts.method, path, &body);
@@ -221,22 +224,26 @@
     response
 }
 
-/// Reads the complete body of a target's or operator's message.
+/// Reads the complete body of a target's or operator's message, of a request with these extensions.
 ///
 /// # Errors
 /// Returns a refusal if the body is over `limit` bytes, no byte of it comes for too long, or the
 /// connection breaks.
-pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+pub async fn collect(
+    mut body: Incoming,
+    extensions: &Extensions,
+    limit: usize,
+) -> Result<Bytes, Refusal> {
     let mut whole = BytesMut::new();
     loop {
-        let next = next_frame(&mut body, BODY_TIMEOUT).await;
+        let next = next_frame(&mut body, extensions, BODY_TIMEOUT).await;
         let Some(frame) = next.map_err(|_| overdue(BODY_TIMEOUT))? else {
             return Ok(whole.freeze());
         };
         let broken = |error| not_run(Reason::Malformed, format!("the body: {error}"));
         if let Ok(data) = frame.map_err(broken)?.into_data() {
             if whole.len() + data.len() > limit {
-                drain(body);
+                drain(body, extensions.clone());
                 let detail = format!("the body is over {limit} bytes");
                 return Err(not_run(Reason::TooLarge, detail));
             }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Extensions;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -51,10 +52,25 @@
     requests: AtomicUsize,
     /// Those of them whose answer has not ended.
     in_progress: AtomicUsize,
+    /// Parts of bodies that requests have read.
+    body_parts: AtomicUsize,
     /// When the last request ended or answer bytes were written, in milliseconds since the epoch.
     active_ms: AtomicU64,
 }
 
+/// Records which bytes of a connection became a part of a body; an extension of each request.
+#[derive(Debug, Clone)]
+pub(crate) struct BodyProgress(pub(crate) Arc<Connection>);
+
+impl BodyProgress {
+    /// Records that a part was read.
+    pub(crate) fn record(extensions: &Extensions) {
+        if let Some(Self(connection)) = extensions.get() {
+            connection.body_parts.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
 /// A request in progress.
 #[derive(Debug)]
 pub(crate) struct Request(Arc<Connection>);
@@ -101,6 +117,7 @@
             closer,
             requests: AtomicUsize::new(0),
             in_progress: AtomicUsize::new(0),
+            body_parts: AtomicUsize::new(0),
             active_ms: AtomicU64::new(self.now_ms()),
         }))
     }
@@ -173,6 +190,11 @@
         self.requests.load(Ordering::Relaxed)
     }
 
+    /// Returns how many parts of bodies requests have read.
+    pub(crate) fn body_parts(&self) -> usize {
+        self.body_parts.load(Ordering::Relaxed)
+    }
+
     /// Returns whether a request is in progress.
     pub(crate) fn is_busy(&self) -> bool {
         self.in_progress.load(Ordering::Relaxed) > 0
--- a/crates/node/src/guarded_stream.rs
+++ b/crates/node/src/guarded_stream.rs
@@ -29,6 +29,10 @@
 /// the largest head. HTTP/2 limits heads, but not the other frames between requests.
 const UNREQUESTED_FACTOR: usize = 2;
 
+/// Bytes of an HTTP/1.1 connection that may become no part of a body while a request is in progress,
+/// relative to the largest head. The length of a chunk may have any number of leading zeros.
+const UNDELIVERED_FACTOR: usize = 4;
+
 /// The answer to a head that takes too long. The library answers none.
 const HEAD_OVERDUE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -46,6 +50,10 @@
     head_since: Option<Instant>,
     /// Bytes received since the last request while none was in progress.
     unrequested: usize,
+    /// Bytes received since the last part of a body, while a request was in progress.
+    undelivered: usize,
+    /// Number of parts of bodies when bytes were last received.
+    body_parts: usize,
     /// Bytes read since others had their turn.
     burst: usize,
     /// Number of requests when a head was last looked for.
@@ -70,6 +78,8 @@
             is_http2: None,
             head_since: None,
             unrequested: 0,
+            undelivered: 0,
+            body_parts: 0,
             burst: 0,
             requests: 0,
             read_timer: Box::pin(sleep_until(Instant::now() + idle_timeout)),
@@ -82,17 +92,27 @@
         if self.is_http2.is_none() {
             self.is_http2 = Some(bytes.starts_with(HTTP2_PREFACE));
         }
+        let parts = self.connection.body_parts();
+        if parts != self.body_parts {
+            self.body_parts = parts;
+            self.undelivered = 0;
+        }
         if !self.connection.is_busy() {
             self.head_since.get_or_insert_with(Instant::now);
             self.connection.receive(bytes.len());
             self.unrequested += bytes.len();
+        } else if self.is_http2 == Some(false) {
+            self.undelivered += bytes.len();
         }
         let table = self.connection.table();
-        if self.unrequested <= UNREQUESTED_FACTOR * table.limits.head_bytes {
+        let head_bytes = table.limits.head_bytes;
+        if self.unrequested <= UNREQUESTED_FACTOR * head_bytes
+            && self.undelivered <= UNDELIVERED_FACTOR * head_bytes
+        {
             return Ok(());
         }
         table.closed(Count::ConnectionsWithoutRequests, self.connection.from);
-        let detail = "too many bytes without a request";
+        let detail = "too many bytes that are no request";
         Err(io::Error::new(io::ErrorKind::InvalidData, detail))
     }
 
@@ -195,6 +215,7 @@
             self.requests = requests;
             self.head_since = None;
             self.unrequested = 0;
+            self.undelivered = 0;
         }
         if self.yields(context) {
             return Poll::Pending;
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -259,7 +259,10 @@
             .ok_or_else(|| not_run(Reason::Unknown, "no route has this host and path"))?;
         let metadata = self.protocol.read_metadata(&parts.headers)?;
         let limit = routes.table.limits.max_body_bytes;
-        let body = self.bodies.read(body, limit, from.ip()).await?;
+        let body = self
+            .bodies
+            .read(body, &parts.extensions, limit, from.ip())
+            .await?;
         build_call(id, route, &routes.table, metadata, parts, body, from)
     }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -65,7 +65,7 @@
     HeadsOverdue,
     /// Connections closed because their caller did not read for too long.
     AnswersUnread,
-    /// Connections closed because they carried much and no request.
+    /// Connections closed because they carried much that was no request and no body.
     ConnectionsWithoutRequests,
     /// Answers that were dropped because their callers leave too many unread.
     AnswersDropped,
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -183,7 +183,10 @@
             Endpoint::Dump => Ok(json(StatusCode::OK, &self.dump().await)),
             Endpoint::Status => self.ask(Question::Status, CALL_TIMEOUT).await,
             Endpoint::Settings => self.ask(Question::Settings, CALL_TIMEOUT).await,
-            Endpoint::Apply => self.apply(collect(body, MAX_SETTINGS_BYTES).await?).await,
+            Endpoint::Apply => {
+                let body = collect(body, &parts.extensions, MAX_SETTINGS_BYTES).await?;
+                self.apply(body).await
+            }
             Endpoint::InForce => {
                 let version = query(parts, "version")?;
                 self.ask(Question::InForce(version), CALL_TIMEOUT).await
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -104,7 +104,7 @@
 impl Service for Registry {
     async fn serve(&self, request: Request<Incoming>, _: SocketAddr) -> Response<Body> {
         let (parts, body) = request.into_parts();
-        let body = match collect(body, MAX_MESSAGE_BYTES).await {
+        let body = match collect(body, &parts.extensions, MAX_MESSAGE_BYTES).await {
             Ok(body) => body,
             Err(refusal) => return Problem::from(&refusal).response(),
         };
--- a/crates/node/src/request_memory.rs
+++ b/crates/node/src/request_memory.rs
@@ -10,11 +10,13 @@
 use bytes::Bytes;
 use cornelhitch_settings::process::Serving;
 use cornelhitch_types::refusal::{Reason, Refusal};
+use http::Extensions;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use crate::connection::BodyProgress;
 use crate::metrics::{Count, Metrics};
 use crate::problem::not_run;
 use crate::shared_memory::{Reservation, SharedMemory};
@@ -114,6 +116,7 @@
     pub async fn read(
         &self,
         mut body: Incoming,
+        extensions: &Extensions,
         limit: usize,
         caller: IpAddr,
     ) -> Result<Bytes, Refusal> {
@@ -125,7 +128,7 @@
         let announced = usize::try_from(announced).unwrap_or(usize::MAX);
         let mut room = held.grow(announced, limit);
         while room.is_ok() {
-            let Ok(frame) = next_frame(&mut body, self.timeout).await else {
+            let Ok(frame) = next_frame(&mut body, extensions, self.timeout).await else {
                 room = Err(Lack::Overdue);
                 break;
             };
@@ -142,7 +145,7 @@
             Ok(()) => Ok(Bytes::from_owner(held)),
             Err(lack) => {
                 if lack != Lack::Overdue {
-                    drain(body);
+                    drain(body, extensions.clone());
                 }
                 Err(self.refusal(lack, limit, caller))
             }
@@ -173,12 +176,15 @@
     }
 }
 
-/// Returns the next part of a body; fails if it takes too long.
+/// Returns the next part of the body of a request with these extensions; fails if it takes too long.
 pub(crate) async fn next_frame(
     body: &mut Incoming,
+    extensions: &Extensions,
     limit: Duration,
 ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed> {
-    timeout(limit, body.frame()).await
+    let frame = timeout(limit, body.frame()).await?;
+    BodyProgress::record(extensions);
+    Ok(frame)
 }
 
 /// Returns the refusal of a request whose body takes too long.
@@ -188,10 +194,10 @@
 
 /// Reads and drops the rest of a body, up to [`MAX_DRAINED_BYTES`]. A connection that is closed with unread
 /// bytes is reset, and its other side may lose the answer.
-pub(crate) fn drain(mut body: Incoming) {
+pub(crate) fn drain(mut body: Incoming, extensions: Extensions) {
     tokio::spawn(async move {
         let mut left = MAX_DRAINED_BYTES;
-        while let Ok(Some(Ok(frame))) = next_frame(&mut body, BODY_TIMEOUT).await {
+        while let Ok(Some(Ok(frame))) = next_frame(&mut body, &extensions, BODY_TIMEOUT).await {
             left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
             if left == 0 {
                 return;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -17,7 +17,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
-use crate::connection::{AnswerBody, Connection, ConnectionTable};
+use crate::connection::{AnswerBody, BodyProgress, Connection, ConnectionTable};
 use crate::guarded_stream::GuardedStream;
 use crate::listener_limits::{ListenerLimits, MAX_HEADERS};
 use crate::metrics::Metrics;
@@ -149,9 +149,10 @@
     let builder = builder(&connection.table().limits, idle_timeout);
     let requests = service.clone();
     let owner = connection.clone();
-    let answer = service_fn(move |request| {
+    let answer = service_fn(move |mut request: Request<Incoming>| {
         let service = requests.clone();
         let begun = owner.begin();
+        request.extensions_mut().insert(BodyProgress(owner.clone()));
         async move {
             let response = respond(&*service, request, from).await;
             Ok::<_, Infallible>(response.map(|body| AnswerBody {
