--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -20,7 +20,7 @@
 use cornelhitch_types::team::{ApiKeyDigest, TokenUsage};
 use http::header::{EXPECT, HOST};
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout_at};
@@ -37,6 +37,7 @@
 use crate::problem::not_run;
 use crate::request_memory::{RequestBodies, drain};
 use crate::server::{HEAD_TIMEOUT, Service};
+use crate::unread_answers::UnreadAnswers;
 
 /// Period after its start in which a host holds requests until it has a route table, which takes
 /// about a second if the voters were started too. Requests after that are refused at once.
@@ -152,6 +153,8 @@
     pub protocol: Arc<dyn RoutedRequestProtocol>,
     /// Reads the bodies of requests.
     pub bodies: RequestBodies,
+    /// The memory for answers that callers have not read.
+    pub unread: UnreadAnswers,
     /// The metrics of this process.
     pub metrics: Metrics,
     /// The id for the next request.
@@ -243,7 +246,8 @@
             inputs: self.inputs.clone(),
         };
         let _ = self.inputs.send(Input::NewRequest(Box::new(intake)));
-        caller_response(answer, guard, |status| streams && status.is_success()).await
+        let streams = |status: StatusCode| streams && status.is_success();
+        caller_response(answer, guard, (&self.unread, from), streams).await
     }
 
     /// Finds the route of a request, reads its body and prepares it for the core.
@@ -265,14 +269,17 @@
             // A caller that does not wait for `100 Continue` may lose the answer if its connection
             // is closed while it writes the body.
             Err(refusal) if !expects_continue => {
-                drain(body);
+                drain(body, parts.extensions);
                 return Err(refusal);
             }
             caller => caller?,
         };
         let metadata = self.protocol.read_metadata(&parts.headers)?;
         let limit = routes.table.limits.max_body_bytes;
-        let body = self.bodies.read(body, limit, from.ip()).await?;
+        let body = self
+            .bodies
+            .read(body, &parts.extensions, limit, from.ip())
+            .await?;
         let mut built = build_call(id, route, &routes.table, metadata, parts, body, from)?;
         if let Some(caller) = caller {
             caller.assign_to(&mut built.0, &mut built.1);
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -175,6 +175,19 @@
     pub quota_overshoot: f64,
     /// Units by which a team may exceed its quota in a window besides.
     pub quota_slack: f64,
+    /// Largest head of a request on any listener, in bytes.
+    pub head_bytes: u64,
+    /// Longest time from the first byte of a head to its end, in milliseconds.
+    pub head_ms: u64,
+    /// Longest time without a byte of a request's body, in milliseconds.
+    pub body_ms: u64,
+    /// Memory for incomplete heads of one listener, in megabytes; 0 for a sixteenth of
+    /// [`Serving::memory_mb`].
+    pub heads_mb: f64,
+    /// Connections on the callers' listener; 0 for two fifths of the process's file descriptors.
+    pub connections: u64,
+    /// Connections on the callers' listener from one address; 0 for three times as many as are free.
+    pub address_connections: u64,
     /// How the target of a request is chosen.
     pub routing: Routing,
 }
@@ -215,6 +228,12 @@
             quota_overshoot: 0.1,
             quota_slack: 0.0,
             routing: Routing::Load,
+            head_bytes: 64 << 10,
+            head_ms: 10_000,
+            body_ms: 15_000,
+            heads_mb: 0.0,
+            connections: 0,
+            address_connections: 0,
         }
     }
 }
