Teams of one priority share what a host sends; what is late is refused early

Cause: with the earliest deadline first, a team at six times its load took the objective of all others of its priority. Change: teams share turns within a class by virtual time, in proportion to their quotas. A new request of a team that cannot meet its objective is refused at once with a time to return; its caller is counted as waiting, and is not judged again when it returns as told. A bound from below for routes of low priority and for the largest prompts, and shares over several hosts, are not begun.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -12,6 +12,7 @@
 use crate::core::Core;
 use crate::estimate::{self, Supply};
 use crate::event::{CallId, Request, RequestedResource};
+use crate::fair_share::Flow;
 use crate::fault::Fault;
 use crate::finish::Rejection;
 use crate::newest_table;
@@ -64,6 +65,12 @@
             self.refuse_unadmitted(id, rejection);
             return;
         }
+        if !self.redeem_promise(&mut call)
+            && let Some(rejection) = self.objective_rejection(&call)
+        {
+            self.refuse_unadmitted(id, rejection);
+            return;
+        }
         match self.judge_parts(&call.request) {
             Verdict::Run => {}
             Verdict::Try(parts) => {
@@ -262,7 +269,11 @@
             arrived: self.now,
             deadline,
             timer: refusal_time(self.now, deadline) + Time::from_secs(injected_delay_s),
-            rank: Rank { weight, deadline },
+            rank: Rank {
+                weight,
+                deadline,
+                flow: Flow::from(&request),
+            },
             repeatable,
             claim: if has_key { Claim::Asked } else { Claim::None },
             stage: Stage::Claiming,
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -19,6 +19,7 @@
 use crate::config::{Config, Guard};
 use crate::counters::Counters;
 use crate::drain::{Phases, Shutdown};
+use crate::drain_rate::DrainRates;
 use crate::dump::Dump;
 use crate::durations::Durations;
 use crate::ejection::Ejections;
@@ -30,6 +31,7 @@
 use crate::health::Health;
 use crate::lease::Lease;
 use crate::newest_table::{NewestTable, Statement};
+use crate::promises::Promises;
 use crate::quarantine::Quarantine;
 use crate::queue::{Queue, QueueKey};
 use crate::request::{Call, Stage};
@@ -72,6 +74,9 @@
     pub(crate) newest_table: NewestTable,
     pub(crate) shutdown: Shutdown,
     pub(crate) queue: Queue,
+    pub(crate) drain_rates: DrainRates,
+    /// Refused requests that are expected back.
+    pub(crate) promises: Promises,
     pub(crate) calls: HashMap<CallId, Call>,
     /// Number of requests that wait for control to answer their claim.
     pub(crate) claiming: usize,
@@ -128,6 +133,8 @@
             newest_table: NewestTable::default(),
             shutdown: Shutdown::default(),
             queue: Queue::default(),
+            drain_rates: DrainRates::default(),
+            promises: Promises::default(),
             calls: HashMap::new(),
             claiming: 0,
             timers: BTreeSet::new(),
@@ -491,6 +498,8 @@
         self.suspects.expire(retention, self.now);
         self.orphaned_claims.expire(self.now);
         self.cancelled.expire(self.now);
+        self.drain_rates.expire(self.now);
+        self.promises.expire(self.now);
         self.refuse_outlasting();
         self.refuse_lapsed_trials();
         if self.config.uses(Guard::Early) {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::fault::Fault;
 use crate::fleet_view::Target;
 use crate::quarantine::TargetInstance;
-use crate::queue::QueueKey;
+use crate::queue::{Group, QueueKey, Rank};
 use crate::request::{Call, Progress, RunningAttempt, Stage};
 use crate::route::{Candidate, Place};
 use crate::share::Sharers;
@@ -367,6 +367,15 @@
             return;
         };
         self.queue.take_turn(&call.key, call.rank, id);
+        if call.request.team.is_some() {
+            let last = Rank {
+                deadline: Time::MAX,
+                ..call.rank
+            };
+            let left = self.queue.ahead_in_group(&call.key, last);
+            let group = Group::of(&call.key, call.rank);
+            self.drain_rates.record_send(group, left, self.now);
+        }
         let fingerprint = call.request.fingerprint;
         let instance = (candidate.place.target.clone(), candidate.incarnation);
         let strikes = self.quarantine.strikes(fingerprint);
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -1,17 +1,22 @@
 //! The queue of waiting requests, in the order in which they are to be sent.
 //!
-//! Within a class, the earliest deadline goes first. Classes share turns in proportion to their
+//! Within a class, teams share turns by what their requests cost (see [`crate::fair_share`]), and of
+//! one team's requests the earliest deadline goes first. Requests without a team count as one team,
+//! so that without teams the earliest deadline of the class goes first. Classes share turns in proportion to their
 //! weights by stride scheduling (Waldspurger and Weihl 1995): a heavy class goes before a light
 //! one, and no class starves however long the heavy ones are busy.
 
-use std::collections::btree_set::Iter;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod class;
+
+use std::collections::{BTreeMap, HashMap};
 
 use cornelhitch_types::id::{CallerId, ModelId, Name, Time};
 use cornelhitch_types::route;
 use serde::{Deserialize, Serialize};
 
 use crate::event::{CallId, RequestedResource};
+use crate::fair_share::{FairShares, Flow};
+use class::{Class, ClassOrder};
 
 /// Identifies a lane: the requests that can be sent to the same replicas.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -63,15 +68,31 @@
     pub weight: u32,
     /// The request's deadline.
     pub deadline: Time,
+    /// The team that the request counts for, and what it costs.
+    pub flow: Flow,
 }
 
-/// The waiting requests of one class in a lane.
-#[derive(Debug, Default)]
-struct Class {
-    /// In order of deadline.
-    waiting: BTreeSet<(Time, CallId)>,
-    /// The virtual time of the class's next turn.
-    turn: f64,
+/// Requests that share turns in the order of their deadlines: those of one team and class in a lane.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Group {
+    /// The lane.
+    pub key: QueueKey,
+    /// The weight of the class.
+    pub weight: u32,
+    /// The digest of the team; see [`Flow::team`].
+    pub team: u64,
+}
+
+impl Group {
+    /// Returns the group of a request.
+    #[must_use]
+    pub fn of(key: &QueueKey, rank: Rank) -> Self {
+        Self {
+            key: key.clone(),
+            weight: rank.weight,
+            team: rank.flow.team,
+        }
+    }
 }
 
 /// The waiting requests for the same replicas.
@@ -90,13 +111,14 @@
 
 impl Lane {
     /// Adds a request. If its class had no waiting requests, its next turn is no earlier than now.
-    fn push(&mut self, rank: Rank, id: CallId) {
+    /// Returns whether it is new.
+    fn push(&mut self, rank: Rank, id: CallId) -> bool {
         let clock = self.clock;
         let class = self.classes.entry(rank.weight).or_default();
-        if class.waiting.is_empty() {
+        if class.len() == 0 {
             class.turn = class.turn.max(clock);
         }
-        class.waiting.insert((rank.deadline, id));
+        class.insert(rank, id)
     }
 
     /// Advances virtual time by one turn of a class.
@@ -107,36 +129,36 @@
         }
     }
 
-    fn remove(&mut self, rank: Rank, id: CallId) {
-        if let Some(class) = self.classes.get_mut(&rank.weight) {
-            class.waiting.remove(&(rank.deadline, id));
-        }
+    /// Removes a request. Returns whether it was there.
+    fn remove(&mut self, rank: Rank, id: CallId) -> bool {
+        let class = self.classes.get_mut(&rank.weight);
+        class.is_some_and(|class| class.remove(rank, id))
     }
 
     /// Returns the number of waiting requests.
     fn len(&self) -> usize {
-        self.classes.values().map(|class| class.waiting.len()).sum()
+        self.classes.values().map(Class::len).sum()
     }
 
     /// Returns the request with the last turn, and that turn relative to now.
-    fn last(&self) -> Option<(f64, CallId)> {
+    fn last(&self, shares: &FairShares) -> Option<(f64, CallId)> {
         let lasts = self.classes.iter().filter_map(|(weight, class)| {
-            let (_, id) = class.waiting.last()?;
-            Some((self.end_turn(*weight, class), *id))
+            let id = class.last(shares)?;
+            Some((self.end_turn(*weight, class), id))
         });
         lasts.max_by(|one, other| one.0.total_cmp(&other.0))
     }
 
     /// Returns the turn of a class's last request, relative to now.
     fn end_turn(&self, weight: u32, class: &Class) -> f64 {
-        let count = u32::try_from(class.waiting.len()).unwrap_or(u32::MAX);
+        let count = u32::try_from(class.len()).unwrap_or(u32::MAX);
         class.turn - self.clock + f64::from(count) * stride(weight)
     }
 
     /// Returns how many waiting requests would go before a new one if no others arrived.
-    fn ahead(&self, rank: Rank) -> usize {
+    fn ahead(&self, rank: Rank, shares: &FairShares) -> usize {
         let own = self.classes.get(&rank.weight);
-        let before = own.map_or(0, |class| class.waiting.range(..(rank.deadline, 0)).count());
+        let before = own.map_or(0, |class| class.count_before(rank, shares));
         let start = own.map_or(self.clock, |class| class.turn.max(self.clock));
         let count = u32::try_from(before).unwrap_or(u32::MAX);
         let turn = start + f64::from(count) * stride(rank.weight);
@@ -146,7 +168,7 @@
             .filter(|(weight, _)| **weight != rank.weight);
         let others = others.map(|(weight, class)| {
             let turns = ((turn - class.turn) / stride(*weight)).ceil().max(0.0);
-            turns_to_count(turns).min(class.waiting.len())
+            turns_to_count(turns).min(class.len())
         });
         before + others.sum::<usize>()
     }
@@ -164,7 +186,7 @@
     turn: f64,
     /// The virtual time between its turns.
     stride: f64,
-    waiting: Iter<'a, (Time, CallId)>,
+    waiting: ClassOrder<'a>,
 }
 
 /// Iterator over the requests of a lane in the order of their turns.
@@ -181,9 +203,9 @@
             let turns = self.cursors.iter().enumerate();
             let (index, _) = turns.min_by(|one, other| one.1.turn.total_cmp(&other.1.turn))?;
             let cursors = &mut self.cursors[index];
-            if let Some((_, id)) = cursors.waiting.next() {
+            if let Some(id) = cursors.waiting.next() {
                 cursors.turn += cursors.stride;
-                return Some(*id);
+                return Some(id);
             }
             let _spent = self.cursors.remove(index);
         }
@@ -195,6 +217,8 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     lanes: BTreeMap<QueueKey, Lane>,
+    /// What the teams were sent for, over all lanes.
+    shares: FairShares,
     /// Total number of waiting requests.
     length: usize,
     /// Number of requests of each caller, waiting or in flight.
@@ -206,11 +230,16 @@
     ///
     /// ```
     /// use cornelhitch_entry::queue::{QueueKey, Queue, Rank};
+    /// use cornelhitch_entry::fair_share::Flow;
     /// use std::time::Duration;
     ///
     /// let mut queue = Queue::default();
     /// let key = QueueKey::Service("bids".into());
-    /// let rank = |weight, seconds| Rank { weight, deadline: Duration::from_secs(seconds) };
+    /// let rank = |weight, seconds| Rank {
+    ///     weight,
+    ///     deadline: Duration::from_secs(seconds),
+    ///     flow: Flow::default(),
+    /// };
     /// queue.push(&key, rank(1, 600), 1);
     /// queue.push(&key, rank(1, 500), 2);
     /// queue.push(&key, rank(100, 900), 3);
@@ -221,10 +250,11 @@
         if !self.lanes.contains_key(key) {
             self.lanes.insert(key.clone(), Lane::default());
         }
-        if let Some(lane) = self.lanes.get_mut(key) {
-            let before = lane.len();
-            lane.push(rank, id);
-            self.length += lane.len() - before;
+        if let Some(lane) = self.lanes.get_mut(key)
+            && lane.push(rank, id)
+        {
+            self.length += 1;
+            self.shares.add_waiting(rank.flow.team);
         }
     }
 
@@ -232,6 +262,7 @@
     pub fn take_turn(&mut self, key: &QueueKey, rank: Rank, id: CallId) {
         if let Some(lane) = self.lanes.get_mut(key) {
             lane.take_turn(rank.weight);
+            self.shares.charge(rank.flow);
         }
         self.remove(key, rank, id);
     }
@@ -241,13 +272,14 @@
         let Some(lane) = self.lanes.get_mut(key) else {
             return;
         };
-        let before = lane.len();
-        lane.remove(rank, id);
-        let left = lane.len();
-        self.length -= before - left;
-        if left == 0 {
+        let was_there = lane.remove(rank, id);
+        if lane.len() == 0 {
             self.lanes.remove(key);
         }
+        if was_there {
+            self.length -= 1;
+            self.shares.remove_waiting(rank.flow.team);
+        }
     }
 
     /// Returns the number of waiting requests.
@@ -266,7 +298,8 @@
     /// is full.
     #[must_use]
     pub fn last(&self) -> Option<CallId> {
-        let lasts = self.lanes.values().filter_map(Lane::last);
+        let lasts = self.lanes.values();
+        let lasts = lasts.filter_map(|lane| lane.last(&self.shares));
         let last = lasts.max_by(|one, other| one.0.total_cmp(&other.0));
         last.map(|(_, id)| id)
     }
@@ -285,7 +318,7 @@
         let cursors = classes.map(|(weight, class)| ClassCursor {
             turn: class.turn,
             stride: stride(*weight),
-            waiting: class.waiting.iter(),
+            waiting: class.order(&self.shares),
         });
         TurnOrder {
             cursors: cursors.collect(),
@@ -301,7 +334,17 @@
     /// Returns how many waiting requests of a lane would go before a new one.
     #[must_use]
     pub fn ahead(&self, key: &QueueKey, rank: Rank) -> usize {
-        self.lanes.get(key).map_or(0, |lane| lane.ahead(rank))
+        self.lanes
+            .get(key)
+            .map_or(0, |lane| lane.ahead(rank, &self.shares))
+    }
+
+    /// Returns how many waiting requests of the same group have earlier deadlines.
+    #[must_use]
+    pub fn ahead_in_group(&self, key: &QueueKey, rank: Rank) -> usize {
+        let class = self.lanes.get(key);
+        let class = class.and_then(|lane| lane.classes.get(&rank.weight));
+        class.map_or(0, |class| class.count_before_in_team(rank))
     }
 
     /// Returns the number of a caller's requests, waiting or in flight.
