Requests of teams may always wait a quarter of their objective

Change: the time that a request may wait is what the objective leaves after the response, and a quarter of the objective at least. Conclusion: an objective that targets cannot meet leaves none idle.

--- a/crates/entry/src/objective.rs
+++ b/crates/entry/src/objective.rs
@@ -17,9 +17,12 @@
 /// same queue.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Part of its objective within which a request that returns is to be answered. The rest allows for
-/// estimates that are too short: aimed at the whole objective, all requests that return would be
-/// just late.
+/// Part of the objective that a request may always wait. Where targets alone take longer than the
+/// objective, refusing all requests would leave the targets idle.
+const MIN_WAITING_SHARE: u32 = 4;
+
+/// Part of the time that a request may wait at which one that returns is aimed. The rest allows for
+/// estimates that are too short: aimed at the whole time, all requests that return are just late.
 const AIMED_SHARE: u32 = 2;
 
 /// Part of its remaining time that a caller waits at most before it returns.
@@ -54,12 +57,14 @@
         let wait = self.drain_rates.wait(&group, ahead + before, now);
         let latency = self.latencies.get(&call.key);
         let response_time = latency.response_time_for(call.request.streaming);
-        if objective.is_zero() || wait + response_time <= objective {
+        let room = objective.saturating_sub(response_time);
+        let room = room.max(objective / MIN_WAITING_SHARE);
+        if objective.is_zero() || wait <= room {
             return None;
         }
         let all = self.promises.count(&group, now, call.deadline);
         let wait = self.drain_rates.wait(&group, ahead + all, now);
-        let retry = (wait + response_time).saturating_sub(objective / AIMED_SHARE);
+        let retry = wait.saturating_sub(room / AIMED_SHARE);
         let retry = retry.max(MIN_RETRY_AFTER);
         if retry <= call.deadline.saturating_sub(now) / HONOURED_SHARE {
             let fingerprint = call.request.fingerprint;
--- a/crates/entry/tests/fair_share.rs
+++ b/crates/entry/tests/fair_share.rs
@@ -222,7 +222,7 @@
 }
 
 /// Returns an attempt's request; callers differ, so that their own limit is not reached.
-fn request(id: u64, asked: Asked, team: Option<&Arc<Team>>) -> Request {
+fn request(id: u64, asked: Asked, objective_ms: u64, team: Option<&Arc<Team>>) -> Request {
     let what = RequestedResource::Service {
         name: "auction".into(),
         method: "POST".into(),
@@ -239,7 +239,7 @@
         route: "lookup".into(),
         attempts: 1,
         limit: Duration::from_millis(DEADLINE_MS),
-        objective: Duration::from_millis(OBJECTIVE_MS),
+        objective: Duration::from_millis(objective_ms),
         rank: 0,
         sizes: Vec::new(),
     }));
@@ -275,6 +275,8 @@
 /// The host, its target and the callers of both teams, in virtual time.
 struct Run {
     core: Core,
+    /// The route's objective.
+    objective_ms: u64,
     /// The teams, if requests name them.
     teams: Option<[Arc<Team>; 2]>,
     now: u64,
@@ -306,7 +308,7 @@
     fn on_send(&mut self, id: u64, attempt: u32) {
         let asked = self.asked[&id];
         self.count(asked.team, |served| &mut served.sent);
-        if self.now - asked.arrived + SERVICE_MS <= OBJECTIVE_MS {
+        if self.now - asked.arrived + SERVICE_MS <= self.objective_ms {
             self.count(asked.team, |served| &mut served.in_time);
         }
         self.running.insert((self.now + SERVICE_MS, id), attempt);
@@ -339,7 +341,7 @@
             self.count(asked.team, |served| &mut served.returned);
         }
         let team = self.teams.as_ref().map(|teams| &teams[asked.team]);
-        let request = request(id, asked, team);
+        let request = request(id, asked, self.objective_ms, team);
         self.handle(Event::Arrived(request));
     }
 
@@ -380,9 +382,10 @@
 }
 
 /// Serves both teams; `with_teams` says whether requests name their teams.
-fn serve(with_teams: bool) -> [Served; 2] {
+fn serve(with_teams: bool, objective_ms: u64) -> [Served; 2] {
     let mut run = Run {
         core: core(),
+        objective_ms,
         teams: with_teams.then(|| ["red", "blue"].map(team)),
         now: 0,
         asked: BTreeMap::new(),
@@ -402,7 +405,7 @@
 /// refused again when they return as they were told.
 #[test]
 fn a_team_at_six_times_its_load_does_not_cost_another_its_objective() {
-    let [red, blue] = serve(true);
+    let [red, blue] = serve(true, OBJECTIVE_MS);
     println!("{red:?} {blue:?}");
     assert!(blue.arrived >= 170, "{blue:?}");
     assert!(blue.in_time >= blue.arrived - 1, "{blue:?}");
@@ -411,6 +414,16 @@
     assert!(red.in_time * 10 >= red.sent * 9, "{red:?}");
     assert!(red.refused_again * 20 <= red.returned, "{red:?}");
     // The premise: without teams, blue loses what it is entitled to.
-    let [_, blue] = serve(false);
+    let [_, blue] = serve(false, OBJECTIVE_MS);
     assert!(blue.in_time < blue.arrived * 9 / 10, "{blue:?}");
 }
+
+/// Guards against a team that is refused everything, while targets are idle, because they alone take
+/// longer than the objective.
+#[test]
+fn an_objective_that_targets_cannot_meet_leaves_none_idle() {
+    let [red, blue] = serve(true, SERVICE_MS * 4 / 5);
+    let sent = red.sent + blue.sent;
+    assert!(sent * 100 >= 95 * CAPACITY, "{red:?} {blue:?}");
+    assert!(blue.sent >= blue.arrived - blue.returned - 1, "{blue:?}");
+}
