Targets that end at one moment count as one event against a part

Cause: each target that ended counted as a strike against all that was in progress on it, so a fault of a quarter of the targets refused every section that most of them ran, for 15 to 20 s; the order in which hosts took turns with trials (0.5 s a host) and the wait for each further suspected part (2 s) made most of it. Change: a single event of 500 ms weighs two strikes at most if a run of the part had delivered for 200 ms; an answer clears events of three and more ends that its run outlasted; the leader alone orders trials, ends them with their outcome and grants none in the first second of its term; Retry-After is the time to the next trial.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -202,7 +202,8 @@
     /// Returns the refusal for a request with a part under which targets end.
     pub(crate) fn part_rejection(&self, part: u64, request: &Request, run: Run) -> Rejection {
         let retention = Duration::from_secs(self.catalogue.fleet.refusing.quarantine_s);
-        let time_left = self.suspects.time_left(part, retention, self.now);
+        let parts = request.parts();
+        let wait = self.suspects.time_to_decision(parts, retention, self.now);
         let detail = if request.content() == Some(part) {
             format!("targets failed while they ran this request ({part:x})")
         } else {
@@ -214,7 +215,7 @@
             retry: None,
             detail: detail.into(),
         }
-        .after(time_left)
+        .after(wait)
     }
 
     /// Adds the addresses of up to four other entry hosts to a refusal.
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -175,6 +175,7 @@
             return;
         }
         run.progress = Progress::Begun;
+        run.begun = Some(now);
         let run = run.clone();
         let elapsed = now.saturating_sub(run.since);
         let first = call.progress < Progress::Begun;
@@ -368,6 +369,7 @@
             self.quarantine
                 .strike(fingerprint, instance.clone(), strikes, self.now);
             self.suspects.strike(&suspicion, &instance, self.now);
+            self.record_witnesses();
         }
         let (target, incarnation) = instance;
         self.actions.push(Action::Strike {
@@ -403,12 +405,15 @@
     /// answered completely.
     fn acquit_parts(&mut self, content: Option<u64>, sections: &[u64], known: Knowledge) {
         let mut cleared = self.suspects.acquit(sections, known, self.now);
-        cleared.extend(content.filter(|it| self.suspects.acquit_content(*it, known, self.now)));
-        let sections = cleared;
-        if !sections.is_empty() {
-            let known = known.index;
-            self.actions
-                .push(Action::AcquitSections { sections, known });
+        let content = content.filter(|it| self.suspects.acquit_content(*it, known, self.now));
+        if let Some(content) = content {
+            cleared.entry(known.index).or_default().push(content);
+        }
+        if !cleared.is_empty() {
+            let actions = cleared.into_iter();
+            let actions =
+                actions.map(|(known, sections)| Action::AcquitSections { sections, known });
+            self.actions.extend(actions);
             // What the cleared sections explained may now be held against others.
             self.refuse_suspects();
         }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -383,6 +383,7 @@
             incarnation: candidate.incarnation,
             progress: Progress::Unsent,
             since: self.now,
+            begun: None,
             strikes,
             known: self.suspects.knowledge(self.now),
             error: false,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -70,3 +70,4 @@
 mod tests;
 mod trial;
 mod updates;
+mod witness;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -38,6 +38,8 @@
     pub progress: Progress,
     /// When it was sent.
     pub since: Time,
+    /// When its response began.
+    pub begun: Option<Time>,
     /// Strikes of the request's fingerprint that were known when it was sent.
     pub strikes: u32,
     /// What was known of crashes when it was sent.
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -8,6 +8,7 @@
 //! clear a part that ended nothing. What follows says section for either kind of part.
 
 mod answered;
+mod events;
 mod record;
 mod verdict;
 
@@ -40,11 +41,14 @@
 
 /// Additional wait for each further section with crashes in a request, so that requests with fewer
 /// are tried first.
-const FURTHER_SECTION_WAIT: Duration = Duration::from_secs(2);
+const FURTHER_SECTION_WAIT: Duration = Duration::from_millis(300);
 
-/// How much later than the one before it an entry host may begin a trial; a crash is published well
-/// within it.
-const TURN_LENGTH: Duration = Duration::from_millis(500);
+/// Time over which the hosts spread their first questions for a trial. The leader grants one trial at
+/// a time, so their order matters only for the number of questions that it gets at once.
+const TURN_SPREAD: Duration = Duration::from_millis(300);
+
+/// How long after a denied trial a host asks for another one at the earliest.
+const DENIED_WAIT: Duration = Duration::from_millis(500);
 
 /// How long the outcome of a trial is waited for before another one may begin.
 pub const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -105,9 +109,10 @@
     /// Returns how much later than the first host this one may begin a trial. Each crash begins
     /// another round, in which another host is the first.
     fn delay(self, round: u64) -> Duration {
-        let hosts = self.hosts.max(1) as u64;
-        let place = (self.position as u64 + round) % hosts;
-        TURN_LENGTH.saturating_mul(u32::try_from(place).unwrap_or(u32::MAX))
+        let hosts = u32::try_from(self.hosts.max(1)).unwrap_or(u32::MAX);
+        let place = (self.position as u64 + round) % u64::from(hosts);
+        let place = u32::try_from(place).unwrap_or(u32::MAX);
+        TURN_SPREAD.mul_f64(f64::from(place) / f64::from(hosts))
     }
 }
 
@@ -152,8 +157,11 @@
     refused: Vec<Refused>,
     /// Index of the newest log entry whose crashes were published.
     newest: u64,
-    /// When this host began a trial, if no crash was published since.
-    tried: Option<Time>,
+    /// Until when this host asks for no other trial; a crash that is published ends the wait.
+    waits_until: Option<Time>,
+    /// Whether a complete view is being applied.
+    #[serde(skip)]
+    in_complete_view: bool,
 }
 
 impl Suspects {
@@ -181,7 +189,7 @@
         let Some(first) = self.refused_for(parts) else {
             return Verdict::Run;
         };
-        let waits = self.tried.is_some_and(|tried| now < tried + TRIAL_TIMEOUT);
+        let waits = self.waits_until.is_some_and(|until| now < until);
         let due = turn.and_then(|turn| {
             let due = self.trial_due(parts)?;
             Some(due + turn.delay(self.newest))
@@ -189,13 +197,18 @@
         if waits || due.is_none_or(|due| now < due) {
             return Verdict::Refuse(first);
         }
-        self.tried = Some(now);
+        self.waits_until = Some(now + TRIAL_TIMEOUT);
         let tried = self.tried_by(parts);
         let tried = tried.into_iter().flat_map(|set| set.sections);
         let tried: BTreeSet<u64> = tried.collect();
         Verdict::Try(tried.into_iter().collect())
     }
 
+    /// Records that control denied the trial that this host asked for last: another one runs.
+    pub fn trial_denied(&mut self, now: Time) {
+        self.waits_until = Some(now + DENIED_WAIT);
+    }
+
     /// Returns the refused sets that a request would try: those that explain crashes, or if it holds
     /// none of these, those that others explain. If its target ends, nothing more is known of
     /// those that were explained before.
@@ -262,16 +275,38 @@
         self.update(now);
     }
 
-    /// Clears the crashes that a complete answer disproves; returns the sections that control has
-    /// to clear.
-    pub fn acquit(&mut self, sections: &[u64], known: Knowledge, now: Time) -> Vec<u64> {
-        let mut cleared = Vec::new();
+    /// Whether any part has crashes.
+    #[must_use]
+    pub fn has_crashes(&self) -> bool {
+        !self.records.is_empty()
+    }
+
+    /// Records parts whose runs here have delivered for some time: a single event is then taken to
+    /// have a common cause.
+    pub fn record_witnessed(&mut self, parts: &BTreeSet<u64>, now: Time) {
+        for (part, record) in &mut self.records {
+            record.witnessed |= parts.contains(part);
+        }
+        self.update(now);
+    }
+
+    /// Clears the crashes that a complete answer disproves: those that were known when its request was
+    /// sent, and events with a common cause that it outlasted. Returns the sections that control has
+    /// to clear, by the index up to which.
+    pub fn acquit(
+        &mut self,
+        sections: &[u64],
+        known: Knowledge,
+        now: Time,
+    ) -> BTreeMap<u64, Vec<u64>> {
+        let mut cleared: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
         let mut changed = false;
         for section in sections {
-            if self.records.contains_key(section) {
+            if let Some(record) = self.records.get(section) {
                 changed = true;
+                let known = events::outlasted(&record.crashes, known, now);
                 if self.disprove(*section, known) {
-                    cleared.push(*section);
+                    cleared.entry(known.index).or_default().push(*section);
                 }
             }
             if !self.records.contains_key(section) {
@@ -312,10 +347,10 @@
     /// [`Suspects::update`] has to follow the last one of a view.
     pub fn set_published(&mut self, section: u64, crashes: Vec<SectionCrash>, now: Time) {
         let record = self.records.entry(section).or_default();
-        record.set_published(crashes, now);
+        record.set_published(crashes, self.in_complete_view, now);
         if record.newest() > self.newest {
             self.newest = record.newest();
-            self.tried = None;
+            self.waits_until = None;
         }
         if record.crashes.is_empty() {
             self.records.remove(&section);
@@ -341,6 +376,7 @@
 
     /// Expects a complete view to name all sections with crashes.
     pub fn begin_view(&mut self) {
+        self.in_complete_view = true;
         for record in self.records.values_mut() {
             record.begin_view();
         }
@@ -349,6 +385,7 @@
     /// Drops what a complete view has not named. Of what this host observed itself, only crashes
     /// that may not be committed yet are kept.
     pub fn end_view(&mut self, now: Time) {
+        self.in_complete_view = false;
         for record in self.records.values_mut() {
             record.end_view();
         }
@@ -371,13 +408,20 @@
         self.update(now);
     }
 
-    /// Returns how much longer a section is refused, if crashes are kept for `kept`.
+    /// Returns the time until the next decision about a refused request: until it may be tried, or
+    /// if its parts were tried often enough, until their crashes expire; these are kept for `kept`.
+    /// While a trial runs, its outcome is due within the wait after a denied trial.
     #[must_use]
-    pub fn time_left(&self, section: u64, kept: Duration, now: Time) -> Duration {
-        let record = self.records.get(&section);
-        record.map_or(Duration::ZERO, |record| {
-            (record.at + kept).saturating_sub(now)
-        })
+    pub fn time_to_decision(&self, parts: Parts, kept: Duration, now: Time) -> Duration {
+        let due = self.trial_due(parts).unwrap_or_else(|| {
+            let sets = self.tried_by(parts);
+            let tried = sets.iter().flat_map(|set| &set.sections);
+            let records = tried.filter_map(|section| self.records.get(section));
+            let last = records.map(|record| record.at).max();
+            last.map_or(now, |last| last + kept)
+        });
+        let due = due.saturating_sub(now);
+        if due.is_zero() { DENIED_WAIT } else { due }
     }
 
     /// Whether requests are refused for a section.
--- a/crates/entry/src/suspects/record.rs
+++ b/crates/entry/src/suspects/record.rs
@@ -6,7 +6,7 @@
 use cornelhitch_types::view::SectionCrash;
 use serde::Serialize;
 
-use super::{Knowledge, Suspicion};
+use super::{Knowledge, Suspicion, events};
 use crate::quarantine::{COMMIT_TIMEOUT, TargetInstance};
 
 /// A target that ended with a section in progress.
@@ -15,9 +15,11 @@
     /// The target that ended.
     pub(super) lost: TargetInstance,
     /// Index of the log entry that recorded it; `None` while only this host knows of it.
-    index: Option<u64>,
+    pub(super) index: Option<u64>,
     /// When this host learned of it.
     at: Time,
+    /// Whether it ended about then: `false` if a complete view told of an end that was not known.
+    dated: bool,
     /// Number of requests with the section that were in progress on the target.
     pub(super) requests: u32,
     /// The other shared sections of their prompts.
@@ -26,6 +28,21 @@
     pub(super) trial: bool,
 }
 
+impl Crash {
+    /// Returns when the target ended, as far as this host knows.
+    pub(super) fn time(&self) -> Option<Time> {
+        self.dated.then_some(self.at)
+    }
+
+    /// Whether it was known at a given point.
+    pub(super) fn is_known(&self, known: Knowledge) -> bool {
+        match self.index {
+            Some(index) => index <= known.index,
+            None => self.at <= known.at,
+        }
+    }
+}
+
 /// The crashes of one section.
 #[derive(Debug, Default, Serialize)]
 pub(super) struct Record {
@@ -33,6 +50,8 @@
     pub(super) crashes: Vec<Crash>,
     /// Time of the last change.
     pub(super) at: Time,
+    /// Whether a run here had delivered for some time when a target ended.
+    pub(super) witnessed: bool,
     /// Whether a complete view is being applied that has not named the section yet.
     stale: bool,
 }
@@ -44,6 +63,11 @@
         requests.sum()
     }
 
+    /// Returns the number of strikes that the crashes weigh.
+    pub(super) fn weight(&self) -> usize {
+        events::weight(&self.crashes, self.witnessed)
+    }
+
     /// Returns the crash of a target.
     pub(super) fn crash(&self, lost: &TargetInstance) -> Option<&Crash> {
         self.crashes.iter().find(|crash| crash.lost == *lost)
@@ -71,6 +95,7 @@
                 lost: lost.clone(),
                 index: None,
                 at: now,
+                dated: true,
                 requests: 0,
                 with: BTreeSet::new(),
                 trial: false,
@@ -90,16 +115,14 @@
     pub(super) fn acquit(&mut self, known: Knowledge) -> bool {
         let published = |crash: &Crash| crash.index.is_some();
         let before = self.crashes.iter().filter(|it| published(it)).count();
-        self.crashes.retain(|crash| match crash.index {
-            Some(index) => index > known.index,
-            None => crash.at > known.at,
-        });
+        self.crashes.retain(|crash| !crash.is_known(known));
         let after = self.crashes.iter().filter(|it| published(it)).count();
         after < before
     }
 
-    /// Replaces what control published.
-    pub(super) fn set_published(&mut self, crashes: Vec<SectionCrash>, now: Time) {
+    /// Replaces what control published; `complete` with a complete view, which does not tell when
+    /// the targets ended.
+    pub(super) fn set_published(&mut self, crashes: Vec<SectionCrash>, complete: bool, now: Time) {
         self.stale = false;
         let before = std::mem::take(&mut self.crashes);
         let published = crashes.into_iter().map(|crash| {
@@ -107,6 +130,7 @@
             let known = before.iter().find(|known| known.lost == lost);
             Crash {
                 at: known.map_or(now, |known| known.at),
+                dated: known.map_or(!complete, |known| known.dated),
                 lost,
                 index: Some(crash.index),
                 requests: crash.requests,
--- a/crates/entry/src/suspects/verdict.rs
+++ b/crates/entry/src/suspects/verdict.rs
@@ -8,6 +8,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use super::events;
 use super::record::{Crash, Record};
 
 /// A request with this many times as many requests at a crash is explained by the rarer section.
@@ -36,8 +37,8 @@
         excused: false,
     });
     let lasting = records.iter();
-    let lasting = lasting
-        .filter(|(section, record)| record.crashes.len() >= limit(**section) + EXCUSED_CRASHES);
+    let lasting =
+        lasting.filter(|(section, record)| record.weight() >= limit(**section) + EXCUSED_CRASHES);
     let lasting = lasting.map(|(section, _)| Refused {
         sections: vec![*section],
         excused: true,
@@ -54,7 +55,7 @@
             picked.any(|(other, record)| explains(*other, record, crash))
         };
         let unexplained = record.crashes.iter().filter(|crash| !explained(crash));
-        if unexplained.count() >= limit(section) {
+        if events::weight(unexplained, record.witnessed) >= limit(section) {
             picked.push((section, record));
         }
     }
@@ -70,7 +71,7 @@
     limit: &impl Fn(u64) -> usize,
 ) -> Vec<(u64, &'a Record)> {
     let records = records.iter();
-    let candidates = records.filter(|(section, record)| record.crashes.len() >= limit(**section));
+    let candidates = records.filter(|(section, record)| record.weight() >= limit(**section));
     let mut candidates: Vec<(u64, &Record)> = candidates
         .map(|(section, record)| (*section, record))
         .collect();
--- a/crates/entry/src/trial.rs
+++ b/crates/entry/src/trial.rs
@@ -33,6 +33,7 @@
         }
         if !granted {
             call.tried.clear();
+            self.suspects.trial_denied(self.now);
         }
         match self.suspect_rejection(id) {
             Some(rejection) => self.refuse(id, rejection),
--- a/crates/entry/src/updates.rs
+++ b/crates/entry/src/updates.rs
@@ -45,6 +45,7 @@
         }
         if crashes {
             self.suspects.update(self.now);
+            self.record_witnesses();
         }
         if crashes || is_complete {
             self.refuse_suspects();
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -507,6 +507,8 @@
         }
         if self.leading {
             strike_log::log_decrease(&command, &reply, &place);
+            let now = self.now();
+            self.trials.on_committed(&command, now);
             self.handle(Input::Applied { command, reply });
         }
     }
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -42,6 +42,7 @@
             Some(Waiter::Election(term)) if term == self.term && self.role == Role::Leader => {
                 tracing::info!(term, "this host now leads");
                 self.leading = true;
+                self.trials = Trials::elected(self.now());
                 self.software = SoftwareRegister::new(self.now());
                 self.handle(Input::Elected { term });
                 self.propose_initial_settings();
