Schedules of faults that end a quarter, half or all of the targets at once

Cause: no test had faults of many targets beside 0, 1 and 2 sections that end targets. Change: `fleet::mass_faults` plays them, and asks for the limit of the crashing sections, for the longest time that a caller who comes back is refused, and for streams that broke off.

--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod crashing_part_schedules;
 mod leaving;
 mod limits;
+mod mass_faults;
 mod simulation;
 
 /// Number of entry hosts.
--- a/crates/node/tests/fleet/simulation.rs
+++ b/crates/node/tests/fleet/simulation.rs
@@ -137,6 +137,8 @@
     pub sent: BTreeMap<CallId, Time>,
     /// How requests ended, and when.
     pub ends: BTreeMap<CallId, (Time, End)>,
+    /// When refused requests were told to come back, as a time after their refusal.
+    pub retries: BTreeMap<CallId, Duration>,
     /// Requests that reached targets.
     pub arrivals: Vec<Arrival>,
     /// Requests whose answers have begun for their callers.
@@ -195,6 +197,7 @@
             crashed: Vec::new(),
             sent: BTreeMap::new(),
             ends: BTreeMap::new(),
+            retries: BTreeMap::new(),
             arrivals: Vec::new(),
             begun: BTreeSet::new(),
             downtime: DOWNTIME,
@@ -274,7 +277,7 @@
     pub fn elect_leader(&mut self) {
         self.term += 1;
         self.leader = Some(Leader::new(Box::new(NoPlanner)));
-        self.trials = Trials::default();
+        self.trials = Trials::elected(self.now);
         self.lead(Input::Elected { term: self.term });
     }
 
@@ -501,6 +504,7 @@
         };
         let command = Command::decode(&command.encode()).expect("a command is readable");
         let reply = self.state.apply(&entry, command.clone());
+        self.trials.on_committed(&command, self.now);
         self.lead(Input::Applied { command, reply });
     }
 
@@ -763,6 +767,9 @@
             Action::Refuse { id, refusal } | Action::StreamError { id, refusal } => {
                 let end = End::Refused(refusal.reason);
                 self.ends.insert(id, (self.now, end));
+                if let Some(retry) = refusal.retry_after {
+                    self.retries.insert(id, retry);
+                }
             }
             Action::Cancel { id, attempt, .. } => {
                 let same = |send: &PendingSend| (send.host, send.id, send.attempt);
--- a/crates/node/tests/trials.rs
+++ b/crates/node/tests/trials.rs
@@ -33,9 +33,10 @@
 /// Creates a host that knows the ends.
 fn host() -> Suspects {
     let mut host = Suspects::new(LIMIT);
+    host.begin_view();
     host.set_published(FIRST, ends(CRASHING), at(0));
     host.set_published(CRASHING, ends(FIRST), at(0));
-    host.update(at(0));
+    host.end_view(at(0));
     host
 }
 
