--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -85,3 +85,4 @@
 mod timing;
 mod trial;
 mod updates;
+mod witness;
