--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::core::Core;
 use crate::durations::Kind;
 use crate::event::{Attempt, CallId, Failure, RequestedResource};
+use crate::expected_time::Work;
 use crate::fault::Fault;
 use crate::finish::Rejection;
 use crate::queue::{QueueKey, RESUME_WEIGHT};
@@ -46,6 +47,11 @@
 impl Core {
     /// Handles `Sent`: the owner has connected and asks to write the first byte.
     pub(crate) fn on_sent(&mut self, id: CallId, attempt: Attempt) {
+        let call = self.calls.get(&id);
+        let is_current = call.is_some_and(|call| call.run(attempt).is_some());
+        if is_current && self.refuse_if_revoked(id) {
+            return;
+        }
         let Some(run) = self.calls.get(&id).and_then(|call| call.run(attempt)) else {
             return;
         };
@@ -180,6 +186,7 @@
         let first = call.progress < Progress::Begun;
         call.progress = Progress::Begun;
         let key = call.key.clone();
+        self.observe_first_byte(id, elapsed);
         if answered {
             return;
         }
@@ -298,6 +305,9 @@
         let service = matches!(call.request.what, RequestedResource::Service { .. });
         let (answered, fingerprint) = (call.answered, call.request.fingerprint);
         let suspect = call.suspect(&run);
+        if !declined && failure != Failure::Connect {
+            self.observe_failure(&run.place.target);
+        }
         self.record_failure(&run, suspect, failure);
         if failure == Failure::Stalled {
             self.remember_cancelled(id, &run);
@@ -578,6 +588,7 @@
             cached: 0.0,
             distance_ms: 0.0,
             price: 0.0,
+            work: Work::default(),
         })
     }
 }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -40,6 +40,7 @@
 use crate::suspects::Suspects;
 use crate::target_limits::TargetLimits;
 use crate::target_notices::TargetNotices;
+use crate::timing::Timing;
 
 /// Interval at which the queue is searched for requests that can no longer meet their deadline.
 const SWEEP_INTERVAL: Time = Time::from_millis(100);
@@ -82,6 +83,7 @@
     pub(crate) latencies: Latencies,
     pub(crate) durations: Durations,
     pub(crate) shares: Shares,
+    pub(crate) timing: Timing,
     pub(crate) target_limits: TargetLimits,
     pub(crate) target_notices: TargetNotices,
     pub(crate) ejections: Ejections,
@@ -138,6 +140,7 @@
             latencies: Latencies::default(),
             durations: Durations::default(),
             shares: Shares::default(),
+            timing: Timing::default(),
             target_limits: TargetLimits::default(),
             target_notices: TargetNotices::default(),
             ejections: Ejections::default(),
@@ -216,6 +219,7 @@
                 incarnation,
                 statement,
             } => self.on_stated(&target, incarnation, statement),
+            Event::PeerReport(received) => self.on_peer_report(&received),
             Event::Drain => {
                 let phases = Phases::from(&self.config.serving);
                 self.shutdown.start(phases, self.now);
@@ -254,6 +258,7 @@
         if held > before {
             self.newest_table.adopt(held, self.now);
             self.dirty.extend(self.queue.keys());
+            self.refuse_revoked();
         }
     }
 
@@ -294,6 +299,7 @@
             self.quarantine.next_expiry(),
             self.shutdown.next_step(),
             self.allowances.next_wake(self.now),
+            self.next_peer_report(),
         ];
         wakes.into_iter().flatten().min()
     }
@@ -473,6 +479,7 @@
         }
         self.release_idle_reservations();
         self.advance_allowances();
+        self.report_to_peers();
         self.advance_shutdown();
     }
 
--- a/crates/entry/src/updates.rs
+++ b/crates/entry/src/updates.rs
@@ -2,7 +2,7 @@
 
 use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Version};
 use cornelhitch_types::refusal::Reason;
-use cornelhitch_types::target::Load;
+use cornelhitch_types::target::LoadReport;
 use cornelhitch_types::view::{self, Change, View};
 
 use crate::action::Action;
@@ -73,6 +73,7 @@
             }
             Change::EntryRemoved(host) => {
                 self.fleet_view.hosts.remove(&host);
+                self.forget_peer(host);
             }
             Change::Cache(target, events) => self.caches.apply(&target, events),
             Change::StrikeCount(fingerprint, strikes) => {
@@ -85,6 +86,7 @@
             }
             Change::Settings(version, text) => self.apply_settings(version, &text),
             Change::Table(table) => self.adopt_table(table),
+            Change::GuardedTable(guarded) => self.adopt_table(guarded.into_table()),
             Change::ColdStartEstimate(model, ms) => {
                 self.fleet_view.set_cold_start_estimate(model, ms);
             }
@@ -120,6 +122,7 @@
             self.ejections.readmit(&id);
             self.health.forget(&id);
             self.caches.forget(&id);
+            self.forget_timing(&id);
         }
         self.target_limits.forget_before(&id, incarnation);
         self.target_notices.forget_before(&id, incarnation);
@@ -170,14 +173,20 @@
     }
 
     /// Updates the load of a target that reported it with a response.
-    pub(crate) fn on_loaded(&mut self, target: &TargetId, incarnation: Incarnation, load: Load) {
+    pub(crate) fn on_loaded(
+        &mut self,
+        target: &TargetId,
+        incarnation: Incarnation,
+        report: LoadReport,
+    ) {
         let own = self.own_in_flight(target);
         let now = self.now;
         let known = self.fleet_view.targets.get_mut(target);
         if let Some(known) = known.filter(|known| known.view.incarnation == incarnation) {
-            known.view.load = load;
+            known.view.load = report.load;
             known.measured = now;
             known.own = own;
+            self.observe_report(target, incarnation, report);
         }
     }
 
@@ -200,6 +209,7 @@
         self.ejections.readmit(target);
         self.health.forget(target);
         self.caches.forget(target);
+        self.forget_timing(target);
         self.target_limits.forget(target);
         let place = Place {
             target: target.clone(),
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cornelhitch_entry::peer_load::PeerReport;
 use cornelhitch_entry::software::StreamBegun;
 use cornelhitch_settings::process;
 use cornelhitch_types::demand::DemandReport;
 use cornelhitch_types::entry::Host;
+use cornelhitch_types::guarded_table::GuardedTable;
 use cornelhitch_types::id::{HostId, Incarnation, Name, TargetId, Term, Time, Version};
 use cornelhitch_types::quota;
 use cornelhitch_types::route::RouteTable;
@@ -217,10 +219,21 @@
     },
     /// The newest route table that the control host has.
     Table(Arc<RouteTable>),
+    /// The newest route table that the control host has, if it has teams.
+    GuardedTable(GuardedTable),
     /// The answer to a report about teams' quotas.
     Quota(quota::Answer),
 }
 
+impl Downward {
+    /// Returns the message that carries a route table, which for a table without teams is
+    /// [`Downward::Table`].
+    #[must_use]
+    pub fn of_table(table: &Arc<RouteTable>) -> Self {
+        GuardedTable::of(table).map_or_else(|| Self::Table(table.clone()), Self::GuardedTable)
+    }
+}
+
 /// The content of one datagram, encoded with postcard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -257,6 +270,8 @@
         /// Whether the control host holds the leader's lease, so that no newer table is committed.
         leads: bool,
     },
+    /// An entry host tells another one of its region what it has in flight.
+    InFlight(PeerReport),
 }
 
 /// An event from a peer.
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cornelhitch_entry::peer_load::PeerReport;
 use cornelhitch_settings::process;
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Term, Version};
 use cornelhitch_types::quota;
 use cornelhitch_types::route::RouteTable;
 use cornelhitch_types::target::TargetSoftware;
-use cornelhitch_types::view::{Change, View};
+use cornelhitch_types::view::View;
 use cornelhitch_wire::hello::ProcessId;
 use serde::Serialize;
 use snafu::Snafu;
@@ -78,6 +79,13 @@
     },
     /// The leader answered a report about teams' quotas.
     Quota(quota::Answer),
+    /// Another entry host of the region told what it has in flight.
+    PeerReport {
+        /// The host.
+        from: ProcessId,
+        /// What it told.
+        report: PeerReport,
+    },
 }
 
 /// Why a call failed.
@@ -376,6 +384,9 @@
             ) => {
                 self.table_stated(from, sequence, version, leads);
             }
+            PeerEvent::Datagram(Datagram::InFlight(report), _) => {
+                let _ = self.setup.events.send(Event::PeerReport { from, report });
+            }
             PeerEvent::Datagram(datagram, _) => self.lease_granted(from, &datagram),
             PeerEvent::Message(_) => tracing::debug!(
                 host = from.host,
@@ -416,6 +427,9 @@
             Downward::Table(table) => {
                 let _ = self.setup.events.send(Event::Table(table));
             }
+            Downward::GuardedTable(guarded) => {
+                let _ = self.setup.events.send(Event::Table(guarded.into_table()));
+            }
             Downward::HeartbeatsTaken { .. } => {}
             Downward::Quota(answer) => {
                 self.record_leader_message(from);
@@ -435,7 +449,7 @@
         let follows = view.term == self.term && view.from <= self.view;
         if view.from > 0 && !follows {
             for change in view.changes {
-                if let Change::Table(table) = change {
+                if let Some(table) = change.into_table() {
                     let _ = self.setup.events.send(Event::Table(table));
                 }
             }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -219,6 +219,7 @@
         optional("ready", ValueType::Text(TextFormat::Address), "Where others ask whether this host takes requests, besides `callers`; for the role entry."),
         optional("metrics", ValueType::Text(TextFormat::Address), "Where counters are read as text."),
         optional("serving", ValueType::Map(&SERVING), "How an entry host serves."),
+        optional("features", ValueType::List(&ValueType::Text(TextFormat::Sentence)), "Names of features that the deployment requires. The protocol `platform` sets `serving` by those that it knows; others have no effect."),
         optional("trusted-network", ValueType::Bool, "Whether only hosts of this cluster reach `peers` and `operators`, so that `keys` and `token` may be left out."),
         optional("data", ValueType::Text(TextFormat::Path), "The folder for durable state; for the role control, and only for it."),
         optional("keys", ValueType::Text(TextFormat::Path), "The file with the keys that peers share, one a line; the first is used to send; required without `trusted-network`."),
@@ -258,6 +259,7 @@
         optional("quota-window-ms", ValueType::Number(100.0, 86_400_000.0), "The time over which quotas of teams are measured, in milliseconds; 8000. Read by the leader."),
         optional("quota-overshoot", ValueType::Number(0.0, 10.0), "The part by which a team may exceed its quota in `quota-window-ms`; 0.1. Read by the leader."),
         optional("quota-slack", ValueType::Number(0.0, 1e12), "Units (tokens or requests) by which a team may exceed its quota in `quota-window-ms` besides; 0. Read by the leader."),
+        optional("routing", ValueType::Choice(&["load", "expected-time", "auto"]), "How the target of a request is chosen: by the number of requests in flight, by the expected time to the first byte of the response, or by the latter once a target states its pace (auto); load."),
     ],
 };
 
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -8,7 +8,7 @@
 use cornelhitch_types::id::{Name, ReplicaId, TargetId};
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::order::{Order, Outcome};
-use cornelhitch_types::target::{Inspection, Load, Statement};
+use cornelhitch_types::target::{Inspection, LoadReport, Statement};
 use futures_util::stream::BoxStream;
 use http::{HeaderMap, Method, StatusCode};
 use strum::{Display, EnumIter, EnumString};
@@ -159,6 +159,8 @@
     pub rank: u8,
     /// The id of the last event that the caller has, if a stream is resumed.
     pub resume: Option<u64>,
+    /// The name of the team that sends the request; `None` if it has none.
+    pub team: Option<Name>,
 }
 
 /// The reason why a target did not run a forwarded request.
@@ -180,7 +182,7 @@
     /// The reason why the target did not run the request, if it states that it did not.
     pub declined: Option<DeclineReason>,
     /// The load that the target reported with the response.
-    pub load: Option<Load>,
+    pub load: Option<LoadReport>,
     /// What the target states of itself.
     pub statement: Statement,
     /// The response body.
