Changes for which the report budget has no room are told later

Cause: a report that the byte budget didn't allow dropped its changes until the next complete one. Change: they are put back and tried again after 100 ms.

--- a/crates/entry/src/peer_reporter.rs
+++ b/crates/entry/src/peer_reporter.rs
@@ -29,6 +29,9 @@
 /// Time for which changes are collected after one that is told at once.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
 
+/// Time after which changes for which the budget had no room are tried again.
+const RETRY_TIME: Duration = Duration::from_millis(100);
+
 /// Interval between complete reports.
 const COMPLETE_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -111,6 +114,12 @@
         })
     }
 
+    /// Puts changes back that could not be sent, to be tried again a little later.
+    pub fn put_back(&mut self, changed: BTreeSet<TargetId>, now: Time) {
+        self.changed.extend(changed);
+        self.due = Some(now + RETRY_TIME);
+    }
+
     /// Returns the number of the next report.
     pub fn next_sequence(&mut self) -> u64 {
         self.sequence += 1;
--- a/crates/entry/src/timing.rs
+++ b/crates/entry/src/timing.rs
@@ -285,7 +285,7 @@
         let Some(due) = self.timing.reporter.take_due(self.now) else {
             return;
         };
-        let mut targets = due.changed;
+        let mut targets = due.changed.clone();
         if due.complete {
             let all = self.timing.work.targets();
             targets.extend(all.map(|(target, _)| target.clone()));
@@ -299,6 +299,9 @@
         let reporter = &mut self.timing.reporter;
         let receivers = reporter.receivers(peers.len(), bytes, self.now);
         if receivers.is_empty() {
+            if !peers.is_empty() {
+                reporter.put_back(due.changed, self.now);
+            }
             return;
         }
         let report = PeerReport {
--- a/crates/entry/tests/peer_load.rs
+++ b/crates/entry/tests/peer_load.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cornelhitch_entry::peer_load::{PeerLoads, PeerReport, PeerRow, ROW_LIFETIME};
+use cornelhitch_entry::peer_reporter::PeerReporter;
 use cornelhitch_types::id::Time;
 
 const MS_PER_TOKEN: f64 = 0.02;
@@ -79,3 +80,32 @@
     loads.apply(2, 1, &empty, Time::ZERO);
     assert!(tokens(&loads, Time::ZERO).abs() < 1e-9);
 }
+
+/// Guards against changes that are never told because the budget was spent when they came, and against
+/// traffic beyond the budget.
+#[test]
+fn changes_wait_for_the_budget() {
+    let mut reporter = PeerReporter::default();
+    let mut now = Duration::from_secs(10);
+    let mut sent = 0;
+    for _ in 0..1_000 {
+        now += Duration::from_millis(10);
+        reporter.note_change(&"w1".into(), 100.0, now);
+        let Some(due) = reporter.take_due(now) else {
+            continue;
+        };
+        assert!(due.changed.contains("w1"), "{due:?}");
+        let receivers = reporter.receivers(100, 20, now);
+        sent += receivers.len();
+        if receivers.is_empty() {
+            reporter.put_back(due.changed, now);
+        }
+    }
+    // 10 s at 8,000 bytes a second, and what was saved up before, in reports of 130 bytes.
+    assert!((600..=11 * 8_000 / 130).contains(&sent), "{sent} reports");
+    assert!(
+        reporter
+            .next()
+            .is_some_and(|at| at <= now + Duration::from_secs(1))
+    );
+}
