--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -383,22 +383,31 @@
         candidate
     }
 
+    /// Takes a request out of the queue, and records how fast its team's requests leave it.
+    fn leave_queue(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        self.queue.take_turn(&call.key, call.rank, id);
+        if call.request.team.is_none() {
+            return;
+        }
+        let last = Rank {
+            deadline: Time::MAX,
+            ..call.rank
+        };
+        let left = self.queue.ahead_in_group(&call.key, last);
+        let group = Group::of(&call.key, call.rank);
+        self.drain_rates.record_send(group, left, self.now);
+    }
+
     /// Starts an attempt at a place.
     pub(crate) fn send(&mut self, id: CallId, candidate: &Candidate) {
         let rank = self.target_rank(id);
+        self.leave_queue(id);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        self.queue.take_turn(&call.key, call.rank, id);
-        if call.request.team.is_some() {
-            let last = Rank {
-                deadline: Time::MAX,
-                ..call.rank
-            };
-            let left = self.queue.ahead_in_group(&call.key, last);
-            let group = Group::of(&call.key, call.rank);
-            self.drain_rates.record_send(group, left, self.now);
-        }
         let fingerprint = call.request.fingerprint;
         let instance = (candidate.place.target.clone(), candidate.incarnation);
         let strikes = self.quarantine.strikes(fingerprint);
