--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -1,7 +1,7 @@
 //! The connections of a listener and their requests in progress, shared by the connections' tasks.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -19,6 +19,10 @@
 use crate::listener_limits::ListenerLimits;
 use crate::log_limit::LogLimiter;
 use crate::metrics::{Count, Metrics};
+use crate::shared_memory::{Reservation, SharedMemory};
+
+/// Requests in progress that one address may have for each that is free.
+const REQUESTS_SHARE: usize = 3;
 
 /// The connections of one listener.
 #[derive(Debug)]
@@ -27,6 +31,8 @@
     pub(crate) metrics: Metrics,
     epoch: Instant,
     next: AtomicU64,
+    /// Requests in progress, of which each address has its share.
+    requests: SharedMemory<IpAddr>,
     state: Mutex<State>,
 }
 
@@ -73,7 +79,11 @@
 
 /// A request in progress.
 #[derive(Debug)]
-pub(crate) struct Request(Arc<Connection>);
+pub(crate) struct Request {
+    connection: Arc<Connection>,
+    #[expect(dead_code, reason = "frees the request's place when it is dropped")]
+    place: Reservation<IpAddr>,
+}
 
 impl ConnectionTable {
     /// Creates the table of a listener.
@@ -83,6 +93,7 @@
             metrics,
             epoch: Instant::now(),
             next: AtomicU64::new(0),
+            requests: SharedMemory::new(limits.requests, REQUESTS_SHARE),
             state: Mutex::new(State {
                 connections: Connections::new(limits.connections),
                 closers: HashMap::new(),
@@ -164,12 +175,26 @@
         &self.table
     }
 
-    /// Records that the head of a request is complete.
-    pub(crate) fn begin(self: &Arc<Self>) -> Request {
+    /// Records that the head of a request is complete; `None` if too many are in progress.
+    pub(crate) fn begin(self: &Arc<Self>) -> Option<Request> {
+        let mut place = self.table.requests.reservation(&self.from.ip());
+        if !place.resize(1) {
+            // The next head starts anew.
+            self.requests.fetch_add(1, Ordering::Relaxed);
+            let mut state = self.table.lock();
+            state.connections.begin(self.id);
+            state.connections.end(self.id, self.table.epoch.elapsed());
+            drop(state);
+            self.table.metrics.increment(Count::RequestsCrowdedOut);
+            return None;
+        }
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         self.requests.fetch_add(1, Ordering::Relaxed);
         self.table.lock().connections.begin(self.id);
-        Request(self.clone())
+        Some(Request {
+            connection: self.clone(),
+            place,
+        })
     }
 
     /// Counts bytes that were received while no request is in progress.
@@ -216,7 +241,7 @@
 
 impl Drop for Request {
     fn drop(&mut self) {
-        let connection = &self.0;
+        let connection = &self.connection;
         connection.record_write();
         connection.in_progress.fetch_sub(1, Ordering::Relaxed);
         let table = &connection.table;
@@ -229,7 +254,7 @@
 pub(crate) struct AnswerBody {
     pub(crate) body: Body,
     #[expect(dead_code, reason = "acts when it is dropped")]
-    pub(crate) request: Request,
+    pub(crate) request: Option<Request>,
 }
 
 impl HttpBody for AnswerBody {
--- a/crates/node/src/connection_limits.rs
+++ b/crates/node/src/connection_limits.rs
@@ -66,7 +66,7 @@
 #[derive(Debug)]
 pub struct Connections {
     limits: ConnectionLimits,
-    connections: BTreeMap<ConnectionId, Connection>,
+    open: BTreeMap<ConnectionId, Connection>,
     addresses: BTreeMap<IpAddr, usize>,
     /// Bytes that all connections hold.
     held: usize,
@@ -89,7 +89,7 @@
     pub fn new(limits: ConnectionLimits) -> Self {
         Self {
             limits,
-            connections: BTreeMap::new(),
+            open: BTreeMap::new(),
             addresses: BTreeMap::new(),
             held: 0,
         }
@@ -113,14 +113,14 @@
             in_progress: 0,
             held: 0,
         };
-        self.connections.insert(id, connection);
+        self.open.insert(id, connection);
         *self.addresses.entry(address).or_default() += 1;
         opened
     }
 
     /// Removes a connection; has no effect if it was removed before.
     pub fn close(&mut self, id: ConnectionId) {
-        let Some(connection) = self.connections.remove(&id) else {
+        let Some(connection) = self.open.remove(&id) else {
             return;
         };
         self.held -= connection.held;
@@ -134,7 +134,7 @@
 
     /// Counts bytes of an incomplete head; returns the connections that have to be closed.
     pub fn receive(&mut self, id: ConnectionId, bytes: usize) -> Vec<ConnectionId> {
-        if let Some(connection) = self.connections.get_mut(&id) {
+        if let Some(connection) = self.open.get_mut(&id) {
             let held = (connection.held + bytes).min(self.limits.head_bytes);
             self.held += held - connection.held;
             connection.held = held;
@@ -151,7 +151,7 @@
 
     /// Records that the head of a request is complete.
     pub fn begin(&mut self, id: ConnectionId) {
-        if let Some(connection) = self.connections.get_mut(&id) {
+        if let Some(connection) = self.open.get_mut(&id) {
             self.held -= connection.held;
             connection.held = 0;
             connection.requests += 1;
@@ -161,7 +161,7 @@
 
     /// Records that a request ended.
     pub fn end(&mut self, id: ConnectionId, now: Duration) {
-        if let Some(connection) = self.connections.get_mut(&id) {
+        if let Some(connection) = self.open.get_mut(&id) {
             connection.in_progress -= 1;
             connection.idle_since = now;
         }
@@ -170,13 +170,13 @@
     /// Returns how many connections there are.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.connections.len()
+        self.open.len()
     }
 
     /// Returns whether there are none.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.connections.is_empty()
+        self.open.is_empty()
     }
 
     /// Returns the bytes that incomplete heads hold.
@@ -201,7 +201,7 @@
     /// Returns the connection without a request in progress that makes room first: one that never had a
     /// request, then the one that is idle for the longest time.
     fn longest_idle(&self, of: Option<IpAddr>) -> Option<ConnectionId> {
-        let idle = self.connections.iter().filter(|(_, connection)| {
+        let idle = self.open.iter().filter(|(_, connection)| {
             connection.in_progress == 0 && of.is_none_or(|of| connection.address == of)
         });
         let first = idle.min_by_key(|(_, it)| (it.requests > 0, it.idle_since));
@@ -210,7 +210,7 @@
 
     /// Returns the connection that holds most, the oldest of these.
     fn largest(&self) -> Option<ConnectionId> {
-        let holding = self.connections.iter().filter(|(_, it)| it.held > 0);
+        let holding = self.open.iter().filter(|(_, it)| it.held > 0);
         let first = holding.min_by_key(|(_, it)| (Reverse(it.held), it.idle_since));
         first.map(|(id, _)| *id)
     }
--- a/crates/node/src/guarded_stream.rs
+++ b/crates/node/src/guarded_stream.rs
@@ -23,11 +23,7 @@
 
 /// Bytes that are read from one connection before others have their turn. Callers that send without
 /// end, as pings or the length of a chunk, would keep a thread otherwise.
-const MAX_BURST_BYTES: usize = 32 << 10;
-
-/// Bytes that a connection without a request in progress may receive before the next one, relative to
-/// the largest head. HTTP/2 limits heads, but not the other frames between requests.
-const UNREQUESTED_FACTOR: usize = 2;
+const MAX_BURST_BYTES: usize = 8 << 10;
 
 /// Bytes of an HTTP/1.1 connection that may become no part of a body while a request is in progress,
 /// relative to the largest head. The length of a chunk may have any number of leading zeros.
@@ -106,9 +102,8 @@
         }
         let table = self.connection.table();
         let head_bytes = table.limits.head_bytes;
-        if self.unrequested <= UNREQUESTED_FACTOR * head_bytes
-            && self.undelivered <= UNDELIVERED_FACTOR * head_bytes
-        {
+        // HTTP/2 limits heads, but not the other frames between requests.
+        if self.unrequested <= head_bytes && self.undelivered <= UNDELIVERED_FACTOR * head_bytes {
             return Ok(());
         }
         table.closed(Count::ConnectionsWithoutRequests, self.connection.from);
--- a/crates/node/src/listener_limits.rs
+++ b/crates/node/src/listener_limits.rs
@@ -50,6 +50,9 @@
     }
 }
 
+/// Requests in progress on one listener for each megabyte of memory. An idle one takes 1 to 2 kB.
+const REQUESTS_PER_MB: f64 = 32.0;
+
 /// The limits of one listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ListenerLimits {
@@ -57,6 +60,8 @@
     pub head_bytes: usize,
     /// Longest time from the first byte of a head to its end.
     pub head_timeout: Duration,
+    /// Requests in progress.
+    pub requests: usize,
     /// The limits on its connections.
     pub connections: ConnectionLimits,
 }
@@ -90,6 +95,7 @@
         Self {
             head_bytes,
             head_timeout: Duration::from_millis(serving.head_ms),
+            requests: (REQUESTS_PER_MB * serving.memory_mb) as usize,
             connections: ConnectionLimits {
                 connections: stated.unwrap_or(share),
                 per_address: set(serving.address_connections).filter(|_| is_callers),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -61,6 +61,8 @@
     ConnectionsRefused,
     /// Connections without a request in progress closed to make room for others.
     ConnectionsEvicted,
+    /// Requests answered with 503, not run, since too many were in progress.
+    RequestsCrowdedOut,
     /// Connections closed because the head of a request took too long.
     HeadsOverdue,
     /// Connections closed because their caller did not read for too long.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,6 @@
 use crate::entry::Input;
 pub use crate::error::Error;
 use crate::error::SystemSnafu;
-use crate::listener_limits::Audience;
 use crate::metrics::Metrics;
 use crate::protocols::Protocols;
 use crate::secret::Token;
@@ -117,9 +116,7 @@
         let control_sender = control.clone();
         let service =
             startup.operators(token, &session, drain.clone(), control, drain_token.clone());
-        let stop = startup.stop.clone();
-        let serve = startup.listen(operators, service, Audience::Operators, stop);
-        let operators = tokio::spawn(serve);
+        let operators = startup.start_operators(operators, service);
         Ok(Self {
             addresses,
             blocked_peers,
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cornelhitch_types::refusal::{Reason, Refusal};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
@@ -21,6 +22,7 @@
 use crate::guarded_stream::GuardedStream;
 use crate::listener_limits::{ListenerLimits, MAX_HEADERS};
 use crate::metrics::Metrics;
+use crate::problem::{Problem, not_run};
 
 /// Timeout for the head of a request.
 pub const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -38,6 +40,9 @@
 /// Size that HTTP/2 adds to each header field when the list is measured (RFC 9113, section 6.5.2).
 const FIELD_OVERHEAD_BYTES: usize = 32;
 
+/// When a request that was crowded out may be served.
+const CROWDED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Pause after a connection could not be accepted, as when file descriptors have run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -115,6 +120,16 @@
     response
 }
 
+/// Returns the response to a request that is not served because too many are in progress.
+fn crowded_out() -> Response<Body> {
+    let detail = "too many requests are in progress";
+    let refusal = Refusal {
+        retry_after: Some(CROWDED_RETRY_AFTER),
+        ..not_run(Reason::Overloaded, detail)
+    };
+    Problem::from(&refusal).response()
+}
+
 /// Returns the limits for the HTTP library.
 fn builder(limits: &ListenerLimits, idle_timeout: Duration) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
@@ -154,7 +169,10 @@
         let begun = owner.begin();
         request.extensions_mut().insert(BodyProgress(owner.clone()));
         async move {
-            let response = respond(&*service, request, from).await;
+            let response = match &begun {
+                Some(_) => respond(&*service, request, from).await,
+                None => crowded_out(),
+            };
             Ok::<_, Infallible>(response.map(|body| AnswerBody {
                 body,
                 request: begun,
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -442,6 +442,15 @@
         }
     }
 
+    /// Starts the operators' listener.
+    pub(crate) fn start_operators(
+        &self,
+        listener: TcpListener,
+        operators: Operators,
+    ) -> JoinHandle<()> {
+        tokio::spawn(self.listen(listener, operators, Audience::Operators, self.stop.clone()))
+    }
+
     /// Starts the metrics listener.
     pub(crate) fn start_exposition(&self, listener: TcpListener) {
         let exposition = Exposition {
--- a/crates/node/tests/connection_limits.rs
+++ b/crates/node/tests/connection_limits.rs
@@ -75,14 +75,14 @@
     /// Guards against counts that drift, which would close connections for nothing or not at all.
     #[test]
     fn limits_hold_and_nothing_is_left(
-        steps in proptest::collection::vec((0_u8..5, 0_u64..40, 1_u8..4, 0_usize..600), 0..400)
+        steps in proptest::collection::vec((0_u8..5, 0_usize..40, 1_u8..4, 0_usize..600), 0..400)
     ) {
         let mut connections = Connections::new(LIMITS);
         let mut open = std::collections::BTreeMap::new();
         let mut next = 0;
         for (step, (kind, pick, from, bytes)) in steps.into_iter().enumerate() {
             let now = Duration::from_secs(step as u64);
-            let picked = open.keys().nth(pick as usize % open.len().max(1)).copied();
+            let picked = open.keys().nth(pick % open.len().max(1)).copied();
             match (kind, picked) {
                 (0, _) | (_, None) => {
                     let opened = connections.open(next, address(from), now);
