--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -488,6 +488,7 @@
         let retention = Time::from_secs(self.catalogue.fleet.refusing.quarantine_s);
         self.quarantine.expire(retention, self.now);
         self.suspects.expire(retention, self.now);
+        self.refuse_suspects();
         self.orphaned_claims.expire(self.now);
         self.cancelled.expire(self.now);
         self.refuse_outlasting();
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -285,7 +285,7 @@
     /// have a common cause.
     pub fn record_witnessed(&mut self, parts: &BTreeSet<u64>, now: Time) {
         for (part, record) in &mut self.records {
-            record.witnessed |= parts.contains(part);
+            record.witnessed |= parts.contains(part) || self.answered.is_fresh(*part, now);
         }
         self.update(now);
     }
@@ -371,7 +371,7 @@
             };
             self.limit.saturating_add(further) as usize
         };
-        self.refused = verdict::refused_sets(&self.records, limit);
+        self.refused = verdict::refused_sets(&self.records, limit, now);
     }
 
     /// Expects a complete view to name all sections with crashes.
--- a/crates/entry/src/suspects/answered.rs
+++ b/crates/entry/src/suspects/answered.rs
@@ -9,6 +9,10 @@
 /// How long an answer counts for its sections.
 const RETENTION: Duration = Duration::from_mins(10);
 
+/// How long an answer counts as evidence that targets that end now have another cause than its
+/// sections. A section that turns bad ends targets at once, so a longer time would delay its refusal.
+const WITNESS_RETENTION: Duration = Duration::from_secs(2);
+
 /// The maximum number of sections that are remembered.
 const MAX_SECTIONS: usize = 10_000;
 
@@ -33,6 +37,12 @@
         last.is_some_and(|last| now < *last + RETENTION)
     }
 
+    /// Whether a request with a section was answered just before.
+    pub(super) fn is_fresh(&self, section: u64, now: Time) -> bool {
+        let last = self.last.get(&section);
+        last.is_some_and(|last| now < *last + WITNESS_RETENTION)
+    }
+
     /// Drops the older half.
     fn drop_oldest(&mut self) {
         let mut times: Vec<Time> = self.last.values().copied().collect();
--- a/crates/entry/src/suspects/events.rs
+++ b/crates/entry/src/suspects/events.rs
@@ -17,6 +17,11 @@
 /// hosts learn of the ends at others by a commit and a push, up to 300 ms later.
 const EVENT_LENGTH: Duration = Duration::from_millis(500);
 
+/// How long after its last end an event is taken to have a common cause without an answer that clears
+/// it. What runs on targets that are left is answered within it; if none are left, targets that come
+/// back must not get all that waits of a part that ended them.
+const EVENT_TRUST: Duration = Duration::from_secs(2);
+
 /// The number of strikes that the ends of a single event weigh at most.
 const EVENT_WEIGHT: usize = 2;
 
@@ -24,8 +29,12 @@
 const COMMON_CAUSE: usize = 3;
 
 /// Returns the number of strikes that crashes weigh. Crashes whose time is not known are events of
-/// their own.
-pub(super) fn weight<'a>(crashes: impl IntoIterator<Item = &'a Crash>, witnessed: bool) -> usize {
+/// their own; `witnessed` says whether a run of the part had delivered for some time.
+pub(super) fn weight<'a>(
+    crashes: impl IntoIterator<Item = &'a Crash>,
+    witnessed: bool,
+    now: Time,
+) -> usize {
     let (mut dated, mut weight) = (Vec::new(), 0);
     for crash in crashes {
         match crash.time() {
@@ -34,8 +43,9 @@
         }
     }
     dated.sort_unstable();
-    let is_single_event = witnessed && weight == 0 && events(&dated).count() == 1;
-    if is_single_event {
+    let is_recent = dated.last().is_some_and(|last| now < *last + EVENT_TRUST);
+    let is_single_event = weight == 0 && events(&dated).count() == 1;
+    if witnessed && is_recent && is_single_event {
         dated.len().min(EVENT_WEIGHT)
     } else {
         weight + dated.len()
--- a/crates/entry/src/suspects/record.rs
+++ b/crates/entry/src/suspects/record.rs
@@ -64,8 +64,8 @@
     }
 
     /// Returns the number of strikes that the crashes weigh.
-    pub(super) fn weight(&self) -> usize {
-        events::weight(&self.crashes, self.witnessed)
+    pub(super) fn weight(&self, now: Time) -> usize {
+        events::weight(&self.crashes, self.witnessed, now)
     }
 
     /// Returns the crash of a target.
--- a/crates/entry/src/suspects/verdict.rs
+++ b/crates/entry/src/suspects/verdict.rs
@@ -8,6 +8,8 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use cornelhitch_types::id::Time;
+
 use super::events;
 use super::record::{Crash, Record};
 
@@ -30,15 +32,16 @@
 pub(super) fn refused_sets(
     records: &BTreeMap<u64, Record>,
     limit: impl Fn(u64) -> usize,
+    now: Time,
 ) -> Vec<Refused> {
-    let rarest = rarest(records, &limit).into_iter();
+    let rarest = rarest(records, &limit, now).into_iter();
     let rarest = rarest.map(|sections| Refused {
         sections,
         excused: false,
     });
     let lasting = records.iter();
-    let lasting =
-        lasting.filter(|(section, record)| record.weight() >= limit(**section) + EXCUSED_CRASHES);
+    let lasting = lasting
+        .filter(|(section, record)| record.weight(now) >= limit(**section) + EXCUSED_CRASHES);
     let lasting = lasting.map(|(section, _)| Refused {
         sections: vec![*section],
         excused: true,
@@ -47,15 +50,19 @@
 }
 
 /// Returns the sets of sections that explain the crashes.
-fn rarest(records: &BTreeMap<u64, Record>, limit: &impl Fn(u64) -> usize) -> Vec<Vec<u64>> {
+fn rarest(
+    records: &BTreeMap<u64, Record>,
+    limit: &impl Fn(u64) -> usize,
+    now: Time,
+) -> Vec<Vec<u64>> {
     let mut picked: Vec<(u64, &Record)> = Vec::new();
-    for (section, record) in candidates(records, limit) {
+    for (section, record) in candidates(records, limit, now) {
         let explained = |crash: &&Crash| {
             let mut picked = picked.iter();
             picked.any(|(other, record)| explains(*other, record, crash))
         };
         let unexplained = record.crashes.iter().filter(|crash| !explained(crash));
-        if events::weight(unexplained, record.witnessed) >= limit(section) {
+        if events::weight(unexplained, record.witnessed, now) >= limit(section) {
             picked.push((section, record));
         }
     }
@@ -69,9 +76,10 @@
 fn candidates<'a>(
     records: &'a BTreeMap<u64, Record>,
     limit: &impl Fn(u64) -> usize,
+    now: Time,
 ) -> Vec<(u64, &'a Record)> {
     let records = records.iter();
-    let candidates = records.filter(|(section, record)| record.weight() >= limit(**section));
+    let candidates = records.filter(|(section, record)| record.weight(now) >= limit(**section));
     let mut candidates: Vec<(u64, &Record)> = candidates
         .map(|(section, record)| (*section, record))
         .collect();
--- a/crates/entry/tests/suspects.rs
+++ b/crates/entry/tests/suspects.rs
@@ -240,6 +240,21 @@
     );
 }
 
+/// Where an event had ended all targets, what waited for them was sent at once when they came back.
+#[test]
+fn an_event_that_no_answer_clears_counts_in_full_after_some_time() {
+    let mut suspects = Suspects::new(LIMIT);
+    for number in 0..5 {
+        end(&mut suspects, number, &[&[CRASHING]], &[], at(0));
+    }
+    suspects.record_witnessed(&BTreeSet::from([CRASHING]), at(0));
+    for (now, refused) in [(1_900, false), (2_100, true)] {
+        suspects.update(at(now));
+        let found = suspects.refused_for((&[CRASHING]).into());
+        assert_eq!(found.is_some(), refused, "after {now} ms");
+    }
+}
+
 /// A section that ends targets before their answers go on leaves no run that has delivered for long. It
 /// must be found within one event, before the targets come back and take all that waits.
 #[test]
