Expected time of plain services counts no prompt tokens

Cause: requests queued at a plain target counted as prompts of the mean size. Change: prompt tokens ahead are counted for models only, and the mean is taken over prompts only. Conclusion: found by reading; no test of its own.

--- a/crates/entry/src/timing.rs
+++ b/crates/entry/src/timing.rs
@@ -119,13 +119,18 @@
         let peers = timing
             .peers
             .at(target, ms_per_token * pace, half_life, self.now);
-        let base_ms = match call.request.what {
-            RequestedResource::Model(_) => timing.speed.expected_ms(0.0),
-            RequestedResource::Service { .. } => response_ms,
+        let queued_tokens = queued * timing.mean_tokens;
+        let own_tokens = own.tokens_left(ms_per_token * pace, self.now);
+        // Targets of plain services process no prompts.
+        let (base_ms, tokens_ahead) = match call.request.what {
+            RequestedResource::Model(_) => (
+                timing.speed.expected_ms(0.0),
+                own_tokens + peers.tokens.max(queued_tokens),
+            ),
+            RequestedResource::Service { .. } => (response_ms, 0.0),
         };
         Work {
-            tokens_ahead: own.tokens_left(ms_per_token * pace, self.now)
-                + peers.tokens.max(queued * timing.mean_tokens),
+            tokens_ahead,
             requests: f64::from(candidate.own) + others.max(peers.requests),
             pace,
             prompt_tokens,
@@ -159,7 +164,9 @@
         }
         let tokens = expected_time::uncached_tokens(candidate);
         let timing = &mut self.timing;
-        timing.mean_tokens += MEAN_GAIN * (tokens - timing.mean_tokens);
+        if candidate.work.prompt_tokens > 0.0 {
+            timing.mean_tokens += MEAN_GAIN * (tokens - timing.mean_tokens);
+        }
         let prompt_tokens = candidate.work.prompt_tokens;
         let cached_tokens = (prompt_tokens - tokens).max(0.0);
         let sent = Sent {
