A quota's bucket is refilled with the overshoot, too

Change: refill is rate x (1 + overshoot); the capacity is burst x (1 + overshoot) and the slack, so the sum over a window stays the same bound.

--- a/crates/control/src/quota/bucket.rs
+++ b/crates/control/src/quota/bucket.rs
@@ -73,6 +73,8 @@
 pub(super) struct Bucket {
     quota: Quota,
     capacity: u64,
+    /// In units per 1,000 s.
+    refill: u64,
     available: u64,
     /// Refilled part of a unit, in 10^-12 units.
     fraction: u128,
@@ -89,6 +91,7 @@
         Self {
             quota,
             capacity: terms.capacity(&quota),
+            refill: terms.refill(&quota),
             available: 0,
             fraction: 0,
             refilled_at: since,
@@ -118,6 +121,7 @@
         }
         self.quota = quota;
         self.capacity = capacity;
+        self.refill = terms.refill(&quota);
         self.available = self.available.min(self.room());
     }
 
@@ -125,7 +129,7 @@
     pub(super) fn advance(&mut self, now: Time) {
         let elapsed = now.saturating_sub(self.refilled_at);
         self.refilled_at = self.refilled_at.max(now);
-        let refill = u128::from(self.quota.rate) * elapsed.as_nanos() + self.fraction;
+        let refill = u128::from(self.refill) * elapsed.as_nanos() + self.fraction;
         self.fraction = refill % 1_000_000_000_000;
         let units = u64::try_from(refill / 1_000_000_000_000).unwrap_or(u64::MAX);
         self.available = self.available.saturating_add(units).min(self.room());
@@ -310,7 +314,7 @@
     fn supply(&self) -> Supply {
         Supply {
             available: self.available,
-            rate: self.quota.rate,
+            rate: self.refill,
         }
     }
 }
