--- a/crates/entry/tests/suspects.rs
+++ b/crates/entry/tests/suspects.rs
@@ -298,7 +298,7 @@
 fn a_refused_request_is_told_when_the_next_trial_is_due() {
     let suspects = after(3);
     let parts = (&[CRASHING]).into();
-    let kept = Time::from_secs(60);
+    let kept = Time::from_mins(1);
     let wait = |now| suspects.time_to_decision(parts, kept, now);
     assert_eq!(wait(apart(3)), Time::from_secs(1));
     assert_eq!(wait(at(3_600)), Time::from_millis(400));
