The rest of a refused body is no head of a next request

Change: a request is in progress until the last part of its body is read or dropped. Conclusion: the fault was in the new limit; all tests of large_bodies are unchanged.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -64,15 +64,19 @@
     active_ms: AtomicU64,
 }
 
-/// Records which bytes of a connection became a part of a body; an extension of each request.
+/// Records which bytes of a connection became a part of a body; an extension of each request. The request
+/// is in progress until the last clone is dropped, so also while the rest of a refused body is read.
 #[derive(Debug, Clone)]
-pub(crate) struct BodyProgress(pub(crate) Arc<Connection>);
+pub(crate) struct BodyProgress(pub(crate) Arc<Request>);
 
 impl BodyProgress {
     /// Records that a part was read.
     pub(crate) fn record(extensions: &Extensions) {
-        if let Some(Self(connection)) = extensions.get() {
-            connection.body_parts.fetch_add(1, Ordering::Relaxed);
+        if let Some(Self(request)) = extensions.get() {
+            request
+                .connection
+                .body_parts
+                .fetch_add(1, Ordering::Relaxed);
         }
     }
 }
@@ -254,7 +258,7 @@
 pub(crate) struct AnswerBody {
     pub(crate) body: Body,
     #[expect(dead_code, reason = "acts when it is dropped")]
-    pub(crate) request: Option<Request>,
+    pub(crate) request: Option<Arc<Request>>,
 }
 
 impl HttpBody for AnswerBody {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -166,8 +166,11 @@
     let owner = connection.clone();
     let answer = service_fn(move |mut request: Request<Incoming>| {
         let service = requests.clone();
-        let begun = owner.begin();
-        request.extensions_mut().insert(BodyProgress(owner.clone()));
+        let begun = owner.begin().map(Arc::new);
+        if let Some(begun) = &begun {
+            let progress = BodyProgress(begun.clone());
+            request.extensions_mut().insert(progress);
+        }
         async move {
             let response = match &begun {
                 Some(_) => respond(&*service, request, from).await,
