Test of fair shares: a stand-in leader grants the quotas

Cause: merged with quotas, the test's teams waited for a leader that it did not play, so every request was refused. Change: reports about quotas are answered with all that they ask for; crowd, bounds and checks are unchanged.

--- a/crates/entry/tests/fair_share.rs
+++ b/crates/entry/tests/fair_share.rs
@@ -10,6 +10,7 @@
 use cornelhitch_entry::queue::{Queue, QueueKey, Rank};
 use cornelhitch_settings::process::Serving;
 use cornelhitch_types::id::Time;
+use cornelhitch_types::quota::{AccountAnswer, Answer, LEASE_LENGTH, Report};
 use cornelhitch_types::target::{Kind, Load};
 use cornelhitch_types::team::{Quota, QuotaUnit, Team, TokenUsage};
 use cornelhitch_types::view::{Change, Target, View};
@@ -300,6 +301,7 @@
             match action {
                 Action::Send { id, attempt, .. } => self.on_send(id, attempt),
                 Action::Refuse { id, refusal } => self.on_refused(id, refusal.retry_after),
+                Action::ReportQuota(report) => self.handle(Event::Quota(grant_all(&report))),
                 _ => {}
             }
         }
@@ -381,6 +383,29 @@
     }
 }
 
+/// Returns a leader's answer that grants all that a host asks for: the tests are about shares of
+/// capacity, which quotas must not limit.
+fn grant_all(report: &Report) -> Answer {
+    let accounts = report.accounts.iter().map(|account| {
+        let asked: u64 = account.asks.iter().map(|ask| ask.cost).sum();
+        let ahead = account.ahead.saturating_sub(account.free);
+        AccountAnswer {
+            team: account.team.clone(),
+            account: account.account,
+            granted: account.received + asked + ahead,
+            open: true,
+            refusals: Vec::new(),
+        }
+    });
+    Answer {
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        term: 1,
+        length: LEASE_LENGTH,
+        accounts: accounts.collect(),
+    }
+}
+
 /// Serves both teams; `with_teams` says whether requests name their teams.
 fn serve(with_teams: bool, objective_ms: u64) -> [Served; 2] {
     let mut run = Run {
