Reuse idle connections of a stated time for requests that must not run twice

Cause: a request that must not run twice always opened a connection, also where its target states how long it keeps idle ones. The pool also kept connections that had closed until a request met them.

A connection that closes while idle leaves the pool at once. A connection that was taken and not used keeps its lifetime. Retries are unchanged: only a request that the HTTP library returns unsent goes to another connection.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -113,7 +113,7 @@
             path: routed.path.clone(),
             headers: routed.headers.clone(),
             body: routed.body.clone(),
-            reuse: self.exchange.repeatable,
+            repeatable: self.exchange.repeatable,
             deadline: self.exchange.time_left(),
             rank: self.to.rank.unwrap_or(routed.rank),
             resume: self.resume,
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -1,7 +1,8 @@
 //! The outbound interface to targets, independent of the protocol that a target speaks.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -30,8 +31,41 @@
 pub trait Gate: Send {
     /// Returns whether the request may be sent.
     async fn pass(self: Box<Self>) -> bool;
+
+    /// Returns what is told of the connection that the request is sent on; `None` if nobody asks.
+    fn observer(&self) -> Option<ConnectionObserver> {
+        None
+    }
+}
+
+/// Is told of each connection that is opened for a request or reused by it.
+pub type ConnectionObserver = Box<dyn Fn(Connection) + Send + Sync>;
+
+/// Where the connection for a request comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Connection {
+    /// It was opened for the request.
+    New,
+    /// It was idle in the pool.
+    Reused,
 }
 
+/// The idle connections to one target address, after a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IdleConnections {
+    /// The target's address.
+    pub address: SocketAddr,
+    /// Number of idle connections.
+    pub count: u32,
+    /// Number of those whose target has stated how long it keeps them.
+    pub stated: u32,
+    /// When the last of them is no longer reused; `None` without any.
+    pub until: Option<Instant>,
+}
+
+/// Is told of the idle connections to a target address at each change, in order.
+pub type IdleListener = Arc<dyn Fn(IdleConnections) + Send + Sync>;
+
 #[async_trait]
 impl<F: FnOnce() -> bool + Send> Gate for F {
     async fn pass(self: Box<Self>) -> bool {
@@ -86,8 +120,9 @@
     pub headers: HeaderMap,
     /// The request body.
     pub body: Bytes,
-    /// Whether the request may run twice. One that may not is sent on a new connection, since the
-    /// target may close an idle one just as the request is sent.
+    /// Whether the request may run twice. One that may not is sent on a pooled connection only if
+    /// the target has stated how long it keeps it, since the target may close it just as the request
+    /// is sent otherwise.
     pub repeatable: bool,
     /// Time left until the caller's deadline.
     pub deadline: Option<Duration>,
@@ -151,8 +186,10 @@
     pub headers: HeaderMap,
     /// The request body.
     pub body: Bytes,
-    /// Whether it may be sent on a pooled connection, which the target may be about to close.
-    pub reuse: bool,
+    /// Whether the request may run twice. One that may not is sent on a pooled connection only if
+    /// the target has stated how long it keeps it, since the target may close it just as the request
+    /// is sent otherwise.
+    pub repeatable: bool,
     /// Time left until the caller's deadline.
     pub deadline: Option<Duration>,
     /// The rank in the target's queue; 0 goes first.
@@ -206,6 +243,10 @@
 /// [`Error::Unsupported`] and sends nothing.
 #[async_trait]
 pub trait Client: Send + Sync + 'static {
+    /// Sets the listener for changes of the idle connections; replaces an earlier one. A client that
+    /// keeps no connections never calls it.
+    fn set_idle_listener(&self, _listener: IdleListener) {}
+
     /// Sends an order to a worker; `timeout` bounds the complete exchange.
     ///
     /// The outcome is [`Outcome::Unsent`] only if no byte of the order was sent.
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -14,8 +14,8 @@
 use tokio::time::timeout;
 
 use crate::client::{
-    Chunks, Client, Gate, GenerateRequest, GenerateResponse, KvCache, RequestId, ServiceRequest,
-    ServiceResponse,
+    Chunks, Client, Connection, ConnectionObserver, Gate, GenerateRequest, GenerateResponse,
+    IdleListener, KvCache, RequestId, ServiceRequest, ServiceResponse,
 };
 use crate::error::Error;
 use crate::message::{
@@ -26,7 +26,7 @@
 use crate::pool::{Pool, Sender};
 use crate::response_body::{self, ResponseBody};
 
-pub use crate::pool::{OutgoingRequest, Version};
+pub use crate::pool::{OutgoingRequest, Reuse, Version};
 
 /// Builds an [`Http`].
 #[derive(Debug, Clone)]
@@ -169,15 +169,6 @@
     }
 }
 
-/// Whether a request may be sent on a pooled connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reuse {
-    /// Use a pooled connection if there is one.
-    Yes,
-    /// Open a new connection.
-    No,
-}
-
 /// The head of a response, and the connection that its body is read from.
 struct ReceivedResponse {
     response: Response<hyper::body::Incoming>,
@@ -200,20 +191,26 @@
         gate: Box<dyn Gate>,
     ) -> Result<ReceivedResponse, Error> {
         let expected = request.headers().get(&self.id_header).cloned();
-        let pooled = match reuse {
-            Reuse::Yes => self.pool.take(address).await,
-            Reuse::No => None,
-        };
-        let reused = pooled.is_some();
-        let sender = match pooled {
-            Some(sender) => sender,
-            None => self.pool.connect(address).await?,
+        let observer = gate.observer();
+        let observer = observer.as_ref();
+        let (sender, lifetime) = match self.pool.take(address, reuse).await {
+            Some((sender, lifetime)) => (sender, Some(lifetime)),
+            None => (self.connect(address, observer).await?, None),
         };
         if !gate.pass().await {
-            self.pool.put(address, sender, None);
+            match lifetime {
+                Some(lifetime) => self.pool.put_back(address, sender, lifetime),
+                None => self.pool.put(address, sender, None),
+            }
             return Err(Error::Cancelled);
         }
-        let received = self.send_on(address, request, sender, reused).await?;
+        let reused = lifetime.is_some();
+        if reused && let Some(observer) = observer {
+            observer(Connection::Reused);
+        }
+        let received = self
+            .send_on(address, request, sender, reused, observer)
+            .await?;
         check_id(
             &self.id_header,
             expected.as_ref(),
@@ -222,6 +219,24 @@
         Ok(received)
     }
 
+    /// Sets the listener for changes of the idle connections; replaces an earlier one.
+    pub fn set_idle_listener(&self, listener: IdleListener) {
+        self.pool.set_listener(listener);
+    }
+
+    /// Opens a connection for a request.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        observer: Option<&ConnectionObserver>,
+    ) -> Result<Sender, Error> {
+        let sender = self.pool.connect(address).await?;
+        if let Some(observer) = observer {
+            observer(Connection::New);
+        }
+        Ok(sender)
+    }
+
     /// Sends a request on a connection.
     ///
     /// If a pooled connection closes before any byte of the request was sent, the request is sent on
@@ -233,6 +248,7 @@
         request: OutgoingRequest,
         mut sender: Sender,
         reused: bool,
+        observer: Option<&ConnectionObserver>,
     ) -> Result<ReceivedResponse, Error> {
         let mut error = match sender.send(request).await {
             Ok(response) => return Ok(ReceivedResponse { response, sender }),
@@ -243,8 +259,8 @@
             None => Err(broken_error(address, error.into_error())),
             Some(_) if !reused => Err(unsent_error(address, error.into_error())),
             Some(request) => {
-                let sender = self.pool.connect(address).await?;
-                Box::pin(self.send_on(address, request, sender, false)).await
+                let sender = self.connect(address, observer).await?;
+                Box::pin(self.send_on(address, request, sender, false, observer)).await
             }
         }
     }
@@ -310,6 +326,10 @@
 
 #[async_trait]
 impl Client for Http {
+    fn set_idle_listener(&self, listener: IdleListener) {
+        self.pool.set_listener(listener);
+    }
+
     async fn order(
         &self,
         address: SocketAddr,
@@ -377,7 +397,7 @@
         let reuse = if call.repeatable {
             Reuse::Yes
         } else {
-            Reuse::No
+            Reuse::IfStated
         };
         let mut request =
             plain_request(address, call.method, &call.path, &call.request, call.body)?;
--- a/crates/target/src/pool.rs
+++ b/crates/target/src/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::client::{self, IdleListener};
 use crate::error::{ConnectSnafu, Error};
 use crate::metered::{Meter, MeteredStream};
 
@@ -86,6 +87,14 @@
         }
     }
 
+    /// Whether the connection is known to be closed.
+    fn is_closed(&self) -> bool {
+        match self {
+            Self::Http1 { sender, .. } => sender.is_closed(),
+            Self::Http2(sender) => sender.is_closed(),
+        }
+    }
+
     /// Waits until the connection can accept a request; returns false if it is closed.
     async fn ready(&mut self) -> bool {
         match self {
@@ -101,15 +110,44 @@
     path.map(Uri::from).unwrap_or_default()
 }
 
+/// How long an idle connection is reused.
+#[derive(Debug, Clone, Copy)]
+pub struct Lifetime {
+    /// Time after which it is no longer reused.
+    expires_at: Instant,
+    /// Whether its target has stated how long it keeps it.
+    stated: bool,
+}
+
+/// Which pooled connections a request may be sent on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any.
+    Yes,
+    /// Only one whose target has stated how long it keeps it: the target doesn't close it for being
+    /// idle while the request is on its way.
+    IfStated,
+    /// None: a connection is opened.
+    No,
+}
+
 /// An idle connection.
 struct IdleConnection {
     sender: Sender,
-    /// Time after which it is no longer reused.
-    expires_at: Instant,
+    lifetime: Lifetime,
+}
+
+impl IdleConnection {
+    /// Whether a request may still be sent on it.
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.lifetime.expires_at && !self.sender.is_closed()
+    }
 }
 
 /// The idle connections to all targets.
 struct IdleConnections {
+    /// Is told of each change.
+    listener: Option<IdleListener>,
     /// By target address, the most recently used last.
     targets: HashMap<SocketAddr, Vec<IdleConnection>>,
     /// When expired connections were last removed.
@@ -124,9 +162,39 @@
         }
         let now = Instant::now();
         self.last_swept = now;
-        self.targets.retain(|_, idle| {
-            idle.retain(|connection| now < connection.expires_at);
-            !idle.is_empty()
+        let addresses: Vec<SocketAddr> = self.targets.keys().copied().collect();
+        for address in addresses {
+            self.remove_unusable(address);
+        }
+        self.targets.retain(|_, idle| !idle.is_empty());
+    }
+
+    /// Removes the connections to an address that are closed or expired.
+    fn remove_unusable(&mut self, address: SocketAddr) {
+        let Some(idle) = self.targets.get_mut(&address) else {
+            return;
+        };
+        let (now, before) = (Instant::now(), idle.len());
+        idle.retain(|connection| connection.is_usable(now));
+        if idle.len() < before {
+            self.notify(address);
+        }
+    }
+
+    /// Tells the listener of the idle connections to an address. It is called under the lock, so that
+    /// it is told of changes in their order.
+    fn notify(&self, address: SocketAddr) {
+        let Some(listener) = &self.listener else {
+            return;
+        };
+        let idle = self.targets.get(&address).map_or(&[][..], Vec::as_slice);
+        let lifetimes = idle.iter().map(|connection| connection.lifetime);
+        let stated = lifetimes.clone().filter(|lifetime| lifetime.stated);
+        listener(client::IdleConnections {
+            address,
+            count: u32::try_from(idle.len()).unwrap_or(u32::MAX),
+            stated: u32::try_from(stated.count()).unwrap_or(u32::MAX),
+            until: lifetimes.map(|lifetime| lifetime.expires_at).max(),
         });
     }
 }
@@ -154,6 +222,7 @@
     ) -> Self {
         Self {
             idle: Arc::new(Mutex::new(IdleConnections {
+                listener: None,
                 targets: HashMap::new(),
                 last_swept: Instant::now(),
             })),
@@ -164,9 +233,15 @@
         }
     }
 
-    /// Returns a pooled connection that is still open, or `None`.
-    pub async fn take(&self, address: SocketAddr) -> Option<Sender> {
-        while let Some(mut sender) = self.pop(address) {
+    /// Sets the listener for changes of the idle connections.
+    pub fn set_listener(&self, listener: IdleListener) {
+        self.idle_connections().listener = Some(listener);
+    }
+
+    /// Returns a pooled connection that is still open, and how long it is reused; `None` if there is
+    /// none that the request may be sent on.
+    pub async fn take(&self, address: SocketAddr, reuse: Reuse) -> Option<(Sender, Lifetime)> {
+        while let Some((mut sender, lifetime)) = self.pop(address, reuse) {
             let ready = timeout(self.connect_timeout, sender.ready()).await;
             if ready != Ok(true) {
                 continue;
@@ -174,7 +249,7 @@
             if let Sender::Http2(shared) = &sender {
                 self.put(address, Sender::Http2(shared.clone()), None);
             }
-            return Some(sender);
+            return Some((sender, lifetime));
         }
         None
     }
@@ -189,6 +264,16 @@
     /// Adds an idle connection for `keep_alive`, as stated by its target, or else for the pool's idle
     /// timeout. An HTTP/2 connection is shared, so the pool holds at most one to each target.
     pub fn put(&self, address: SocketAddr, sender: Sender, keep_alive: Option<Duration>) {
+        let idle_time = keep_alive.unwrap_or(self.idle_timeout);
+        let lifetime = Lifetime {
+            expires_at: Instant::now() + idle_time,
+            stated: keep_alive.is_some(),
+        };
+        self.put_back(address, sender, lifetime);
+    }
+
+    /// Adds an idle connection that was taken and not used.
+    pub fn put_back(&self, address: SocketAddr, sender: Sender, lifetime: Lifetime) {
         let limit = match sender {
             Sender::Http1 { .. } => self.max_idle_per_target,
             Sender::Http2(_) => 1,
@@ -196,17 +281,26 @@
         let mut connections = self.idle_connections();
         connections.remove_expired(self.idle_timeout);
         let idle = connections.targets.entry(address).or_default();
-        if idle.len() < limit {
-            let expires_at = Instant::now() + keep_alive.unwrap_or(self.idle_timeout);
-            idle.push(IdleConnection { sender, expires_at });
+        let connection = IdleConnection { sender, lifetime };
+        if idle.len() < limit && connection.is_usable(Instant::now()) {
+            idle.push(connection);
+            connections.notify(address);
         }
     }
 
-    /// Removes and returns the most recently used connection, unless it has expired.
-    fn pop(&self, address: SocketAddr) -> Option<Sender> {
+    /// Removes and returns the most recently used connection that a request may be sent on.
+    fn pop(&self, address: SocketAddr, reuse: Reuse) -> Option<(Sender, Lifetime)> {
         let mut connections = self.idle_connections();
-        let last = connections.targets.get_mut(&address)?.pop()?;
-        (Instant::now() < last.expires_at).then_some(last.sender)
+        connections.remove_unusable(address);
+        let idle = connections.targets.get_mut(&address)?;
+        let index = idle.iter().rposition(|connection| match reuse {
+            Reuse::Yes => true,
+            Reuse::IfStated => connection.lifetime.stated,
+            Reuse::No => false,
+        })?;
+        let taken = idle.remove(index);
+        connections.notify(address);
+        Some((taken.sender, taken.lifetime))
     }
 
     /// Locks the idle connections.
@@ -225,7 +319,13 @@
                 let mut builder = http1::Builder::new();
                 let handshake = builder.max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
                 let (sender, driver) = handshake.map_err(io::Error::other)?;
-                let driver = Driver(tokio::spawn(driver).abort_handle());
+                let idle = Arc::downgrade(&self.idle);
+                let driving = tokio::spawn(async move {
+                    // An error of the connection is reported to the request that it carries.
+                    let _ = driver.await;
+                    remove_closed(&idle, address);
+                });
+                let driver = Driver(driving.abort_handle());
                 Ok(Sender::Http1 {
                     sender,
                     meter,
@@ -243,3 +343,12 @@
         }
     }
 }
+
+/// Removes the connections to an address that have closed, so that no request is sent to a target
+/// for the sake of one.
+fn remove_closed(idle: &Weak<Mutex<IdleConnections>>, address: SocketAddr) {
+    if let Some(idle) = idle.upgrade() {
+        let mut connections = idle.lock().unwrap_or_else(PoisonError::into_inner);
+        connections.remove_unusable(address);
+    }
+}
