Test idle connections with real sockets and an entry host

Cause: no test covered the way from the pool to the routing of an entry host, and a connection that its target closes was not told of its end in any test that failed without it.

The test of a closed connection closes it when the pool holds it. Connections are counted by service.

Before the change of the test, the second one was not detected.

--- a/crates/entry/tests/idle_connections.rs
+++ b/crates/entry/tests/idle_connections.rs
@@ -254,3 +254,19 @@
     let to_warm = (12..22).filter(|id| send(&mut core, *id, true, Time::ZERO) == address(WARM));
     assert!(to_warm.count() <= 5, "counted on a closed connection");
 }
+
+/// Guards against connections that are counted for no service or of the wrong kind.
+#[test]
+fn new_and_reused_connections_are_counted_for_the_service() {
+    let mut core = host(Routing::ExpectedTime);
+    send(&mut core, 1, true, Time::ZERO);
+    for reused in [false, true, true] {
+        core.handle(Event::Connected { id: 1, reused }, Time::ZERO);
+    }
+    let counters: Vec<_> = core.counters().values().collect();
+    let [counters] = counters[..] else {
+        panic!("{counters:?}");
+    };
+    let counted = (counters.new_connections, counters.reused_connections);
+    assert_eq!(counted, (1, 2));
+}
--- a/crates/target/tests/idle_connections.rs
+++ b/crates/target/tests/idle_connections.rs
@@ -15,7 +15,7 @@
 use http::{HeaderMap, Method};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 /// Header of targets that keep connections longer than the client's idle timeout.
@@ -30,17 +30,18 @@
 enum Then {
     /// It serves further requests.
     Serve,
-    /// It closes the connection while that is idle.
+    /// It closes the connection while that is idle, when it is told to.
     Close,
     /// It reads one more request and closes the connection without a response.
     ReadAndClose,
 }
 
-/// A target that counts connections and the requests that reach it.
+/// What a target counts, and its signal to close a connection.
 #[derive(Debug, Clone, Default)]
 struct Counts {
     connections: Arc<AtomicUsize>,
     requests: Arc<AtomicUsize>,
+    close: Arc<Notify>,
 }
 
 /// Starts a target.
@@ -69,9 +70,12 @@
             return;
         }
         let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n{header}\r\nok");
-        if socket.write_all(answer.as_bytes()).await.is_err() || then == Then::Close {
+        if socket.write_all(answer.as_bytes()).await.is_err() {
             return;
         }
+        if then == Then::Close {
+            return counts.close.notified().await;
+        }
         served += 1;
     }
 }
@@ -194,6 +198,8 @@
         let (address, counts) = start_target(KEEP_ALIVE, Then::Close).await;
         let mut caller = Caller::new();
         caller.call(address, repeatable).await.expect("a response");
+        caller.wait_for_idle(1).await;
+        counts.close.notify_one();
         caller.wait_for_idle(0).await;
         caller.call(address, repeatable).await.expect("a response");
         assert_eq!(caller.seen(), [Connection::New; 2]);
