Drop HTTP/2 connections from the pool when they close

Cause: the pool was told of the end of an HTTP/1.1 connection only; the core counted on a closed HTTP/2 connection until it expired.

Change: both kinds of connections are driven by the same task, which drops the connection from the pool at its end.

There is no test of an HTTP/2 connection that its target closes while idle.

--- a/crates/target/src/pool.rs
+++ b/crates/target/src/pool.rs
@@ -308,6 +308,21 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Spawns the task that drives a connection, and drops the connection from the pool at its end.
+    fn drive(
+        &self,
+        address: SocketAddr,
+        driver: impl Future<Output = hyper::Result<()>> + Send + 'static,
+    ) -> AbortHandle {
+        let idle = Arc::downgrade(&self.idle);
+        let driving = tokio::spawn(async move {
+            // An error of the connection is reported to the request that it carries.
+            let _ = driver.await;
+            remove_closed(&idle, address);
+        });
+        driving.abort_handle()
+    }
+
     /// Opens a connection and spawns the task that drives it.
     async fn open(&self, address: SocketAddr) -> io::Result<Sender> {
         let socket = TcpStream::connect(address).await?;
@@ -319,13 +334,7 @@
                 let mut builder = http1::Builder::new();
                 let handshake = builder.max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
                 let (sender, driver) = handshake.map_err(io::Error::other)?;
-                let idle = Arc::downgrade(&self.idle);
-                let driving = tokio::spawn(async move {
-                    // An error of the connection is reported to the request that it carries.
-                    let _ = driver.await;
-                    remove_closed(&idle, address);
-                });
-                let driver = Driver(driving.abort_handle());
+                let driver = Driver(self.drive(address, driver));
                 Ok(Sender::Http1 {
                     sender,
                     meter,
@@ -336,7 +345,7 @@
                 let io = TokioIo::new(socket);
                 let handshake = http2::handshake(TokioExecutor::new(), io).await;
                 let (sender, driver) = handshake.map_err(io::Error::other)?;
-                tokio::spawn(driver);
+                self.drive(address, driver);
                 self.put(address, Sender::Http2(sender.clone()), None);
                 Ok(Sender::Http2(sender))
             }
