Queue 4,096 connections on each listener

Cause: listeners had the runtime's default queue of 128 connections.

Change: bind with a queue of 4,096; the system caps it.

--- a/crates/node/src/socket.rs
+++ b/crates/node/src/socket.rs
@@ -4,7 +4,12 @@
 
 use cornelhitch_settings::process::ProcessSettings;
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+
+/// Connections that wait to be accepted on each listener; the system may allow fewer. With the 128 of the
+/// runtime's default, a crowd that reconnects keeps the queue full, and the system drops the first packet of
+/// others, who try again only after 1, 3, 7 and 15 s.
+const ACCEPT_QUEUE: u32 = 4_096;
 
 /// Maximum attempts to find a port free for both TCP and UDP, if the settings name none.
 const MAX_BIND_TRIES: usize = 32;
@@ -69,29 +74,25 @@
     /// # Errors
     /// Returns an error if an address is in use or not an address of this host.
     pub async fn bind(process: &ProcessSettings) -> Result<Self, Error> {
-        let callers = listen("cannot listen for callers", process.callers).await?;
-        let operators = listen("cannot listen for operators", process.operators).await?;
+        let callers = listen("cannot listen for callers", process.callers)?;
+        let operators = listen("cannot listen for operators", process.operators)?;
         let listen_at = process.peers_listen.unwrap_or(process.peers);
         let (peer_links, datagrams) = bind_peers(listen_at).await?;
         let mut pages = Vec::new();
         for address in [process.directory, process.ready].into_iter().flatten() {
-            pages.push(
-                listen(
-                    "cannot listen for readiness checks and directory queries",
-                    address,
-                )
-                .await?,
-            );
+            pages.push(listen(
+                "cannot listen for readiness checks and directory queries",
+                address,
+            )?);
         }
         Ok(Self {
             callers,
             operators,
             peer_links,
             datagrams,
-            registry: listen_optional("cannot listen for targets", process.registry).await?,
+            registry: listen_optional("cannot listen for targets", process.registry)?,
             pages,
-            metrics: listen_optional("cannot listen for readers of metrics", process.metrics)
-                .await?,
+            metrics: listen_optional("cannot listen for readers of metrics", process.metrics)?,
         })
     }
 
@@ -123,20 +124,32 @@
 }
 
 /// Listens on an address, if there is one.
-async fn listen_optional(
+fn listen_optional(
     what: &'static str,
     address: Option<SocketAddr>,
 ) -> Result<Option<TcpListener>, Error> {
     match address {
-        Some(address) => listen(what, address).await.map(Some),
+        Some(address) => listen(what, address).map(Some),
         None => Ok(None),
     }
 }
 
+/// Binds a listener with a queue of [`ACCEPT_QUEUE`] connections.
+fn bind_with_queue(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    // As `TcpListener::bind` does: a restarted host can bind while old connections wait for their end.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 /// Listens on an address.
-async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
-    let bound = TcpListener::bind(address).await;
-    bound.context(BindSnafu { what, address })
+fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    bind_with_queue(address).context(BindSnafu { what, address })
 }
 
 /// Binds TCP and UDP on the same port.
@@ -147,7 +160,7 @@
         1
     };
     loop {
-        let links = listen("cannot listen for peers", address).await?;
+        let links = listen("cannot listen for peers", address)?;
         let what = "cannot receive datagrams from peers";
         let bound = links.local_addr().context(BindSnafu { what, address })?;
         let datagrams = UdpSocket::bind(bound).await;
