Pace reads from addresses whose bytes become no request and no body

Cause: parsing such bytes starves all other tasks. The ordinary request got 503 because its deadline passed while it waited for turns. A connection that is closed for such bytes is replaced at once, so that closing saves little.

Change: each address has an allowance of bytes that become neither a request nor a part of a body (token bucket, setting unused-kb-s, 256 KB a second and twice as many at once). Bytes are given back when a request begins or a part of its body is read. Beyond it, connections of the address are read from no faster. A request that is crowded out counts as 4 KiB. The counter is reads_paused; one log line a second. A request in progress on HTTP/2 takes some 8 kB, so that 16 of them are allowed for each MB, not 32.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -19,11 +19,19 @@
 use crate::listener_limits::ListenerLimits;
 use crate::log_limit::LogLimiter;
 use crate::metrics::{Count, Metrics};
+use crate::read_pacing::ReadPacing;
 use crate::shared_memory::{Reservation, SharedMemory};
 
 /// Requests in progress that one address may have for each that is free.
 const REQUESTS_SHARE: usize = 3;
 
+/// Bytes that a request which was crowded out takes from its address's allowance: parsing and rejecting it
+/// takes about as much processor time as as many bytes of other frames.
+const CROWDED_OUT_BYTES: usize = 4 << 10;
+
+/// Interval between two log lines about paused reads of a listener. Each connection of a crowd pauses often.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The connections of one listener.
 #[derive(Debug)]
 pub(crate) struct ConnectionTable {
@@ -40,9 +48,12 @@
 #[derive(Debug)]
 struct State {
     connections: Connections,
+    pacing: ReadPacing,
     /// Cancelled to close a connection.
     closers: HashMap<ConnectionId, CancellationToken>,
     log_limit: LogLimiter,
+    /// When a pause of reads was last logged.
+    pause_logged: Option<Duration>,
 }
 
 /// A connection; removed from its table when the last clone of its handle is dropped.
@@ -100,8 +111,10 @@
             requests: SharedMemory::new(limits.requests, REQUESTS_SHARE),
             state: Mutex::new(State {
                 connections: Connections::new(limits.connections),
+                pacing: ReadPacing::new(limits.unused_rate),
                 closers: HashMap::new(),
                 log_limit: LogLimiter::default(),
+                pause_logged: None,
             }),
         })
     }
@@ -185,9 +198,11 @@
         if !place.resize(1) {
             // The next head starts anew.
             self.requests.fetch_add(1, Ordering::Relaxed);
+            let now = self.table.epoch.elapsed();
             let mut state = self.table.lock();
             state.connections.begin(self.id);
-            state.connections.end(self.id, self.table.epoch.elapsed());
+            state.connections.end(self.id, now);
+            state.pacing.charge(self.from.ip(), CROWDED_OUT_BYTES, now);
             drop(state);
             self.table.metrics.increment(Count::RequestsCrowdedOut);
             return None;
@@ -209,6 +224,38 @@
         }
     }
 
+    /// Takes bytes from the allowance of the caller's address.
+    pub(crate) fn charge(&self, bytes: usize) {
+        let now = self.table.epoch.elapsed();
+        let mut state = self.table.lock();
+        state.pacing.charge(self.from.ip(), bytes, now);
+    }
+
+    /// Gives bytes back that became a request or a part of a body.
+    pub(crate) fn refund(&self, bytes: usize) {
+        let now = self.table.epoch.elapsed();
+        let mut state = self.table.lock();
+        state.pacing.refund(self.from.ip(), bytes, now);
+    }
+
+    /// Returns how long nothing may be read; `None` if the address has some of its allowance left.
+    pub(crate) fn pause(&self) -> Option<Duration> {
+        let now = self.table.epoch.elapsed();
+        let mut state = self.table.lock();
+        let pause = state.pacing.pause(self.from.ip(), now)?;
+        let logs = state.pause_logged.is_none_or(|at| now >= at + LOG_INTERVAL);
+        if logs {
+            state.pause_logged = Some(now);
+        }
+        drop(state);
+        self.table.metrics.increment(Count::ReadsPaused);
+        if logs {
+            let from = self.from;
+            tracing::info!(%from, ?pause, "reads paused: too many bytes that are no request and no body");
+        }
+        Some(pause)
+    }
+
     /// Records that bytes of an answer were written.
     pub(crate) fn record_write(&self) {
         self.active_ms.store(self.table.now_ms(), Ordering::Relaxed);
--- a/crates/node/src/guarded_stream.rs
+++ b/crates/node/src/guarded_stream.rs
@@ -58,6 +58,10 @@
     read_timer: Pin<Box<Sleep>>,
     /// Runs while the socket takes no more bytes.
     write_timer: Option<Pin<Box<Sleep>>>,
+    /// Bytes taken from the address's allowance since the last request or part of a body.
+    charged: usize,
+    /// Runs while nothing is read because the address has used up its allowance.
+    pause_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl GuardedStream {
@@ -80,6 +84,41 @@
             requests: 0,
             read_timer: Box::pin(sleep_until(Instant::now() + idle_timeout)),
             write_timer: None,
+            charged: 0,
+            pause_timer: None,
+        }
+    }
+
+    /// Accounts for requests and parts of bodies that were read since the last call.
+    fn note_progress(&mut self) {
+        let requests = self.connection.requests();
+        let parts = self.connection.body_parts();
+        if requests == self.requests && parts == self.body_parts {
+            return;
+        }
+        if requests != self.requests {
+            self.requests = requests;
+            self.head_since = None;
+            self.unrequested = 0;
+        }
+        self.body_parts = parts;
+        self.undelivered = 0;
+        self.connection.refund(std::mem::take(&mut self.charged));
+    }
+
+    /// Returns whether nothing may be read yet; wakes the task when that may have changed.
+    fn pauses(&mut self, context: &mut Context<'_>) -> bool {
+        loop {
+            if let Some(timer) = &mut self.pause_timer
+                && timer.as_mut().poll(context).is_pending()
+            {
+                return true;
+            }
+            let pause = self.connection.pause();
+            self.pause_timer = pause.map(|pause| Box::pin(sleep_until(Instant::now() + pause)));
+            if self.pause_timer.is_none() {
+                return false;
+            }
         }
     }
 
@@ -88,11 +127,8 @@
         if self.is_http2.is_none() {
             self.is_http2 = Some(bytes.starts_with(HTTP2_PREFACE));
         }
-        let parts = self.connection.body_parts();
-        if parts != self.body_parts {
-            self.body_parts = parts;
-            self.undelivered = 0;
-        }
+        self.connection.charge(bytes.len());
+        self.charged += bytes.len();
         if !self.connection.is_busy() {
             self.head_since.get_or_insert_with(Instant::now);
             self.connection.receive(bytes.len());
@@ -205,16 +241,16 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let requests = self.connection.requests();
-        if requests != self.requests {
-            self.requests = requests;
-            self.head_since = None;
-            self.unrequested = 0;
-            self.undelivered = 0;
-        }
+        self.note_progress();
         if self.yields(context) {
             return Poll::Pending;
         }
+        if self.pauses(context) {
+            return match self.poll_overdue(context) {
+                Ok(()) => Poll::Pending,
+                Err(error) => Poll::Ready(Err(error)),
+            };
+        }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
         let received = &buffer.filled()[before..];
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod orders;
 pub mod problem;
 pub mod protocols;
+pub mod read_pacing;
 pub mod registry;
 mod relay;
 pub mod request;
--- a/crates/node/src/listener_limits.rs
+++ b/crates/node/src/listener_limits.rs
@@ -16,6 +16,9 @@
 /// Fewest connections of a listener.
 const MIN_CONNECTIONS: usize = 8;
 
+/// Bytes of a kilobyte.
+const KILOBYTE: u64 = 1_000;
+
 /// Bytes of a megabyte.
 const MEGABYTE: f64 = 1e6;
 
@@ -50,8 +53,9 @@
     }
 }
 
-/// Requests in progress on one listener for each megabyte of memory. An idle one takes 1 to 2 kB.
-const REQUESTS_PER_MB: f64 = 32.0;
+/// Requests in progress on one listener for each megabyte of memory. One on an HTTP/2 connection takes some 8 kB,
+/// so that they take an eighth of the memory.
+const REQUESTS_PER_MB: f64 = 16.0;
 
 /// The limits of one listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,6 +66,8 @@
     pub head_timeout: Duration,
     /// Requests in progress.
     pub requests: usize,
+    /// Bytes that are no request and no body which are read from one address in a second.
+    pub unused_rate: usize,
     /// The limits on its connections.
     pub connections: ConnectionLimits,
 }
@@ -96,6 +102,7 @@
             head_bytes,
             head_timeout: Duration::from_millis(serving.head_ms),
             requests: (REQUESTS_PER_MB * serving.memory_mb) as usize,
+            unused_rate: to_usize(serving.unused_kb_s.saturating_mul(KILOBYTE)),
             connections: ConnectionLimits {
                 connections: stated.unwrap_or(share),
                 per_address: set(serving.address_connections).filter(|_| is_callers),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -111,6 +111,8 @@
     PeerReportsSent,
     /// Reports of work in flight received from other entry hosts.
     PeerReportsReceived,
+    /// Pauses of connections whose address sent too many bytes that were no request and no body.
+    ReadsPaused,
 }
 
 /// The latency histograms; each variant is exported under its name.
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -188,6 +188,9 @@
     pub connections: u64,
     /// Connections on the callers' listener from one address; 0 for three times as many as are free.
     pub address_connections: u64,
+    /// Bytes that are read from one address in a second while they become neither a request nor a part of a
+    /// body, in kilobytes; twice as many at once.
+    pub unused_kb_s: u64,
     /// How the target of a request is chosen.
     pub routing: Routing,
 }
@@ -234,6 +237,7 @@
             heads_mb: 0.0,
             connections: 0,
             address_connections: 0,
+            unused_kb_s: 256,
         }
     }
 }
