Bound buffered answers by the host's memory and keep one copy of them

Cause: incomplete answers could take 40 MiB whatever `memory-mb` is, and an answer was copied when it was complete, into a buffer that grew by doubling. A trace of page faults (perf, 64 MB, HTTP/2 answers that are not read) has 14.3 MB in the buffers of incomplete answers and 10.4 MB in the copies.

Change: incomplete answers take a quarter of `memory-mb`, at most 40 MiB as before. The parts of a complete answer are kept without a copy, and each frees its memory when the connection has taken it.

The trace also shows that most of the 98 MB before was not in answers: 7 requests had reached the target, 3,221 were accepted and 19,878 answered 503 on connections that nobody reads.

--- a/crates/node/src/answer_memory.rs
+++ b/crates/node/src/answer_memory.rs
@@ -2,14 +2,20 @@
 //! of a host. Each target has its share.
 
 use bytes::Bytes;
+use cornelhitch_settings::process::Serving;
 use cornelhitch_types::id::TargetId;
 
 use crate::shared_memory::SharedMemory;
 
-/// Memory for all buffered parts of answers of a host, in bytes: a quarter of a small host's memory.
-/// A half of it holds the largest answer.
+/// Most memory for all buffered parts of answers of a host, in bytes. A half of it holds the largest answer.
 const TOTAL_BYTES: usize = 40 << 20;
 
+/// Part of a host's memory that may hold them, if that is less.
+const PART: f64 = 0.25;
+
+/// Bytes of a megabyte.
+const MEGABYTE: f64 = 1e6;
+
 /// What one target may hold, relative to what is free.
 const SHARE: usize = 1;
 
@@ -22,8 +28,9 @@
 ///
 /// ```
 /// use cornelhitch_node::answer_memory::AnswerMemory;
+/// use cornelhitch_settings::process::Serving;
 ///
-/// let memory = AnswerMemory::default();
+/// let memory = AnswerMemory::of_host(&Serving::default());
 /// let mut first = memory.reservation(&"worker-1".into());
 /// assert!(first.resize(20 << 20));
 /// assert!(!memory.reservation(&"worker-1".into()).resize(1));
@@ -33,9 +40,13 @@
 /// ```
 pub type AnswerMemory = SharedMemory<TargetId>;
 
-impl Default for AnswerMemory {
-    fn default() -> Self {
-        Self::new(TOTAL_BYTES, SHARE)
+impl AnswerMemory {
+    /// Creates the memory of a host that serves with these settings.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn of_host(serving: &Serving) -> Self {
+        let part = (PART * serving.memory_mb * MEGABYTE) as usize;
+        Self::new(part.min(TOTAL_BYTES), SHARE)
     }
 }
 
@@ -74,8 +85,11 @@
         self.length += chunk.len();
     }
 
-    /// Returns the body in order.
-    pub(crate) fn into_parts(self) -> impl Iterator<Item = Bytes> + Send {
+    /// Returns the body in order, without the room that its last segment has left.
+    pub(crate) fn into_parts(mut self) -> impl Iterator<Item = Bytes> + Send {
+        if let Some(last) = self.parts.last_mut() {
+            last.shrink_to_fit();
+        }
         self.parts.into_iter().map(Bytes::from)
     }
 
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -1,12 +1,14 @@
 //! Bodies of HTTP responses.
 
 use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::sync::mpsc;
 
 use crate::exchange::Part;
@@ -34,6 +36,43 @@
         .boxed_unsync()
 }
 
+/// Returns a body of parts that are all known.
+#[must_use]
+pub fn parts(parts: Vec<Bytes>) -> Body {
+    let left = parts.iter().map(|part| part.len() as u64).sum();
+    let parts = parts.into_iter();
+    KnownParts { parts, left }.boxed_unsync()
+}
+
+/// The body of an answer whose parts are all known, so that its length is stated.
+struct KnownParts {
+    parts: std::vec::IntoIter<Bytes>,
+    /// Bytes of the parts that are left.
+    left: u64,
+}
+
+impl HttpBody for KnownParts {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        let part = self.parts.next();
+        self.left -= part.as_ref().map_or(0, |part| part.len() as u64);
+        Poll::Ready(part.map(|part| Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left)
+    }
+}
+
 /// Returns a body that streams the parts of an answer as they arrive.
 ///
 /// The body ends normally only after [`Part::End`]. In any other case the connection is closed,
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -268,7 +268,7 @@
     let body = if streams(head.status) {
         body::streaming(answer, guard)
     } else {
-        body::full(collect_parts(answer, unread).await?)
+        body::parts(collect_parts(answer, unread).await?)
     };
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
@@ -280,12 +280,12 @@
 async fn collect_parts(
     mut answer: mpsc::Receiver<Part>,
     (unread, caller): (&UnreadAnswers, SocketAddr),
-) -> Result<Bytes, Refusal> {
+) -> Result<Vec<Bytes>, Refusal> {
     let mut whole = unread.begin(caller.ip());
     loop {
         match answer.recv().await {
-            Some(Part::Data(bytes)) => unread.append(&mut whole, &bytes)?,
-            Some(Part::End) => return Ok(whole.into()),
+            Some(Part::Data(bytes)) => unread.append(&mut whole, bytes)?,
+            Some(Part::End) => return Ok(whole.into_parts()),
             Some(Part::Refusal(refusal)) => return Err(refusal),
             Some(Part::Head(_)) | None => return Err(stopped()),
         }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -109,6 +109,8 @@
     pub datagrams: DatagramSocket,
     /// The client for requests to targets.
     pub client: Arc<dyn Client>,
+    /// The memory for buffered parts of answers.
+    pub answer_memory: AnswerMemory,
     /// Publishes this host's current load, drain state and settings version.
     pub host_state: watch::Sender<Host>,
     /// Publishes the fleet settings in force.
@@ -141,7 +143,6 @@
     exchanges: HashMap<CallId, Exchange>,
     attempts: HashMap<(CallId, AttemptNumber), RunningAttempt>,
     answers: HashMap<CallId, Recorded>,
-    answer_memory: AnswerMemory,
     last_report: Instant,
     urgent: bool,
     request_log: RequestLog,
@@ -158,7 +159,6 @@
         exchanges: HashMap::new(),
         attempts: HashMap::new(),
         answers: HashMap::new(),
-        answer_memory: AnswerMemory::default(),
         last_report: Instant::now(),
         urgent: true,
         request_log: RequestLog::default(),
@@ -606,7 +606,7 @@
             exchange,
             client: self.setup.client.clone(),
             inputs: self.setup.input_sender.clone(),
-            memory: self.answer_memory.clone(),
+            memory: self.setup.answer_memory.clone(),
             metrics: self.setup.metrics.clone(),
         };
         let (signals, receivers) = attempt::signals();
--- a/crates/node/src/shared_memory.rs
+++ b/crates/node/src/shared_memory.rs
@@ -111,6 +111,18 @@
 }
 
 impl<K: Ord + Clone> Reservation<K> {
+    /// Moves at most this many bytes of the reservation to a new one of the same holder.
+    #[must_use]
+    pub fn split(&mut self, bytes: usize) -> Self {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        Self {
+            memory: self.memory.clone(),
+            holder: self.holder.clone(),
+            bytes,
+        }
+    }
+
     /// Changes the reservation to this many bytes; returns false, and changes nothing, if that is
     /// more and the holder's share has no room for it.
     pub fn resize(&mut self, bytes: usize) -> bool {
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -29,6 +29,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::answer_memory::AnswerMemory;
 use crate::callers::Callers;
 use crate::control::{self, TaskMessage};
 use crate::datagrams::{self, DatagramSocket};
@@ -324,6 +325,7 @@
             links: self.links.clone(),
             datagrams: self.datagrams.clone(),
             client: self.protocols.target_client.clone(),
+            answer_memory: AnswerMemory::of_host(&self.process.serving),
             host_state,
             fleet,
             routes,
--- a/crates/node/src/unread_answers.rs
+++ b/crates/node/src/unread_answers.rs
@@ -16,6 +16,9 @@
 /// Part of a host's memory that may hold unread answers.
 const PART: f64 = 0.25;
 
+/// Length from which a part is kept without a copy, in bytes.
+const MIN_KEPT_BYTES: usize = 8 << 10;
+
 /// Bytes of a megabyte.
 const MEGABYTE: f64 = 1e6;
 
@@ -29,14 +32,25 @@
     metrics: Metrics,
 }
 
-/// An answer that is being buffered.
+/// An answer that is being buffered, in parts that are not copied. A part is kept until the connection has
+/// taken all of it.
 #[derive(Debug)]
 pub struct HeldAnswer {
-    bytes: Vec<u8>,
+    parts: Vec<Bytes>,
+    reservation: Reservation<IpAddr>,
+    /// Bytes of all parts.
+    length: usize,
+}
+
+/// A part of an answer, with its reservation.
+#[derive(Debug)]
+struct HeldPart {
+    bytes: Bytes,
+    #[expect(dead_code, reason = "frees the part's memory when it is dropped")]
     reservation: Reservation<IpAddr>,
 }
 
-impl AsRef<[u8]> for HeldAnswer {
+impl AsRef<[u8]> for HeldPart {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
@@ -58,8 +72,9 @@
     #[must_use]
     pub fn begin(&self, caller: IpAddr) -> HeldAnswer {
         HeldAnswer {
-            bytes: Vec::new(),
+            parts: Vec::new(),
             reservation: self.memory.reservation(&caller),
+            length: 0,
         }
     }
 
@@ -67,16 +82,19 @@
     ///
     /// # Errors
     /// Returns a refusal that guarantees nothing if the caller's share has no room.
-    pub fn append(&self, answer: &mut HeldAnswer, part: &[u8]) -> Result<(), Refusal> {
-        let needed = answer.bytes.len() + part.len();
-        if needed > answer.bytes.capacity() {
-            let next = needed.max(2 * answer.bytes.capacity());
-            if !answer.reservation.resize(next) {
-                return Err(self.refusal());
-            }
-            answer.bytes.reserve_exact(next - answer.bytes.len());
+    pub fn append(&self, answer: &mut HeldAnswer, part: Bytes) -> Result<(), Refusal> {
+        let length = answer.length + part.len();
+        if !answer.reservation.resize(length) {
+            return Err(self.refusal());
         }
-        answer.bytes.extend_from_slice(part);
+        answer.length = length;
+        // A short part may be a slice that keeps a long buffer.
+        let part = if part.len() < MIN_KEPT_BYTES {
+            Bytes::copy_from_slice(&part)
+        } else {
+            part
+        };
+        answer.parts.push(part);
         Ok(())
     }
 
@@ -99,10 +117,14 @@
     }
 }
 
-impl From<HeldAnswer> for Bytes {
-    fn from(mut answer: HeldAnswer) -> Self {
-        answer.bytes.shrink_to_fit();
-        answer.reservation.resize(answer.bytes.capacity());
-        Self::from_owner(answer)
+impl HeldAnswer {
+    /// Returns the parts, each of which frees its own memory when it is dropped.
+    #[must_use]
+    pub fn into_parts(mut self) -> Vec<Bytes> {
+        let parts = self.parts.into_iter().map(|bytes| {
+            let reservation = self.reservation.split(bytes.len());
+            Bytes::from_owner(HeldPart { bytes, reservation })
+        });
+        parts.collect()
     }
 }
