Reject configurations whose heads are larger than hosts accept

Cause: `maxHeaderBytes` of the configuration was not read. A deployment that states more than 64 KiB without the setting `head-bytes` was accepted, and its callers got 431.

The host that accepts the configuration compares with its own setting. Tables and their bytes are unchanged.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -70,6 +70,14 @@
     /// Returns a description of the error and its position in the text.
     fn decode(&self, text: &Bytes) -> Result<RouteTable, String>;
 
+    /// Checks that this host accepts heads of requests as large as a table allows callers to send.
+    ///
+    /// # Errors
+    /// Returns a description of the error and its position in the text.
+    fn check_head_limit(&self, _text: &Bytes, _head_bytes: usize) -> Result<(), String> {
+        Ok(())
+    }
+
     /// Returns the response for an outcome.
     fn answer(&self, outcome: &TableOutcome) -> Response<Bytes>;
 }
@@ -99,6 +107,8 @@
     pub takers: Takers,
     /// The instant from which this listener measures time.
     pub epoch: Instant,
+    /// Largest head of a request that this host accepts, in bytes.
+    pub head_bytes: usize,
 }
 
 impl Service for Registry {
@@ -144,6 +154,9 @@
                     Ok(table) => table,
                     Err(reason) => return TableOutcome::Invalid(reason),
                 };
+                if let Err(reason) = route_tables.check_head_limit(&text, self.head_bytes) {
+                    return TableOutcome::Invalid(reason);
+                }
                 if let Some(error) = table.validate().first() {
                     return TableOutcome::Invalid(error.to_string());
                 }
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -423,6 +423,7 @@
             zones: self.process.zones.clone(),
             takers: Takers::new(takers),
             epoch: self.epoch,
+            head_bytes: ListenerLimits::new(&self.process.serving, Audience::Registry).head_bytes,
         };
         tokio::spawn(self.listen(listener, registry, Audience::Registry, self.stop.clone()));
     }
