Resume streams whose own run speaks for their refused sections

Change: a stream is resumed if its run had delivered for 200 ms and this host answered all refused sections within 10 minutes; only for its first interruption, and not for what a whole request asks for. A response that cannot be resumed (a service's, or one without attempts left) ends as failed with its target, since nothing is sent that a refusal would prevent.

A host that has just started has answered nothing and still refuses such streams.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -17,7 +17,7 @@
 use crate::finish::Rejection;
 use crate::newest_table;
 use crate::queue::{QueueKey, Rank};
-use crate::request::{Call, Claim, Progress, Stage};
+use crate::request::{Call, Claim, Interruption, Progress, Stage};
 use crate::suspects::{Knowledge, Turn, Verdict};
 
 /// Upper limit on how long before its deadline an unsent request is refused.
@@ -291,6 +291,7 @@
             trial_until: Time::ZERO,
             tried_knowing: Knowledge::default(),
             stalled: false,
+            interruption: Interruption::None,
             charge: None,
             request,
         }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::fault::Fault;
 use crate::finish::Rejection;
 use crate::queue::{QueueKey, RESUME_WEIGHT};
-use crate::request::{Call, Progress, RunningAttempt, Stage};
+use crate::request::{Call, Interruption, Progress, RunningAttempt, Stage};
 use crate::retry_policy::{self, NextStep};
 use crate::route::Candidate;
 use crate::suspects::Knowledge;
@@ -302,14 +302,13 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let (repeatable, progress) = (call.repeatable, call.progress);
-        let service = matches!(call.request.what, RequestedResource::Service { .. });
-        let (answered, fingerprint) = (call.answered, call.request.fingerprint);
+        let answered = call.answered;
         let suspect = call.suspect(&run);
         if !declined && failure != Failure::Connect {
             self.observe_failure(&run.place.target);
         }
         self.record_failure(&run, suspect, failure);
+        self.record_interruption(id, &run, failure);
         if failure == Failure::Stalled {
             self.remember_cancelled(id, &run);
         }
@@ -321,20 +320,37 @@
             self.settle_claim(id);
             return;
         }
-        if let Some(rejection) = self.strikes_rejection(id, fingerprint) {
-            self.refuse(id, rejection);
+        self.follow_up(id, &run, failure);
+    }
+
+    /// Retries, resumes or refuses a request after an attempt that failed.
+    fn follow_up(&mut self, id: CallId, run: &RunningAttempt, failure: Failure) {
+        let Some(call) = self.calls.get(&id) else {
             return;
-        }
+        };
+        let (repeatable, progress) = (call.repeatable, call.progress);
+        let service = matches!(call.request.what, RequestedResource::Service { .. });
+        let (exhausted, fingerprint) = (call.attempts_exhausted(), call.request.fingerprint);
         let (sent, begun) = (progress > Progress::Unsent, progress == Progress::Begun);
         let next = retry_policy::next(repeatable || self.has_fault(Fault::SendsTwice), sent, begun);
-        let exhausted = self.calls.get(&id).is_some_and(Call::attempts_exhausted);
+        // A response that broke off and is not resumed has failed with its target, whatever its sections.
+        let resumes = next == NextStep::Resume && !exhausted && !service;
+        let rejection = self
+            .strikes_rejection(fingerprint)
+            .or_else(|| self.suspect_rejection(id).filter(|_| resumes || !begun));
+        if let Some(rejection) = rejection {
+            self.refuse(id, rejection);
+            return;
+        }
         match next {
             NextStep::Retry | NextStep::Resume if exhausted => {
                 self.fail_call(id, "every target failed");
             }
-            NextStep::Elsewhere | NextStep::Retry => self.requeue(id, backoff(failure, attempt)),
+            NextStep::Elsewhere | NextStep::Retry => {
+                self.requeue(id, backoff(failure, run.attempt));
+            }
             NextStep::Resume if service => self.fail_call(id, "the answer broke off"),
-            NextStep::Resume => self.resume(id, &run, failure),
+            NextStep::Resume => self.resume(id, run, failure),
             NextStep::Unknown => self.fail_call(id, "the target failed after it was sent"),
         }
     }
@@ -432,13 +448,10 @@
         }
     }
 
-    /// Returns the refusal for a request that has reached the strike limit, or that has a part under
-    /// which targets end.
-    fn strikes_rejection(&self, id: CallId, fingerprint: u64) -> Option<Rejection> {
-        if self.quarantine.strikes(fingerprint) >= self.strike_limit() {
-            return Some(self.quarantine_rejection(fingerprint));
-        }
-        self.suspect_rejection(id)
+    /// Returns the refusal for a request that has reached the strike limit.
+    fn strikes_rejection(&self, fingerprint: u64) -> Option<Rejection> {
+        let is_reached = self.quarantine.strikes(fingerprint) >= self.strike_limit();
+        is_reached.then(|| self.quarantine_rejection(fingerprint))
     }
 
     /// Returns the refusal for a request that has a part under which targets end.
@@ -449,7 +462,12 @@
         if is_trial && call.progress == Progress::Unsent {
             return None;
         }
-        let part = self.suspects.refused_for(call.request.parts())?;
+        let parts = call.request.parts();
+        let part = self.suspects.refused_for(parts)?;
+        let is_lasting = call.interruption == Interruption::Lasting;
+        if is_lasting && self.suspects.are_refused_answered(parts, self.now) {
+            return None;
+        }
         let run = match call.progress {
             Progress::Unsent => Run::NotRun,
             _ => Run::Failed,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -81,6 +81,17 @@
     Granted,
 }
 
+/// Whether a response broke off because its target may have ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Interruption {
+    /// It did not.
+    None,
+    /// Once, after it had delivered for some time, which speaks for the request's sections.
+    Lasting,
+    /// Several times, or as it began.
+    Other,
+}
+
 /// A request and its state.
 #[derive(Debug, Clone, Serialize)]
 pub struct Call {
@@ -133,6 +144,8 @@
     pub tried_knowing: Knowledge,
     /// Whether its response stalled once and the attempt was cancelled for it.
     pub stalled: bool,
+    /// Whether its response broke off.
+    pub interruption: Interruption,
     /// What it was charged, if its team has a quota.
     pub charge: Option<Charge>,
 }
--- a/crates/entry/src/suspects.rs
+++ b/crates/entry/src/suspects.rs
@@ -265,6 +265,15 @@
         sets.first()?.sections.first().copied()
     }
 
+    /// Whether this host has answered all sections lately for which a request is refused outside a
+    /// trial. Answers to what a whole request asks for are not remembered.
+    #[must_use]
+    pub fn are_refused_answered(&self, parts: Parts, now: Time) -> bool {
+        let sets = self.refused_in(parts);
+        let mut refused = sets.iter().flat_map(|set| &set.sections);
+        refused.all(|section| self.answered.contains(*section, now))
+    }
+
     /// Records a target that ended with a request's sections in progress.
     pub fn strike(&mut self, suspicion: &Suspicion, instance: &TargetInstance, now: Time) {
         for section in &suspicion.sections {
--- a/crates/entry/src/witness.rs
+++ b/crates/entry/src/witness.rs
@@ -7,7 +7,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use cornelhitch_types::id::Time;
+
 use crate::core::Core;
+use crate::event::{CallId, Failure};
+use crate::request::{Interruption, Progress, RunningAttempt};
+use crate::retry_policy;
 
 /// How long a run has delivered its answer to count in favour of its parts. Targets ended by a part
 /// fail within some tens of milliseconds of the first byte.
@@ -21,11 +26,41 @@
         }
         let now = self.now;
         let lasting = self.calls.values().filter(|call| {
-            let run = call.current_attempt().filter(|run| !run.error);
-            let begun = run.and_then(|run| run.begun);
-            begun.is_some_and(|begun| now >= begun + WITNESS_TIME)
+            let run = call.current_attempt();
+            run.is_some_and(|run| has_delivered(run, now))
         });
         let parts: BTreeSet<u64> = lasting.flat_map(|call| call.request.part_ids()).collect();
         self.suspects.record_witnessed(&parts, now);
     }
+
+    /// Records that a target may have ended under a run, and whether this run speaks for its sections.
+    ///
+    /// Such a request is resumed although its sections are refused, if they were answered lately. Only the
+    /// first interruption counts, so that a section under which targets end late gains one send for
+    /// each stream at most.
+    pub(crate) fn record_interruption(
+        &mut self,
+        id: CallId,
+        run: &RunningAttempt,
+        failure: Failure,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if !retry_policy::effect(failure).strike || run.progress == Progress::Unsent {
+            return;
+        }
+        let is_first = call.interruption == Interruption::None;
+        call.interruption = if is_first && has_delivered(run, self.now) {
+            Interruption::Lasting
+        } else {
+            Interruption::Other
+        };
+    }
+}
+
+/// Whether a run has delivered an answer, not an error, for some time.
+fn has_delivered(run: &RunningAttempt, now: Time) -> bool {
+    let begun = run.begun.filter(|_| !run.error);
+    begun.is_some_and(|begun| now >= begun + WITNESS_TIME)
 }
