Count no trial that had delivered before its target ended

Cause: a trial whose target ended for another reason counted as one that its section had ended.

Change: the host names no section as tried if the run had delivered for 200 ms, the point that runs under crashing sections do not reach. The leader grants no more trials of a section after three that were lost so without an answer within 10 minutes, so that a section that ends targets late keeps a limit. What a whole request asks for is tried as before. Messages and the log keep their bytes.

A new leader does not know the trials that were lost without an outcome, so a section that ends targets late may get three more in each term.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -303,7 +303,7 @@
             return;
         };
         let answered = call.answered;
-        let suspect = call.suspect(&run);
+        let suspect = call.suspect(&run, self.now);
         if !declined && failure != Failure::Connect {
             self.observe_failure(&run.place.target);
         }
--- a/crates/entry/src/finish.rs
+++ b/crates/entry/src/finish.rs
@@ -151,7 +151,7 @@
         if run.progress > Progress::Unsent
             && let Some(call) = self.calls.get(&id)
         {
-            let suspect = call.suspect(run);
+            let suspect = call.suspect(run, self.now);
             self.cancelled.insert((id, run.attempt), suspect, self.now);
         }
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -12,6 +12,7 @@
 use crate::route::Place;
 use crate::software::SoftwareVersion;
 use crate::suspects::{Knowledge, Suspicion};
+use crate::witness::WITNESS_TIME;
 
 /// The progress of a request over all its attempts; it never decreases, except by
 /// [`Call::undo_run`].
@@ -51,6 +52,15 @@
     pub reserved: bool,
 }
 
+impl RunningAttempt {
+    /// Whether it has delivered an answer, not an error, for some time.
+    #[must_use]
+    pub fn has_delivered(&self, now: Time) -> bool {
+        let begun = self.begun.filter(|_| !self.error);
+        begun.is_some_and(|begun| now >= begun + WITNESS_TIME)
+    }
+}
+
 /// What a request is waiting for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub enum Stage {
@@ -167,13 +177,20 @@
     }
 
     /// Returns what is struck if the target of an attempt ends now.
+    ///
+    /// A trial that has delivered for some time has got past the point at which sections end targets, so
+    /// its end is no outcome for them. Whole contents end targets rarely enough to be told apart.
     #[must_use]
-    pub fn suspect(&self, run: &RunningAttempt) -> Suspect {
+    pub fn suspect(&self, run: &RunningAttempt, now: Time) -> Suspect {
+        let mut tried = self.tried.clone();
+        if run.has_delivered(now) {
+            tried.retain(|part| self.request.content() == Some(*part));
+        }
         Suspect {
             fingerprint: self.request.fingerprint,
             suspicion: Suspicion {
                 sections: self.request.part_ids(),
-                tried: self.tried.clone(),
+                tried,
             },
             strikes: run.strikes,
             instance: (run.place.target.clone(), run.incarnation),
--- a/crates/entry/src/witness.rs
+++ b/crates/entry/src/witness.rs
@@ -7,8 +7,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cornelhitch_types::id::Time;
-
 use crate::core::Core;
 use crate::event::{CallId, Failure};
 use crate::request::{Interruption, Progress, RunningAttempt};
@@ -16,7 +14,7 @@
 
 /// How long a run has delivered its answer to count in favour of its parts. Targets ended by a part
 /// fail within some tens of milliseconds of the first byte.
-const WITNESS_TIME: Duration = Duration::from_millis(200);
+pub(crate) const WITNESS_TIME: Duration = Duration::from_millis(200);
 
 impl Core {
     /// Records the parts of all runs that have delivered for some time.
@@ -27,7 +25,7 @@
         let now = self.now;
         let lasting = self.calls.values().filter(|call| {
             let run = call.current_attempt();
-            run.is_some_and(|run| has_delivered(run, now))
+            run.is_some_and(|run| run.has_delivered(now))
         });
         let parts: BTreeSet<u64> = lasting.flat_map(|call| call.request.part_ids()).collect();
         self.suspects.record_witnessed(&parts, now);
@@ -51,16 +49,10 @@
             return;
         }
         let is_first = call.interruption == Interruption::None;
-        call.interruption = if is_first && has_delivered(run, self.now) {
+        call.interruption = if is_first && run.has_delivered(self.now) {
             Interruption::Lasting
         } else {
             Interruption::Other
         };
     }
 }
-
-/// Whether a run has delivered an answer, not an error, for some time.
-fn has_delivered(run: &RunningAttempt, now: Time) -> bool {
-    let begun = run.begun.filter(|_| !run.error);
-    begun.is_some_and(|begun| now >= begun + WITNESS_TIME)
-}
--- a/crates/entry/tests/sections.rs
+++ b/crates/entry/tests/sections.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cornelhitch_entry::event::{CallId, RouteLimits};
+use cornelhitch_entry::event::{CallId, Failure, RouteLimits};
 use cornelhitch_entry::prelude::*;
 use cornelhitch_settings::process::Serving;
 use cornelhitch_types::entry;
@@ -239,3 +239,26 @@
     host.run(Time::from_millis(200));
     assert!(!is_sent(&host.actions, waiting));
 }
+
+/// Three trials that were lost to ends for other reasons had their section refused until it expired.
+#[test]
+fn a_trial_whose_target_ends_late_counts_as_no_outcome() {
+    for (delivered, expected) in [(100, vec![2]), (300, Vec::new())] {
+        let mut host = Host::new();
+        host.publish_apart(&[(2, ends(LIMIT, 1, 0))]);
+        host.run(Time::from_millis(3_100));
+        let id = host.start(&[2]);
+        host.handle(Event::ResponseStarted { id, attempt: 1 });
+        host.run(Time::from_millis(delivered));
+        let actions = host.handle(Event::Failed {
+            id,
+            attempt: 1,
+            failure: Failure::Truncated,
+        });
+        let tried = actions.iter().find_map(|action| match action {
+            Action::Strike { suspicion, .. } => Some(suspicion.tried.clone()),
+            _ => None,
+        });
+        assert_eq!(tried, Some(expected), "delivered for {delivered} ms");
+    }
+}
--- a/crates/node/src/trials.rs
+++ b/crates/node/src/trials.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cornelhitch_control::command::Command;
+use cornelhitch_control::sections::Strike;
 use cornelhitch_entry::suspects::TRIAL_TIMEOUT;
 use cornelhitch_types::id::Time;
 
@@ -11,6 +12,30 @@
 /// that have not heard of this end yet would ask at once.
 const PUBLICATION_TIME: Duration = Duration::from_secs(1);
 
+/// Number of trials of a part that are lost without an outcome until no more are granted. With three, a
+/// part that ends targets late reaches as many more as one that ends them at once.
+const MAX_LOST: u32 = 3;
+
+/// How long lost trials of a part are remembered without an answer that clears it.
+const LOST_RETENTION: Duration = Duration::from_mins(10);
+
+/// A trial that may still run.
+#[derive(Debug, Clone, Copy)]
+struct Trial {
+    /// Until when it may run.
+    until: Time,
+    /// Whether a target ended under its part without being its outcome.
+    is_lost: bool,
+}
+
+/// Trials of a part that were lost without an outcome.
+#[derive(Debug, Default, Clone, Copy)]
+struct Lost {
+    count: u32,
+    /// When the last one was lost.
+    at: Time,
+}
+
 /// The trials of the leader's term that may still run.
 ///
 /// A new leader doesn't know the trials of its predecessor. It grants none at first, so that hosts
@@ -27,8 +52,10 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Trials {
-    /// Until when each part is tried.
-    until: BTreeMap<u64, Time>,
+    /// The trial of each part.
+    running: BTreeMap<u64, Trial>,
+    /// Trials of parts whose targets ended late, which says little of the part.
+    lost: BTreeMap<u64, Lost>,
     /// Until when none is granted.
     paused_until: Time,
 }
@@ -47,20 +74,27 @@
     #[must_use]
     pub fn elected(now: Time) -> Self {
         Self {
-            until: BTreeMap::new(),
             paused_until: now + PUBLICATION_TIME,
+            ..Self::default()
         }
     }
 
-    /// Grants a trial of some parts, unless one of them is being tried.
+    /// Grants a trial of some parts, unless one of them is being tried or has lost too many trials.
     pub fn grant(&mut self, parts: &[u64], now: Time) -> bool {
-        self.until.retain(|_, until| *until > now);
-        let is_tried = |part| self.until.contains_key(part);
-        if now < self.paused_until || parts.iter().any(is_tried) {
+        self.running.retain(|_, trial| trial.until > now);
+        self.lost.retain(|_, lost| now < lost.at + LOST_RETENTION);
+        let is_barred = |part: &u64| {
+            let lost = self.lost.get(part);
+            self.running.contains_key(part) || lost.is_some_and(|it| it.count >= MAX_LOST)
+        };
+        if now < self.paused_until || parts.iter().any(is_barred) {
             return false;
         }
-        let until = now + TRIAL_TIMEOUT;
-        self.until.extend(parts.iter().map(|part| (*part, until)));
+        let trial = Trial {
+            until: now + TRIAL_TIMEOUT,
+            is_lost: false,
+        };
+        self.running.extend(parts.iter().map(|part| (*part, trial)));
         true
     }
 
@@ -82,8 +116,16 @@
     /// ```
     pub fn on_committed(&mut self, command: &Command, now: Time) {
         match command {
-            Command::StrikeSections(strike) => self.end(&strike.tried, now + PUBLICATION_TIME),
-            Command::AcquitSections(acquittal) => self.end(&acquittal.sections, now),
+            Command::StrikeSections(strike) => {
+                self.end(&strike.tried, now + PUBLICATION_TIME);
+                self.record_lost(strike, now);
+            }
+            Command::AcquitSections(acquittal) => {
+                self.end(&acquittal.sections, now);
+                for section in &acquittal.sections {
+                    self.lost.remove(section);
+                }
+            }
             Command::Batch(commands) => {
                 for command in commands {
                     self.on_committed(command, now);
@@ -93,11 +135,26 @@
         }
     }
 
+    /// Counts the running trials of the sections of a target that ended, unless it ended under them: a host
+    /// reports so a trial that had delivered for some time. A run from before the refusal counts as well.
+    fn record_lost(&mut self, strike: &Strike, now: Time) {
+        let untried = strike.sections.iter();
+        for section in untried.filter(|it| !strike.tried.contains(it)) {
+            let trial = self.running.get_mut(section);
+            if let Some(trial) = trial.filter(|trial| trial.until > now && !trial.is_lost) {
+                trial.is_lost = true;
+                let lost = self.lost.entry(*section).or_default();
+                lost.count += 1;
+                lost.at = now;
+            }
+        }
+    }
+
     /// Lets the trials of some parts run until a given time at most.
     fn end(&mut self, parts: &[u64], latest: Time) {
         for part in parts {
-            if let Some(until) = self.until.get_mut(part) {
-                *until = latest.min(*until);
+            if let Some(trial) = self.running.get_mut(part) {
+                trial.until = latest.min(trial.until);
             }
         }
     }
