--- a/crates/control/src/quota/recent.rs
+++ b/crates/control/src/quota/recent.rs
@@ -23,7 +23,7 @@
 impl RecentDemand {
     /// The time over which demand is summed: the objectives of most requests are shorter, and a burst
     /// that the quota allows is not taken for demand that exceeds it.
-    pub(super) const SPAN: Duration = Duration::from_millis(2_000);
+    pub(super) const SPAN: Duration = Duration::from_secs(2);
 
     /// Adds what a request asks for.
     pub(super) fn record(&mut self, units: u64, now: Time) {
