Return the allowance of unused bytes as soon as a body part is read

Cause: bytes were given back at the connection's next read.

Change: the request's head and each part of its body give them back at once.

Conclusion: what is charged is what has become neither a request nor a body.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -71,6 +71,8 @@
     in_progress: AtomicUsize,
     /// Parts of bodies that requests have read.
     body_parts: AtomicUsize,
+    /// Bytes taken from the address's allowance since the last request or part of a body.
+    charged: AtomicUsize,
     /// When the last request ended or answer bytes were written, in milliseconds since the epoch.
     active_ms: AtomicU64,
 }
@@ -84,10 +86,9 @@
     /// Records that a part was read.
     pub(crate) fn record(extensions: &Extensions) {
         if let Some(Self(request)) = extensions.get() {
-            request
-                .connection
-                .body_parts
-                .fetch_add(1, Ordering::Relaxed);
+            let connection = &request.connection;
+            connection.body_parts.fetch_add(1, Ordering::Relaxed);
+            connection.refund();
         }
     }
 }
@@ -146,6 +147,7 @@
             requests: AtomicUsize::new(0),
             in_progress: AtomicUsize::new(0),
             body_parts: AtomicUsize::new(0),
+            charged: AtomicUsize::new(0),
             active_ms: AtomicU64::new(self.now_ms()),
         }))
     }
@@ -194,6 +196,7 @@
 
     /// Records that the head of a request is complete; `None` if too many are in progress.
     pub(crate) fn begin(self: &Arc<Self>) -> Option<Request> {
+        self.refund();
         let mut place = self.table.requests.reservation(&self.from.ip());
         if !place.resize(1) {
             // The next head starts anew.
@@ -226,13 +229,19 @@
 
     /// Takes bytes from the allowance of the caller's address.
     pub(crate) fn charge(&self, bytes: usize) {
+        self.charged.fetch_add(bytes, Ordering::Relaxed);
         let now = self.table.epoch.elapsed();
         let mut state = self.table.lock();
         state.pacing.charge(self.from.ip(), bytes, now);
     }
 
-    /// Gives bytes back that became a request or a part of a body.
-    pub(crate) fn refund(&self, bytes: usize) {
+    /// Gives bytes back that became a request or a part of a body. It is called as soon as they have, so that
+    /// many uploads from one address don't use up its allowance with bytes that are about to be delivered.
+    fn refund(&self) {
+        let bytes = self.charged.swap(0, Ordering::Relaxed);
+        if bytes == 0 {
+            return;
+        }
         let now = self.table.epoch.elapsed();
         let mut state = self.table.lock();
         state.pacing.refund(self.from.ip(), bytes, now);
--- a/crates/node/src/guarded_stream.rs
+++ b/crates/node/src/guarded_stream.rs
@@ -58,8 +58,6 @@
     read_timer: Pin<Box<Sleep>>,
     /// Runs while the socket takes no more bytes.
     write_timer: Option<Pin<Box<Sleep>>>,
-    /// Bytes taken from the address's allowance since the last request or part of a body.
-    charged: usize,
     /// Runs while nothing is read because the address has used up its allowance.
     pause_timer: Option<Pin<Box<Sleep>>>,
 }
@@ -84,7 +82,6 @@
             requests: 0,
             read_timer: Box::pin(sleep_until(Instant::now() + idle_timeout)),
             write_timer: None,
-            charged: 0,
             pause_timer: None,
         }
     }
@@ -103,7 +100,6 @@
         }
         self.body_parts = parts;
         self.undelivered = 0;
-        self.connection.refund(std::mem::take(&mut self.charged));
     }
 
     /// Returns whether nothing may be read yet; wakes the task when that may have changed.
@@ -128,7 +124,6 @@
             self.is_http2 = Some(bytes.starts_with(HTTP2_PREFACE));
         }
         self.connection.charge(bytes.len());
-        self.charged += bytes.len();
         if !self.connection.is_busy() {
             self.head_since.get_or_insert_with(Instant::now);
             self.connection.receive(bytes.len());
