Tell no time for requests above what hosts may hold

Cause: since a part of the capacity is kept for the next leader, a request between this bound and the capacity was told a time at which it would be refused again (found in review).

Change: the bound is what hosts may hold. A test of its own.

Conclusion: a time is told only if the request can be granted then.

--- a/crates/control/src/quota/bucket.rs
+++ b/crates/control/src/quota/bucket.rs
@@ -186,11 +186,16 @@
         let most_held = match self.phase {
             Phase::Waiting(_) => 0,
             Phase::Reserve(_) => self.reserve(),
-            Phase::Ready => self.capacity - self.reserve(),
+            Phase::Ready => self.most_held(),
         };
         self.available.min(most_held.saturating_sub(self.held()))
     }
 
+    /// Returns what hosts may hold at most.
+    fn most_held(&self) -> u64 {
+        self.capacity - self.reserve()
+    }
+
     /// Returns what all hosts hold.
     pub(super) fn held(&self) -> u64 {
         let held = self.accounts.values().map(Account::held);
@@ -319,7 +324,7 @@
     fn refuse(&mut self, ask: &Ask, now: Time) -> AskRefusal {
         self.totals.refused += 1;
         let supply = self.supply_for_returning(now);
-        let wait = if ask.cost > self.capacity {
+        let wait = if ask.cost > self.most_held() {
             None
         } else {
             self.reservations
--- a/crates/control/tests/quota.rs
+++ b/crates/control/tests/quota.rs
@@ -282,6 +282,18 @@
     assert_eq!(wait(&answer), None);
 }
 
+/// Guards against a time for a request that fits into the bucket but not beside what is kept for the next leader.
+#[test]
+fn a_request_above_what_hosts_may_hold_is_told_no_time() {
+    let mut world = World::with_overshoot(0.5);
+    // The bucket holds 2,880 units, of which 360 are kept.
+    for (cost, granted) in [(2_521, 0), (2_520, 2_520)] {
+        let answer = world.report(1, asks(cost, cost), 20_000 + cost);
+        assert_eq!(answer.granted, granted);
+        assert_eq!(wait(&answer), None);
+    }
+}
+
 /// Guards against leases of a higher quota that are renewed after it was lowered.
 #[test]
 fn a_lowered_quota_ends_the_renewal_of_leases() {
