Tell refused callers a time where quotas have no overshoot

Cause: while new requests exceed the quota, callers were told when the overshoot has room for them. With an overshoot of 0 that is never, so that 429 had no Retry-After.

Change: without an overshoot, the whole refill counts, as before.

Conclusion: each refusal for a quota that can be met later states a time.

--- a/crates/control/src/quota/bucket.rs
+++ b/crates/control/src/quota/bucket.rs
@@ -377,15 +377,14 @@
     /// their objectives, would be refused in their place.
     fn supply_for_returning(&self, now: Time) -> Supply {
         let supply = self.supply();
-        let kept = if self.is_exceeded(now) {
-            self.quota.rate
+        let overshoot = supply.rate.saturating_sub(self.quota.rate);
+        // Without an overshoot, callers would be told no time at all.
+        let rate = if overshoot > 0 && self.is_exceeded(now) {
+            overshoot
         } else {
-            0
+            supply.rate
         };
-        Supply {
-            rate: supply.rate.saturating_sub(kept),
-            ..supply
-        }
+        Supply { rate, ..supply }
     }
 
     /// Returns the level and the refill.
