--- a/crates/control/src/quota.rs
+++ b/crates/control/src/quota.rs
@@ -106,7 +106,7 @@
     /// never lets hosts hold the whole capacity, so that the rest can be granted at once.
     #[must_use]
     pub fn after_leader(terms: Terms, term: Term, elapsed: Duration, now: Time) -> Self {
-        // Twice the drift, since this is measured by another clock than those of the leases.
+        // Twice the drift, since this time comes from another clock than the leases.
         let one_predecessor = elapsed > guarded_lease() + guarded_lease() / 5;
         Self {
             one_predecessor,
--- a/crates/node/src/backlog.rs
+++ b/crates/node/src/backlog.rs
@@ -2,8 +2,8 @@
 //!
 //! Messages of the replicated log come before all others. Of those that only tell the newest level
 //! of a sender (renewals, heartbeats, reports of demand and of quotas) the newest of each sender is
-//! kept, so that an overloaded host handles them less often and not later and later. The classes take turns, so that
-//! none of them waits for ever.
+//! kept, so that an overloaded host handles them less often and not later and later. The classes take
+//! turns, so that none of them waits for ever.
 
 use std::collections::{HashMap, VecDeque};
 use std::hash::Hash;
