Prefer idle connections only with routing by expected time

Cause: with routing by load, idle connections of a stated time were preferred and requests that must not run twice were sent on them in every deployment whose targets state a keep-alive time.

Change: both apply with routing by expected time alone. Requests state which pooled connections they may be sent on, instead of whether they may run twice. The cost term and the sample of routing by load are as before the part.

--- a/crates/entry/src/action.rs
+++ b/crates/entry/src/action.rs
@@ -33,6 +33,9 @@
     pub rank: Option<u8>,
     /// Whether the target is known to name a limit, so that an answer without one tells its end.
     pub limited: bool,
+    /// Whether a request that must not run twice may be sent on an idle connection whose target has
+    /// stated how long it keeps it.
+    pub reuse_stated: bool,
 }
 
 /// An action that a core asks its owner to carry out.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -406,6 +406,7 @@
     /// Starts an attempt at a place.
     pub(crate) fn send(&mut self, id: CallId, candidate: &Candidate) {
         let rank = self.target_rank(id);
+        let reuse_stated = self.uses_expected_time();
         self.leave_queue(id);
         self.expect_connection(id, candidate.address);
         let Some(call) = self.calls.get_mut(&id) else {
@@ -457,6 +458,7 @@
                 replica: candidate.place.replica,
                 rank,
                 limited,
+                reuse_stated,
             },
             resume: (call.progress == Progress::Begun).then_some(call.offset),
         });
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -56,7 +56,7 @@
     /// What is known of the target's work; only set for expected-time routing.
     pub work: Work,
     /// Time saved by an idle connection to the target, in milliseconds; 0 if a connection has to be
-    /// opened.
+    /// opened. Only set for expected-time routing.
     pub saving_ms: f64,
 }
 
@@ -143,16 +143,6 @@
     }
 }
 
-/// The saving from an idle connection.
-#[derive(Debug, Clone, Copy)]
-pub struct ConnectionCost;
-
-impl CostTerm for ConnectionCost {
-    fn cost(&self, _: &CostContext, candidate: &Candidate) -> f64 {
-        -candidate.saving_ms
-    }
-}
-
 /// The default router: samples some candidates and takes the cheapest.
 pub struct TwoChoiceRouter {
     /// The source of the random samples.
@@ -197,7 +187,6 @@
                 Box::new(LocalityCost {
                     ms_per_price: 1_000_000.0,
                 }),
-                Box::new(ConnectionCost),
             ],
         )
     }
@@ -213,12 +202,6 @@
         let mut drawn = sample(&mut self.random, count, self.samples.min(count)).into_vec();
         drawn.extend(min_index(candidates, |candidate| -candidate.cached));
         drawn.extend(min_index(candidates, |candidate| candidate.distance_ms));
-        let warm = (0..count).filter(|index| candidates[*index].saving_ms > 0.0);
-        let warm: Vec<usize> = warm.collect();
-        // Always the same one of several would collect the work of hosts that have it in common.
-        if !warm.is_empty() {
-            drawn.push(warm[self.random.random_range(0..warm.len())]);
-        }
         drawn
     }
 }
--- a/crates/entry/src/warm.rs
+++ b/crates/entry/src/warm.rs
@@ -1,7 +1,6 @@
 //! Idle connections to targets: a request that is sent on one saves the time to open a connection.
 //!
-//! The owner keeps the connections and tells of each change. Load routing considers only connections
-//! whose target has stated how long it keeps them; expected-time routing considers all of them.
+//! The owner keeps the connections and tells of each change. Only expected-time routing considers them.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -93,8 +92,9 @@
     /// Returns what an idle connection to a candidate saves a request, in milliseconds: the round trip
     /// and the target's time for a new one. 0 without a connection that it may be sent on.
     pub(crate) fn connection_saving_ms(&self, call: &Call, candidate: &Candidate) -> f64 {
-        let stated = !self.uses_expected_time() || needs_stated(call);
-        if !self.warm.is_warm(candidate.address, stated, self.now) {
+        let stated = needs_stated(call);
+        let is_warm = self.warm.is_warm(candidate.address, stated, self.now);
+        if !self.uses_expected_time() || !is_warm {
             return 0.0;
         }
         candidate.distance_ms + ACCEPT_MS * candidate.work.pace
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -274,7 +274,7 @@
             path: path.clone(),
             headers: headers.clone(),
             body: body.clone(),
-            repeatable: self.exchange.repeatable,
+            reuse: self.reuse(),
             deadline: self.exchange.time_left(),
         };
         let gate = self.gate(receivers.proceed);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -2,6 +2,7 @@
 
 use cornelhitch_entry::event::{Event, Failure};
 use cornelhitch_target::client::{Chunks, DeclineReason, ForwardedRequest, ForwardedResponse};
+use cornelhitch_target::http::Reuse;
 use cornelhitch_target::sse::{self, EventSplitter};
 use cornelhitch_types::id::TargetId;
 use cornelhitch_types::target::Statement;
@@ -104,6 +105,18 @@
         }
     }
 
+    /// Returns which pooled connections the request may be sent on. The target may close one just as the
+    /// request is sent, after which a request that must not run twice could not be sent again.
+    pub(crate) fn reuse(&self) -> Reuse {
+        if self.exchange.repeatable {
+            Reuse::Yes
+        } else if self.to.reuse_stated {
+            Reuse::IfStated
+        } else {
+            Reuse::No
+        }
+    }
+
     /// Builds the request for the target.
     fn relay_request(&self, routed: &Routed) -> ForwardedRequest {
         ForwardedRequest {
@@ -113,7 +126,7 @@
             path: routed.path.clone(),
             headers: routed.headers.clone(),
             body: routed.body.clone(),
-            repeatable: self.exchange.repeatable,
+            reuse: self.reuse(),
             deadline: self.exchange.time_left(),
             rank: self.to.rank.unwrap_or(routed.rank),
             resume: self.resume,
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -15,6 +15,7 @@
 use strum::{Display, EnumIter, EnumString};
 
 use crate::error::Error;
+use crate::pool::Reuse;
 
 /// The id of a request, which every response to it repeats.
 pub type RequestId = Name;
@@ -120,10 +121,8 @@
     pub headers: HeaderMap,
     /// The request body.
     pub body: Bytes,
-    /// Whether the request may run twice. One that may not is sent on a pooled connection only if
-    /// the target has stated how long it keeps it, since the target may close it just as the request
-    /// is sent otherwise.
-    pub repeatable: bool,
+    /// Which pooled connections it may be sent on.
+    pub reuse: Reuse,
     /// Time left until the caller's deadline.
     pub deadline: Option<Duration>,
 }
@@ -186,10 +185,8 @@
     pub headers: HeaderMap,
     /// The request body.
     pub body: Bytes,
-    /// Whether the request may run twice. One that may not is sent on a pooled connection only if
-    /// the target has stated how long it keeps it, since the target may close it just as the request
-    /// is sent otherwise.
-    pub repeatable: bool,
+    /// Which pooled connections it may be sent on.
+    pub reuse: Reuse,
     /// Time left until the caller's deadline.
     pub deadline: Option<Duration>,
     /// The rank in the target's queue; 0 goes first.
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -394,18 +394,13 @@
         call: ServiceRequest,
         gate: Box<dyn Gate>,
     ) -> Result<ServiceResponse, Error> {
-        let reuse = if call.repeatable {
-            Reuse::Yes
-        } else {
-            Reuse::IfStated
-        };
         let mut request =
             plain_request(address, call.method, &call.path, &call.request, call.body)?;
         let own = request.headers().clone();
         request.headers_mut().extend(call.headers);
         request.headers_mut().extend(own);
         set_deadline(request.headers_mut(), call.deadline);
-        self.request(address, request, reuse, gate).await
+        self.request(address, request, call.reuse, gate).await
     }
 
     async fn export(&self, address: SocketAddr, cache: &KvCache) -> Result<Bytes, Error> {
