--- a/review/standin-2-cases.rs
+++ b/review/standin-2-cases.rs
@@ -3,6 +3,7 @@
         "no-objective" => no_objective(folder, record),
         "models-missing" => models_missing(folder, record),
         "late-order" => late_order(folder, record),
+        "first-acknowledgement" => first_acknowledgement(folder, record),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -497,3 +498,86 @@
         Verdict::Held
     })
 }
+
+/// Sends a signal to the process of a machine.
+fn signal(machine: &Machine, name: &str) {
+    if let Some(child) = &machine.child {
+        let id = child.id().to_string();
+        let _ = Command::new("kill").args([name, &id]).status();
+    }
+}
+
+/// LOST: one of three control machines is frozen at the first start, and the machine that acknowledges the
+/// operator's first configuration loses its disk right after that. All run again, and the configuration is gone.
+fn first_acknowledgement(folder: &str, record: &Record) -> Outcome<Verdict> {
+    const FROZEN: Duration = Duration::from_millis(6_900);
+    const RECOVERY: Duration = Duration::from_secs(12);
+    let mut cluster = Cluster::start(folder, 1)?;
+    let since = Instant::now();
+    if has_trouble() {
+        signal(&cluster.cores[2], "-STOP");
+        record.line(format!("platform: {} is frozen", cluster.cores[2].name));
+    }
+    let routes = [plain_route("bids", "/bids/", "non_idempotent")];
+    let text = config(7, &routes, &[PLAIN_SERVICE.to_owned()]);
+    let control = cluster.control_addresses();
+    // The operator asks one machine after the other, and does not wait for one that is silent.
+    let json = [("Content-Type", "application/json")];
+    let limit = Duration::from_millis(300);
+    let mut giver = None;
+    while giver.is_none() && since.elapsed() < Duration::from_secs(20) {
+        for (at, address) in control.iter().enumerate() {
+            let reply = call(*address, "PUT", "/v1/config", &json, text.as_bytes(), limit);
+            if reply.is_ok_and(|reply| reply.status == 200) {
+                giver = Some(at);
+                break;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let giver = giver.ok_or("the first configuration is not acknowledged")?;
+    let name = cluster.cores[giver].name.clone();
+    record.line(format!("operator: PUT /v1/config (version 7): 200 by {name}"));
+    if has_trouble() {
+        cluster.cores[giver].kill();
+        let data = format!("{folder}/{name}-data");
+        std::fs::remove_dir_all(&data).map_err(|it| it.to_string())?;
+        std::fs::create_dir_all(&data).map_err(|it| it.to_string())?;
+        record.line(format!("platform: {name} loses its disk"));
+        let settings = format!("{folder}/{name}.yaml");
+        let text = std::fs::read_to_string(&settings).map_err(|it| it.to_string())?;
+        let later = text.replace("bootstrap: true", "bootstrap: false");
+        if later == text {
+            return Err("no bootstrap in the settings".to_owned());
+        }
+        std::fs::write(&settings, later).map_err(|it| it.to_string())?;
+        std::thread::sleep(Duration::from_secs(1));
+        cluster.cores[giver].start()?;
+        record.line(format!("platform: {name} is back, empty"));
+        std::thread::sleep(FROZEN.saturating_sub(since.elapsed()));
+        signal(&cluster.cores[2], "-CONT");
+        record.line(format!("platform: {} wakes", cluster.cores[2].name));
+    }
+    // All are back: the operator reads for 10 s once the time for recovery is over, and some more.
+    std::thread::sleep(RECOVERY + Duration::from_secs(8));
+    for core in &mut cluster.cores {
+        if !core.is_running() {
+            return Err(format!("{} does not run", core.name));
+        }
+    }
+    let until = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < until {
+        let reply = call_control(&control, "GET", "/v1/config", b"", 1);
+        if let Ok(reply) = &reply
+            && reply.status == 200
+        {
+            let held = reply.body == text.as_bytes();
+            record.line(format!("operator: GET /v1/config: 200, as sent: {held}"));
+            return Ok(if held { Verdict::Held } else { Verdict::Broken });
+        }
+        let told = reply.map_or_else(|error| error, |reply| reply.status.to_string());
+        record.line(format!("operator: GET /v1/config: {told}"));
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    Ok(Verdict::Broken)
+}
