--- a/crates/cornelhitch/src/daemon.rs
+++ b/crates/cornelhitch/src/daemon.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use cornelhitch_node::node::{self, Node};
+use cornelhitch_node::process_memory::HeapSize;
 use cornelhitch_node::protocols::Protocols;
 use cornelhitch_node::socket::{self, Sockets};
 use cornelhitch_settings::process::{ProcessSettings, Protocol};
@@ -249,11 +250,12 @@
     }
 }
 
-/// Runs a host until it has shut down gracefully.
+/// Runs a host until it has shut down gracefully. What the process allocates is bounded by the memory that its
+/// settings name, if `heap` counts it.
 ///
 /// # Errors
 /// The host fails to start.
-pub async fn run(mut process: ProcessSettings) -> Result<(), Error> {
+pub async fn run(mut process: ProcessSettings, heap: Option<HeapSize>) -> Result<(), Error> {
     let metrics_provider = match &process.otlp {
         Some(endpoint) => Some(telemetry::export(endpoint)?),
         None => None,
@@ -273,7 +275,7 @@
         host = process.host, zone = &*process.zone, roles = ?process.roles, seeds = ?process.seeds,
         bootstrap = process.bootstrap, routing = %process.serving.routing, "starting"
     );
-    let node = Node::start_with(process, sockets, protocols)?;
+    let node = Node::start_bounded(process, sockets, protocols, heap)?;
     tracing::info!(addresses = ?node.addresses, "started");
     tokio::spawn(log::report_dropped_lines());
     if metrics_provider.is_none() {
--- a/crates/cornelhitch/src/log.rs
+++ b/crates/cornelhitch/src/log.rs
@@ -65,6 +65,16 @@
     Ok(())
 }
 
+/// Logs each panic as a line with its place, without a backtrace: for that the process would read its debug
+/// information, which takes more memory than its settings may name, and hold up other panicking tasks.
+pub fn log_panics() {
+    std::panic::set_hook(Box::new(|panic| {
+        let message = panic.payload_as_str().unwrap_or_default();
+        let place = panic.location().map(ToString::to_string);
+        tracing::error!(place, message, "panicked");
+    }));
+}
+
 /// Logs a warning whenever more log lines have been dropped; never returns.
 pub async fn report_dropped_lines() {
     let mut reported = 0;
--- a/crates/node/src/answer_memory.rs
+++ b/crates/node/src/answer_memory.rs
@@ -2,20 +2,17 @@
 //! of a host. Each target has its share.
 
 use bytes::Bytes;
-use cornelhitch_settings::process::Serving;
 use cornelhitch_types::id::TargetId;
 
+use crate::process_memory::{ProcessMemory, Purpose};
 use crate::shared_memory::SharedMemory;
 
 /// Most memory for all buffered parts of answers of a host, in bytes. A half of it holds the largest answer.
 const TOTAL_BYTES: usize = 40 << 20;
 
-/// Part of a host's memory that may hold them, if that is less.
+/// Part of the process's memory that may hold them, if that is less.
 const PART: f64 = 0.25;
 
-/// Bytes of a megabyte.
-const MEGABYTE: f64 = 1e6;
-
 /// What one target may hold, relative to what is free.
 const SHARE: usize = 1;
 
@@ -28,9 +25,10 @@
 ///
 /// ```
 /// use cornelhitch_node::answer_memory::AnswerMemory;
+/// use cornelhitch_node::process_memory::ProcessMemory;
 /// use cornelhitch_settings::process::Serving;
 ///
-/// let memory = AnswerMemory::of_host(&Serving::default());
+/// let memory = AnswerMemory::of_host(ProcessMemory::new(&Serving::default(), None));
 /// let mut first = memory.reservation(&"worker-1".into());
 /// assert!(first.resize(20 << 20));
 /// assert!(!memory.reservation(&"worker-1".into()).resize(1));
@@ -41,12 +39,11 @@
 pub type AnswerMemory = SharedMemory<TargetId>;
 
 impl AnswerMemory {
-    /// Creates the memory of a host that serves with these settings.
+    /// Creates the memory of a host whose process has this memory.
     #[must_use]
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn of_host(serving: &Serving) -> Self {
-        let part = (PART * serving.memory_mb * MEGABYTE) as usize;
-        Self::new(part.min(TOTAL_BYTES), SHARE)
+    pub fn of_host(process: ProcessMemory) -> Self {
+        let limit = process.part(PART).min(TOTAL_BYTES);
+        Self::new(limit, SHARE).within(process.room(Purpose::Answer))
     }
 }
 
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -336,7 +336,8 @@
         record: &mut AnswerRecord,
     ) -> Result<(), AttemptEnd> {
         record.append(self.exchange.keyed, &bytes);
-        self.send_part(Part::Data(bytes)).await?;
+        let event = self.hold(&bytes).await?;
+        self.send_part(Part::Data(event)).await?;
         let before = self.exchange.delivered.swap(to, Ordering::Relaxed);
         self.metrics.add(Count::Tokens, to.saturating_sub(before));
         if to / PROGRESS_TOKENS != before / PROGRESS_TOKENS
@@ -398,6 +399,19 @@
         Err(AttemptEnd::Withdrawn)
     }
 
+    /// Reserves the caller's memory for an event, waiting while its share has no room, as [`Self::send_part`]
+    /// waits for its queue.
+    async fn hold(&self, event: &Bytes) -> Result<Bytes, AttemptEnd> {
+        for _ in 0..MAX_STALLED_INTERVALS {
+            if let Ok(held) = timeout(PROGRESS_INTERVAL, self.exchange.share.hold(event)).await {
+                return Ok(held);
+            }
+            self.report_progress();
+        }
+        self.send_event(Event::CallerDisconnected { id: self.id });
+        Err(AttemptEnd::Withdrawn)
+    }
+
     /// Returns the tokens passed to the caller so far, over all attempts.
     pub(crate) fn delivered(&self) -> u64 {
         self.exchange.delivered.load(Ordering::Relaxed)
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cornelhitch_entry::event::{CallId, Event};
 use cornelhitch_settings::fleet::FleetSettings;
 use cornelhitch_target::inbound::{Message as TargetMessage, Protocol, Receipt};
 use cornelhitch_types::refusal::{Reason, Refusal};
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::request::Parts;
-use http::{Extensions, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -24,7 +24,7 @@
 use crate::metrics::{Count, Metrics};
 use crate::problem::{Problem, not_run};
 use crate::request::{self, Endpoint};
-use crate::request_memory::{BODY_TIMEOUT, RequestBodies, drain, next_frame, overdue};
+use crate::request_memory::RequestBodies;
 use crate::server::Service;
 use crate::unread_answers::UnreadAnswers;
 
@@ -41,6 +41,8 @@
     pub protocol: Arc<dyn Protocol>,
     /// Reads the bodies of requests.
     pub bodies: RequestBodies,
+    /// Reads the messages of targets.
+    pub messages: RequestBodies,
     /// The memory for answers that callers have not read.
     pub unread: UnreadAnswers,
     /// The metrics of this process.
@@ -83,7 +85,7 @@
     async fn serve(&self, request: Request<Incoming>, from: SocketAddr) -> Response<Body> {
         let (parts, body) = request.into_parts();
         if self.protocol.handles_path(parts.uri.path()) {
-            return self.serve_target(&parts, body).await;
+            return self.serve_target(&parts, body, from).await;
         }
         let since = Instant::now();
         let served = match Endpoint::of(&parts) {
@@ -129,6 +131,7 @@
             request,
             payload,
             reply,
+            share: self.unread.share(from.ip()),
         };
         let guard = CallerGuard {
             id,
@@ -139,8 +142,16 @@
     }
 
     /// Serves a message from a target.
-    async fn serve_target(&self, parts: &Parts, body: Incoming) -> Response<Body> {
-        let receipt = match collect(body, &parts.extensions, MAX_MESSAGE_BYTES).await {
+    async fn serve_target(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        from: SocketAddr,
+    ) -> Response<Body> {
+        let message = self
+            .messages
+            .read(body, &parts.extensions, MAX_MESSAGE_BYTES, from.ip());
+        let receipt = match message.await {
             Ok(body) => {
                 let path = parts.uri.path();
                 let message = self.protocol.decode(&parts.method, path, &body);
@@ -224,34 +235,6 @@
     response
 }
 
-/// Reads the complete body of a target's or operator's message, of a request with these extensions.
-///
-/// # Errors
-/// Returns a refusal if the body is over `limit` bytes, no byte of it comes for too long, or the
-/// connection breaks.
-pub async fn collect(
-    mut body: Incoming,
-    extensions: &Extensions,
-    limit: usize,
-) -> Result<Bytes, Refusal> {
-    let mut whole = BytesMut::new();
-    loop {
-        let next = next_frame(&mut body, extensions, BODY_TIMEOUT).await;
-        let Some(frame) = next.map_err(|_| overdue(BODY_TIMEOUT))? else {
-            return Ok(whole.freeze());
-        };
-        let broken = |error| not_run(Reason::Malformed, format!("the body: {error}"));
-        if let Ok(data) = frame.map_err(broken)?.into_data() {
-            if whole.len() + data.len() > limit {
-                drain(body, extensions.clone());
-                let detail = format!("the body is over {limit} bytes");
-                return Err(not_run(Reason::TooLarge, detail));
-            }
-            whole.extend_from_slice(&data);
-        }
-    }
-}
-
 /// Waits for the answer to begin and returns the response. `streams` decides by the status whether
 /// the body is streamed or buffered; a buffered one takes room from the caller's share.
 pub(crate) async fn caller_response(
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http::Extensions;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -19,6 +20,7 @@
 use crate::listener_limits::ListenerLimits;
 use crate::log_limit::LogLimiter;
 use crate::metrics::{Count, Metrics};
+use crate::process_memory::{ProcessMemory, Purpose};
 use crate::read_pacing::ReadPacing;
 use crate::shared_memory::{Reservation, SharedMemory};
 
@@ -29,6 +31,13 @@
 /// takes about as much processor time as as many bytes of other frames.
 const CROWDED_OUT_BYTES: usize = 4 << 10;
 
+/// Sockets that may be closing beside those of a full listener.
+const CLOSING_SOCKETS: usize = 4;
+
+/// Bytes that are read from a connection without a pause before its first request, and after each one, whatever
+/// others of its address send: the heads of ordinary requests are smaller.
+const UNPACED_BYTES: usize = 8 << 10;
+
 /// Interval between two log lines about paused reads of a listener. Each connection of a crowd pauses often.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -37,8 +46,11 @@
 pub(crate) struct ConnectionTable {
     pub(crate) limits: ListenerLimits,
     pub(crate) metrics: Metrics,
+    memory: ProcessMemory,
     epoch: Instant,
     next: AtomicU64,
+    /// A permit for each socket, also while it is closing.
+    sockets: Arc<Semaphore>,
     /// Requests in progress, of which each address has its share.
     requests: SharedMemory<IpAddr>,
     state: Mutex<State>,
@@ -63,6 +75,8 @@
     table: Arc<ConnectionTable>,
     /// The caller's address.
     pub(crate) from: SocketAddr,
+    #[expect(dead_code, reason = "counts the socket until it is dropped")]
+    permit: Option<OwnedSemaphorePermit>,
     /// Cancelled when the connection has to make room for others.
     pub(crate) closer: CancellationToken,
     /// Requests whose head was received.
@@ -73,6 +87,9 @@
     body_parts: AtomicUsize,
     /// Bytes taken from the address's allowance since the last request or part of a body.
     charged: AtomicUsize,
+    /// Bytes since the last request that was served or part of a body; a request that was crowded out counts as
+    /// [`CROWDED_OUT_BYTES`].
+    unused: AtomicUsize,
     /// When the last request ended or answer bytes were written, in milliseconds since the epoch.
     active_ms: AtomicU64,
 }
@@ -88,6 +105,7 @@
         if let Some(Self(request)) = extensions.get() {
             let connection = &request.connection;
             connection.body_parts.fetch_add(1, Ordering::Relaxed);
+            connection.unused.store(0, Ordering::Relaxed);
             connection.refund();
         }
     }
@@ -103,13 +121,22 @@
 
 impl ConnectionTable {
     /// Creates the table of a listener.
-    pub(crate) fn new(limits: ListenerLimits, metrics: Metrics) -> Arc<Self> {
+    pub(crate) fn new(
+        limits: ListenerLimits,
+        memory: ProcessMemory,
+        metrics: Metrics,
+    ) -> Arc<Self> {
         Arc::new(Self {
             limits,
             metrics,
+            memory,
             epoch: Instant::now(),
             next: AtomicU64::new(0),
-            requests: SharedMemory::new(limits.requests, REQUESTS_SHARE),
+            sockets: Arc::new(Semaphore::new(
+                limits.connections.connections + CLOSING_SOCKETS,
+            )),
+            requests: SharedMemory::new(limits.requests, REQUESTS_SHARE)
+                .within(memory.room(Purpose::Request)),
             state: Mutex::new(State {
                 connections: Connections::new(limits.connections),
                 pacing: ReadPacing::new(limits.unused_rate),
@@ -120,20 +147,30 @@
         })
     }
 
+    /// Returns the permit for one more socket, which its connection holds until all of its tasks have ended.
+    /// One that made room for another still has its socket and what its requests hold until they have run.
+    pub(crate) async fn socket_permit(&self) -> Option<OwnedSemaphorePermit> {
+        self.sockets.clone().acquire_owned().await.ok()
+    }
+
     /// Adds a connection; `None` if it has to be closed.
-    pub(crate) fn open(self: &Arc<Self>, from: SocketAddr) -> Option<Arc<Connection>> {
+    pub(crate) fn open(
+        self: &Arc<Self>,
+        from: SocketAddr,
+        permit: Option<OwnedSemaphorePermit>,
+    ) -> Option<Arc<Connection>> {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let closer = CancellationToken::new();
         let mut state = self.lock();
+        if !self.free_memory(&mut state) {
+            self.refuse(&mut state, from);
+            return None;
+        }
         match state.connections.open(id, from.ip(), self.epoch.elapsed()) {
             Opened::Accepted => {}
             Opened::Replaced(victim) => self.evict(&mut state, victim),
             Opened::Refused => {
-                self.metrics.increment(Count::ConnectionsRefused);
-                if state.log_limit.allow() {
-                    let open = state.connections.len();
-                    tracing::info!(%from, open, "connection refused: too many with a request in progress");
-                }
+                self.refuse(&mut state, from);
                 return None;
             }
         }
@@ -143,15 +180,39 @@
             id,
             table: self.clone(),
             from,
+            permit,
             closer,
             requests: AtomicUsize::new(0),
             in_progress: AtomicUsize::new(0),
             body_parts: AtomicUsize::new(0),
             charged: AtomicUsize::new(0),
+            unused: AtomicUsize::new(0),
             active_ms: AtomicU64::new(self.now_ms()),
         }))
     }
 
+    /// Closes an idle connection if the process is short of memory; returns false if there is none, and no
+    /// memory at all.
+    fn free_memory(&self, state: &mut State) -> bool {
+        if self.memory.has_room(Purpose::Connection, 0) {
+            return true;
+        }
+        let victim = state.connections.evict();
+        if let Some(victim) = victim {
+            self.evict(state, victim);
+        }
+        victim.is_some() || self.memory.has_room(Purpose::Progress, 0)
+    }
+
+    /// Counts and logs a connection that is closed at once.
+    fn refuse(&self, state: &mut State, from: SocketAddr) {
+        self.metrics.increment(Count::ConnectionsRefused);
+        if state.log_limit.allow() {
+            let open = state.connections.len();
+            tracing::info!(%from, open, "connection refused: too many with a request in progress");
+        }
+    }
+
     /// Closes a connection that was removed to make room.
     fn evict(&self, state: &mut State, id: ConnectionId) {
         if let Some(closer) = state.closers.remove(&id) {
@@ -199,17 +260,18 @@
         self.refund();
         let mut place = self.table.requests.reservation(&self.from.ip());
         if !place.resize(1) {
+            self.unused.fetch_add(CROWDED_OUT_BYTES, Ordering::Relaxed);
             // The next head starts anew.
             self.requests.fetch_add(1, Ordering::Relaxed);
             let now = self.table.epoch.elapsed();
             let mut state = self.table.lock();
-            state.connections.begin(self.id);
-            state.connections.end(self.id, now);
+            state.connections.reject(self.id);
             state.pacing.charge(self.from.ip(), CROWDED_OUT_BYTES, now);
             drop(state);
             self.table.metrics.increment(Count::RequestsCrowdedOut);
             return None;
         }
+        self.unused.store(0, Ordering::Relaxed);
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         self.requests.fetch_add(1, Ordering::Relaxed);
         self.table.lock().connections.begin(self.id);
@@ -230,6 +292,7 @@
     /// Takes bytes from the allowance of the caller's address.
     pub(crate) fn charge(&self, bytes: usize) {
         self.charged.fetch_add(bytes, Ordering::Relaxed);
+        self.unused.fetch_add(bytes, Ordering::Relaxed);
         let now = self.table.epoch.elapsed();
         let mut state = self.table.lock();
         state.pacing.charge(self.from.ip(), bytes, now);
@@ -247,8 +310,12 @@
         state.pacing.refund(self.from.ip(), bytes, now);
     }
 
-    /// Returns how long nothing may be read; `None` if the address has some of its allowance left.
+    /// Returns how long nothing may be read; `None` if the address has some of its allowance left, or this
+    /// connection has sent no more than an ordinary request.
     pub(crate) fn pause(&self) -> Option<Duration> {
+        if self.is_ordinary() {
+            return None;
+        }
         let now = self.table.epoch.elapsed();
         let mut state = self.table.lock();
         let pause = state.pacing.pause(self.from.ip(), now)?;
@@ -265,6 +332,21 @@
         Some(pause)
     }
 
+    /// Returns whether this connection has sent no more than an ordinary request since its last one.
+    fn is_ordinary(&self) -> bool {
+        self.unused.load(Ordering::Relaxed) < UNPACED_BYTES
+    }
+
+    /// Returns whether the process has no memory for bytes that this connection receives.
+    pub(crate) fn is_out_of_memory(&self) -> bool {
+        let purpose = if self.is_busy() || self.is_ordinary() {
+            Purpose::Progress
+        } else {
+            Purpose::Connection
+        };
+        !self.table.memory.has_room(purpose, 0)
+    }
+
     /// Records that bytes of an answer were written.
     pub(crate) fn record_write(&self) {
         self.active_ms.store(self.table.now_ms(), Ordering::Relaxed);
@@ -315,6 +397,8 @@
     pub(crate) body: Body,
     #[expect(dead_code, reason = "acts when it is dropped")]
     pub(crate) request: Option<Arc<Request>>,
+    #[expect(dead_code, reason = "counts the socket until it is dropped")]
+    pub(crate) connection: Arc<Connection>,
 }
 
 impl HttpBody for AnswerBody {
--- a/crates/node/src/connection_limits.rs
+++ b/crates/node/src/connection_limits.rs
@@ -118,6 +118,18 @@
         opened
     }
 
+    /// Removes a connection without a request in progress to free its memory, and returns it: one of the address
+    /// that has most, if that has such a one. `None` if there is none.
+    pub fn evict(&mut self) -> Option<ConnectionId> {
+        let most = self.addresses.iter().max_by_key(|(_, count)| **count);
+        let most = most.map(|(address, _)| *address);
+        let victim = self
+            .longest_idle(most)
+            .or_else(|| self.longest_idle(None))?;
+        self.close(victim);
+        Some(victim)
+    }
+
     /// Removes a connection; has no effect if it was removed before.
     pub fn close(&mut self, id: ConnectionId) {
         let Some(connection) = self.open.remove(&id) else {
@@ -151,14 +163,27 @@
 
     /// Records that the head of a request is complete.
     pub fn begin(&mut self, id: ConnectionId) {
+        self.complete_head(id);
         if let Some(connection) = self.open.get_mut(&id) {
-            self.held -= connection.held;
-            connection.held = 0;
             connection.requests += 1;
             connection.in_progress += 1;
         }
     }
 
+    /// Records that the head of a request is complete which is rejected at once. The connection makes room for
+    /// others as if it had none.
+    pub fn reject(&mut self, id: ConnectionId) {
+        self.complete_head(id);
+    }
+
+    /// Counts the bytes of a connection's head no more.
+    fn complete_head(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.open.get_mut(&id) {
+            self.held -= connection.held;
+            connection.held = 0;
+        }
+    }
+
     /// Records that a request ended.
     pub fn end(&mut self, id: ConnectionId, now: Duration) {
         if let Some(connection) = self.open.get_mut(&id) {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -392,6 +392,7 @@
             request,
             payload,
             reply,
+            share,
         } = new;
         let fleet = self.setup.fleet.borrow().clone();
         let arrived = std::time::Instant::now();
@@ -407,6 +408,7 @@
             content: request.content(),
             sections: SectionIds::from(&request.sections[..]),
             reply,
+            share,
             delivered: Arc::new(AtomicU64::new(delivered)),
             keyed: request.key.is_some(),
             repeatable,
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 
 use crate::section_ids::SectionIds;
+use crate::unread_answers::CallerShare;
 
 /// Capacity of a caller's queue of answer parts; when it is full, reading from the target pauses.
 pub const PART_QUEUE_CAPACITY: usize = 64;
@@ -106,6 +107,8 @@
     pub payload: Payload,
     /// The queue for the parts of the answer.
     pub reply: mpsc::Sender<Part>,
+    /// The caller's share in the memory for unread answers.
+    pub share: CallerShare,
 }
 
 /// A request in flight.
@@ -123,6 +126,8 @@
     pub sections: SectionIds,
     /// The queue for the parts of the answer.
     pub reply: mpsc::Sender<Part>,
+    /// The caller's share in the memory for unread answers.
+    pub share: CallerShare,
     /// Tokens sent to the caller so far, over all attempts.
     pub delivered: Arc<AtomicU64>,
     /// Whether the request has an idempotency key, so that its answer is recorded.
--- a/crates/node/src/guarded_stream.rs
+++ b/crates/node/src/guarded_stream.rs
@@ -11,6 +11,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use cornelhitch_target::short_read::poll_short_read;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -132,6 +133,11 @@
             self.undelivered += bytes.len();
         }
         let table = self.connection.table();
+        if self.connection.is_out_of_memory() {
+            table.closed(Count::ConnectionsOutOfMemory, self.connection.from);
+            let detail = "the process has no memory for more";
+            return Err(io::Error::new(io::ErrorKind::OutOfMemory, detail));
+        }
         let head_bytes = table.limits.head_bytes;
         // HTTP/2 limits heads, but not the other frames between requests.
         if self.unrequested <= head_bytes && self.undelivered <= UNDELIVERED_FACTOR * head_bytes {
@@ -247,7 +253,7 @@
             };
         }
         let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
+        let polled = poll_short_read(&mut self.socket, context, buffer).map_ok(|_| ());
         let received = &buffer.filled()[before..];
         if received.is_empty() {
             self.burst = 0;
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -240,6 +240,7 @@
             request: call,
             payload: Payload::Routed(Box::new(payload)),
             reply,
+            share: self.unread.share(from.ip()),
         };
         let guard = CallerGuard {
             id,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,14 @@
 //! - [`session`] maintains the contact with the leader.
 //! - [`control`] owns the replicated log, the replicated state and the leader's decisions.
 //! - [`links`] and [`datagrams`] carry messages between processes.
+//!
+//! What callers can make a process hold is bounded in these modules; `docs/design/caller-limits.md` has the limits:
+//!
+//! - [`process_memory`] bounds all memory. [`shared_memory`] gives each address or target its share of a part of it:
+//!   of bodies in [`request_memory`], of incomplete answers in [`answer_memory`], of unread ones in [`unread_answers`].
+//! - [`connection_limits`] decides which connection makes room, and [`read_pacing`] how fast an address is read from.
+//!   `connection` keeps their state for a listener, and [`listener_limits`] has its numbers.
+//! - `guarded_stream` limits the times of a connection.
 
 pub mod answer_memory;
 pub mod attempt;
@@ -40,6 +48,7 @@
 pub mod operators;
 pub mod orders;
 pub mod problem;
+pub mod process_memory;
 pub mod protocols;
 pub mod read_pacing;
 pub mod registry;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -16,13 +16,16 @@
 use cornelhitch_types::id::HostId;
 use cornelhitch_wire::hello::{Identity, ProcessId};
 use cornelhitch_wire::link::{self, Link};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::listener_limits::handshakes;
+use crate::log_limit::LogLimiter;
 use crate::message::{Downward, Incoming, Message, PeerEvent};
 use crate::metrics::{Count, Metrics};
+use crate::shared_memory::{Reservation, SharedMemory};
 
 /// Maximum number of messages queued for a link; further ones are dropped.
 const QUEUE_CAPACITY: usize = 8_192;
@@ -38,6 +41,9 @@
 /// alone would take minutes.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_100);
 
+/// Handshakes that one address may have in progress for each that is free.
+const HANDSHAKES_SHARE: usize = 1;
+
 /// Pause after a link could not be opened or accepted, or has ended.
 const BACKOFF: Duration = Duration::from_millis(250);
 
@@ -117,6 +123,10 @@
     accepted: Mutex<HashMap<HostId, AcceptedLink>>,
     /// Hosts with which no traffic is exchanged, to simulate network partitions in tests.
     blocked_peers: watch::Receiver<Vec<HostId>>,
+    /// Handshakes in progress, of which each address has its share.
+    handshakes: SharedMemory<IpAddr>,
+    /// Limits the log lines about links that are refused.
+    log_limit: Mutex<LogLimiter>,
 }
 
 /// Everything that [`Links::start`] needs.
@@ -168,6 +178,8 @@
             dialed: Mutex::default(),
             accepted: Mutex::default(),
             blocked_peers: setup.blocked_peers,
+            handshakes: SharedMemory::new(handshakes(), HANDSHAKES_SHARE),
+            log_limit: Mutex::default(),
         });
         tokio::spawn(accept_links(shared.clone(), setup.listener));
         Self { shared }
@@ -333,6 +345,14 @@
         }
     }
 
+    /// Counts and logs a connection to the listener of peers that did not become a link.
+    fn refuse_link(&self, address: SocketAddr, error: &dyn std::fmt::Display) {
+        self.metrics.increment(Count::LinksRefused);
+        if lock(&self.log_limit).allow() {
+            tracing::warn!(%address, %error, "refused a link from a peer");
+        }
+    }
+
     /// Returns the current identity of this process.
     fn identity(&self) -> Identity {
         self.identity.borrow().clone()
@@ -391,19 +411,12 @@
         };
         match accepted {
             Ok((stream, address)) => {
-                let shared = shared.clone();
-                tokio::spawn(async move {
-                    match link::accept(stream, &shared.identity()).await {
-                        Ok(link) => serve_accepted(&shared, link).await,
-                        Err(error) => {
-                            shared.metrics.increment(Count::LinksRefused);
-                            tracing::warn!(
-                                %address, %error,
-                                "refused a link from a peer: handshake failed"
-                            );
-                        }
-                    }
-                });
+                let mut handshake = shared.handshakes.reservation(&address.ip());
+                if handshake.resize(1) {
+                    tokio::spawn(accept_link(shared.clone(), stream, address, handshake));
+                } else {
+                    shared.refuse_link(address, &"too many handshakes are in progress");
+                }
             }
             Err(error) => {
                 tracing::warn!(
@@ -416,6 +429,21 @@
     }
 }
 
+/// Performs the handshake on a connection of a peer and runs the link.
+async fn accept_link(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    address: SocketAddr,
+    handshake: Reservation<IpAddr>,
+) {
+    let accepted = link::accept(stream, &shared.identity()).await;
+    drop(handshake);
+    match accepted {
+        Ok(link) => serve_accepted(&shared, link).await,
+        Err(error) => shared.refuse_link(address, &error),
+    }
+}
+
 /// Runs an accepted link, whose queue is available to senders until it ends.
 async fn serve_accepted(shared: &Arc<Shared>, link: Link) {
     let peer = link.peer;
--- a/crates/node/src/listener_limits.rs
+++ b/crates/node/src/listener_limits.rs
@@ -13,6 +13,9 @@
 /// The limit on descriptors that is assumed where the system states none.
 const UNSTATED_DESCRIPTORS: u64 = 4_096;
 
+/// Part of the descriptors for handshakes with peers, in hundredths.
+const HANDSHAKES_PERCENT: u64 = 4;
+
 /// Fewest connections of a listener.
 const MIN_CONNECTIONS: usize = 8;
 
@@ -90,8 +93,7 @@
         let set = |value: u64| (value > 0).then(|| to_usize(value));
         let is_callers = audience == Audience::Callers;
         let stated = set(serving.connections).filter(|_| is_callers);
-        let share = descriptors().saturating_mul(audience.descriptors_percent()) / 100;
-        let share = to_usize(share).max(MIN_CONNECTIONS);
+        let share = part_of_descriptors(audience.descriptors_percent());
         let heads_mb = if serving.heads_mb > 0.0 {
             serving.heads_mb
         } else {
@@ -113,6 +115,18 @@
     }
 }
 
+/// Returns how many handshakes with peers may be in progress.
+#[must_use]
+pub fn handshakes() -> usize {
+    part_of_descriptors(HANDSHAKES_PERCENT)
+}
+
+/// Returns this part of the process's descriptors, in hundredths, for connections.
+fn part_of_descriptors(percent: u64) -> usize {
+    let part = descriptors().saturating_mul(percent) / 100;
+    to_usize(part).max(MIN_CONNECTIONS)
+}
+
 /// Returns the process's limit on file descriptors.
 fn descriptors() -> u64 {
     let limit = getrlimit(Resource::Nofile).current;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -71,6 +71,8 @@
     AnswersUnread,
     /// Connections closed because they carried much that was no request and no body.
     ConnectionsWithoutRequests,
+    /// Connections closed because the process had no memory for what they sent.
+    ConnectionsOutOfMemory,
     /// Answers that were dropped because their callers leave too many unread.
     AnswersDropped,
     /// Requests that were refused because their bodies took too long.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,11 +17,12 @@
 pub use crate::error::Error;
 use crate::error::SystemSnafu;
 use crate::metrics::Metrics;
+use crate::process_memory::HeapSize;
 use crate::protocols::Protocols;
 use crate::secret::Token;
 use crate::session;
 use crate::socket::{Addresses, Sockets};
-use crate::startup::{Startup, inboxes};
+use crate::startup::{Peers, Startup, inboxes};
 
 /// Grace period at shutdown for the last answers to operators.
 const OPERATORS_GRACE: Duration = Duration::from_secs(2);
@@ -72,43 +73,53 @@
         process: ProcessSettings,
         sockets: Sockets,
         protocols: Protocols,
+    ) -> Result<Self, Error> {
+        Self::start_bounded(process, sockets, protocols, None)
+    }
+
+    /// As [`Node::start_with`], and bounds what the process allocates by the memory that its settings name, if
+    /// `heap` counts it.
+    ///
+    /// # Errors
+    /// Returns an error if a file cannot be read or the data folder cannot be opened.
+    pub fn start_bounded(
+        process: ProcessSettings,
+        sockets: Sockets,
+        protocols: Protocols,
+        heap: Option<HeapSize>,
     ) -> Result<Self, Error> {
         let phases = Phases::from(&process.serving);
         let token = process.token.as_deref().map(Token::read).transpose()?;
         let (inbox, control_inbox, session_inbox) = inboxes(&process);
         let (blocked_peers, blocked) = watch::channel(Vec::new());
-        let Sockets {
-            callers,
-            operators,
-            peer_links,
-            datagrams,
-            registry,
-            pages,
-            metrics,
-        } = sockets;
-        let addresses = Addresses::of(&callers, &operators, &peer_links);
+        let addresses = sockets.addresses();
         let what = "cannot read the local addresses of the listeners";
         let addresses = addresses.context(SystemSnafu { what })?;
-        let startup = Startup::connect(
-            process, protocols, addresses, peer_links, datagrams, inbox, blocked,
-        )?;
+        let peers = Peers {
+            listener: sockets.peer_links,
+            socket: sockets.datagrams,
+            inbox,
+            blocked,
+        };
+        let startup = Startup::connect(process, protocols, addresses, peers, heap)?;
         let (taker_sender, takers) = watch::channel(Vec::new());
         let control = control_inbox.map(|inbox| startup.start_control(inbox, taker_sender));
         let (control, control_task) = control.transpose()?.unzip();
         let (host_state, host) = watch::channel(startup.host());
         let (events, event_receiver) = mpsc::unbounded_channel();
         let session = startup.start_session(session_inbox, host, events);
-        if let (Some(control), Some(listener)) = (&control, registry) {
+        if let (Some(control), Some(listener)) = (&control, sockets.registry) {
             startup.start_registry(control.clone(), session.clone(), takers.clone(), listener);
         }
-        if let Some(listener) = metrics {
+        if let Some(listener) = sockets.metrics {
             startup.start_exposition(listener);
         }
         let mut serving = Vec::new();
         let mut drain = None;
         if startup.process.has_role(Role::Entry) {
-            let (input, tasks) = startup.start_entry(&session, event_receiver, host_state, callers);
-            startup.start_pages(&input, pages);
+            let (input, tasks) =
+                startup.start_entry(&session, event_receiver, host_state, sockets.callers);
+            startup.start_pages(&input, sockets.pages);
             drain = Some(input);
             serving.extend(tasks);
         }
@@ -116,7 +127,7 @@
         let control_sender = control.clone();
         let service =
             startup.operators(token, &session, drain.clone(), control, drain_token.clone());
-        let operators = startup.start_operators(operators, service);
+        let operators = startup.start_operators(sockets.operators, service);
         Ok(Self {
             addresses,
             blocked_peers,
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -19,12 +19,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
-use crate::callers::{collect, json};
+use crate::callers::json;
 use crate::control;
 use crate::entry;
 use crate::message::{Membership, Question};
 use crate::metrics::Metrics;
 use crate::problem::{Problem, not_run};
+use crate::request_memory::RequestBodies;
 use crate::secret::Token;
 use crate::server::Service;
 use crate::session;
@@ -52,6 +53,8 @@
     pub entry: Option<mpsc::UnboundedSender<entry::Input>>,
     /// The control task's queue, on a host with that role.
     pub control: Option<mpsc::UnboundedSender<control::TaskMessage>>,
+    /// Reads the bodies of requests.
+    pub messages: RequestBodies,
     /// The metrics of this process.
     pub metrics: Metrics,
     /// Cancelled when an operator requests a graceful shutdown.
@@ -146,7 +149,7 @@
 ];
 
 impl Service for Operators {
-    async fn serve(&self, request: Request<Incoming>, _: SocketAddr) -> Response<Body> {
+    async fn serve(&self, request: Request<Incoming>, from: SocketAddr) -> Response<Body> {
         let (parts, body) = request.into_parts();
         if !self.is_authorized(&parts) {
             let mut problem = Problem::from(&not_run(
@@ -156,7 +159,7 @@
             problem.status = StatusCode::UNAUTHORIZED.as_u16();
             return problem.response();
         }
-        let served = self.route(&parts, body).await;
+        let served = self.route(&parts, body, from).await;
         served.unwrap_or_else(|refusal| Problem::from(&refusal).response())
     }
 }
@@ -170,7 +173,12 @@
     }
 
     /// Dispatches a request to its endpoint.
-    async fn route(&self, parts: &Parts, body: Incoming) -> Result<Response<Body>, Refusal> {
+    async fn route(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        from: SocketAddr,
+    ) -> Result<Response<Body>, Refusal> {
         let path = parts.uri.path();
         let route = ROUTES
             .iter()
@@ -184,8 +192,10 @@
             Endpoint::Status => self.ask(Question::Status, CALL_TIMEOUT).await,
             Endpoint::Settings => self.ask(Question::Settings, CALL_TIMEOUT).await,
             Endpoint::Apply => {
-                let body = collect(body, &parts.extensions, MAX_SETTINGS_BYTES).await?;
-                self.apply(body).await
+                let settings =
+                    self.messages
+                        .read(body, &parts.extensions, MAX_SETTINGS_BYTES, from.ip());
+                self.apply(settings.await?).await
             }
             Endpoint::InForce => {
                 let version = query(parts, "version")?;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -18,9 +18,9 @@
 use tokio::time::Instant;
 
 use crate::body::{self, Body};
-use crate::callers::collect;
 use crate::control::TaskMessage;
 use crate::problem::Problem;
+use crate::request_memory::RequestBodies;
 use crate::server::Service;
 use crate::session;
 use crate::takers::Takers;
@@ -95,6 +95,8 @@
     pub control: mpsc::UnboundedSender<TaskMessage>,
     /// The session, which knows the leader's registry address.
     pub session: session::Handle,
+    /// Reads the messages.
+    pub messages: RequestBodies,
     /// The encoding of targets' messages.
     pub targets: Arc<dyn Protocol>,
     /// The encoding of route tables; `None` if this host doesn't accept them.
@@ -112,9 +114,12 @@
 }
 
 impl Service for Registry {
-    async fn serve(&self, request: Request<Incoming>, _: SocketAddr) -> Response<Body> {
+    async fn serve(&self, request: Request<Incoming>, from: SocketAddr) -> Response<Body> {
         let (parts, body) = request.into_parts();
-        let body = match collect(body, &parts.extensions, MAX_MESSAGE_BYTES).await {
+        let message = self
+            .messages
+            .read(body, &parts.extensions, MAX_MESSAGE_BYTES, from.ip());
+        let body = match message.await {
             Ok(body) => body,
             Err(refusal) => return Problem::from(&refusal).response(),
         };
--- a/crates/node/src/request_memory.rs
+++ b/crates/node/src/request_memory.rs
@@ -1,4 +1,4 @@
-//! Memory for the bodies of requests, shared by all requests of a host. Each caller has its share.
+//! Memory for the bodies of requests and messages, shared by all of a host. Each address has its share.
 //!
 //! A body is kept until the last part of the host that may send it has let go of it. A body whose
 //! length is announced gets its room before it is read; one in chunks grows while it is read, and is refused
@@ -19,28 +19,32 @@
 use crate::connection::BodyProgress;
 use crate::metrics::{Count, Metrics};
 use crate::problem::not_run;
+use crate::process_memory::{ProcessMemory, Purpose};
 use crate::shared_memory::{Reservation, SharedMemory};
 
-/// Part of a host's memory that may hold the bodies of requests.
-const PART: f64 = 0.5;
+/// Part of the process's memory that may hold the bodies of callers' requests.
+const CALLERS_PART: f64 = 0.5;
 
-/// Bytes of a megabyte.
-const MEGABYTE: f64 = 1e6;
+/// Part of it that may hold messages of targets and operators.
+const MESSAGES_PART: f64 = 0.125;
 
 /// What one caller may hold, relative to what is free: three quarters of all if it is alone.
 const SHARE: usize = 3;
 
+/// Factor by which the room of a body in chunks grows. Each time its bytes may be copied.
+const GROWTH: usize = 4;
+
 /// Bytes of a refused body that are read and dropped.
 const MAX_DRAINED_BYTES: usize = 16 << 20;
 
 /// Longest time without a byte of a body that is refused, or not a caller's; the default of `body-ms`.
-pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// When a request that had no room may find some.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Reads the bodies of callers' requests, within the memory that a host has for them.
-#[derive(Debug)]
+/// Reads the bodies of requests or messages, within the memory that a host has for them; clones share it.
+#[derive(Debug, Clone)]
 pub struct RequestBodies {
     memory: SharedMemory<IpAddr>,
     /// Longest time without a byte of a body.
@@ -84,7 +88,7 @@
         }
         let next = match capacity {
             0 => needed,
-            _ => needed.max(2 * capacity).min(limit),
+            _ => needed.max(GROWTH * capacity).min(limit),
         };
         if !self.reservation.resize(next) {
             return Err(Lack::Memory);
@@ -92,21 +96,37 @@
         self.bytes.reserve_exact(next - self.bytes.len());
         Ok(())
     }
+
+    /// Gives back the room that a complete body doesn't need.
+    fn shrink(&mut self) {
+        self.bytes.shrink_to_fit();
+        self.reservation.resize(self.bytes.capacity());
+    }
 }
 
 impl RequestBodies {
-    /// Creates the reader of a host that serves with these settings.
+    /// Creates the reader of callers' requests, for a host that serves with these settings.
     #[must_use]
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn new(serving: &Serving, metrics: Metrics) -> Self {
-        let limit = (PART * serving.memory_mb * MEGABYTE) as usize;
+    pub fn of_callers(serving: &Serving, process: ProcessMemory, metrics: Metrics) -> Self {
+        let memory = SharedMemory::new(process.part(CALLERS_PART), SHARE);
         Self {
-            memory: SharedMemory::new(limit, SHARE),
+            memory: memory.within(process.room(Purpose::Body)),
             timeout: Duration::from_millis(serving.body_ms),
             metrics,
         }
     }
 
+    /// Creates the reader of messages from targets and operators.
+    #[must_use]
+    pub fn of_messages(process: ProcessMemory, metrics: Metrics) -> Self {
+        let memory = SharedMemory::new(process.part(MESSAGES_PART), SHARE);
+        Self {
+            memory: memory.within(process.room(Purpose::Message)),
+            timeout: BODY_TIMEOUT,
+            metrics,
+        }
+    }
+
     /// Reads a complete body.
     ///
     /// # Errors
@@ -142,7 +162,10 @@
             }
         }
         match room {
-            Ok(()) => Ok(Bytes::from_owner(held)),
+            Ok(()) => {
+                held.shrink();
+                Ok(Bytes::from_owner(held))
+            }
             Err(lack) => {
                 if lack != Lack::Overdue {
                     drain(body, extensions.clone());
@@ -177,7 +200,7 @@
 }
 
 /// Returns the next part of the body of a request with these extensions; fails if it takes too long.
-pub(crate) async fn next_frame(
+async fn next_frame(
     body: &mut Incoming,
     extensions: &Extensions,
     limit: Duration,
@@ -188,7 +211,7 @@
 }
 
 /// Returns the refusal of a request whose body takes too long.
-pub(crate) fn overdue(limit: Duration) -> Refusal {
+fn overdue(limit: Duration) -> Refusal {
     not_run(Reason::Expired, format!("no byte of the body in {limit:?}"))
 }
 
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -21,7 +21,6 @@
 use crate::connection::{AnswerBody, BodyProgress, Connection, ConnectionTable};
 use crate::guarded_stream::GuardedStream;
 use crate::listener_limits::{ListenerLimits, MAX_HEADERS};
-use crate::metrics::Metrics;
 use crate::problem::{Problem, not_run};
 
 /// Timeout for the head of a request.
@@ -74,26 +73,23 @@
 }
 
 /// Accepts connections until `close` is cancelled, then lets open ones finish their requests.
-pub async fn run<S: Service>(
+pub(crate) async fn run<S: Service>(
     listener: TcpListener,
     service: Arc<S>,
-    limits: ListenerLimits,
-    metrics: Metrics,
+    table: Arc<ConnectionTable>,
     close: CancellationToken,
 ) {
-    let table = ConnectionTable::new(limits, metrics);
     let connections = TaskTracker::new();
     loop {
         let accepted = tokio::select! {
             () = close.cancelled() => break,
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, &table) => accepted,
         };
         match accepted {
-            Ok((stream, from)) => {
-                if let Some(connection) = table.open(from) {
-                    connections.spawn(serve(stream, connection, service.clone(), close.clone()));
-                }
+            Ok((stream, Some(connection))) => {
+                connections.spawn(serve(stream, connection, service.clone(), close.clone()));
             }
+            Ok((_, None)) => {}
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a connection; retrying after a pause");
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
@@ -105,6 +101,16 @@
     connections.wait().await;
 }
 
+/// Accepts a connection once there may be one more socket; returns it with its place in the table, if it has one.
+async fn accept(
+    listener: &TcpListener,
+    table: &Arc<ConnectionTable>,
+) -> std::io::Result<(TcpStream, Option<Arc<Connection>>)> {
+    let permit = table.socket_permit().await;
+    let (stream, from) = listener.accept().await?;
+    Ok((stream, table.open(from, permit)))
+}
+
 /// Answers one request; a process that shuts down also asks the caller to close the connection.
 async fn respond<S: Service>(
     service: &S,
@@ -166,6 +172,7 @@
     let owner = connection.clone();
     let answer = service_fn(move |mut request: Request<Incoming>| {
         let service = requests.clone();
+        let connection = owner.clone();
         let begun = owner.begin().map(Arc::new);
         if let Some(begun) = &begun {
             let progress = BodyProgress(begun.clone());
@@ -179,6 +186,7 @@
             Ok::<_, Infallible>(response.map(|body| AnswerBody {
                 body,
                 request: begun,
+                connection,
             }))
         }
     });
--- a/crates/node/src/shared_memory.rs
+++ b/crates/node/src/shared_memory.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::log_limit::LogLimiter;
+use crate::process_memory::Room;
 
 /// Memory that is shared by holders; clones share it.
 #[derive(Debug)]
@@ -26,6 +27,8 @@
     limit: usize,
     /// Bytes that one holder may have for each that is free.
     share: usize,
+    /// The room that the whole process has; `None` if it doesn't matter.
+    room: Option<Room>,
     /// Bytes of all holders.
     total: usize,
     /// Bytes of each holder that has any.
@@ -41,7 +44,8 @@
         let free = self.limit - self.total;
         let fits = free
             .checked_sub(bytes)
-            .is_some_and(|free| held + bytes <= self.share * free);
+            .is_some_and(|free| held + bytes <= self.share * free)
+            && self.process_has_room(held, bytes);
         if fits {
             self.total += bytes;
             self.holders.insert(holder.clone(), held + bytes);
@@ -49,6 +53,14 @@
         fits
     }
 
+    /// Returns whether the process has room for bytes of a holder that has `held`.
+    fn process_has_room(&self, held: usize, bytes: usize) -> bool {
+        self.room.is_none_or(|room| match held {
+            0 => room.has_first(bytes),
+            _ => room.has(bytes),
+        })
+    }
+
     /// Takes bytes from what a holder has.
     fn subtract(&mut self, holder: &K, bytes: usize) {
         self.total -= bytes;
@@ -77,12 +89,20 @@
         Self(Arc::new(Mutex::new(Usage {
             limit,
             share,
+            room: None,
             total: 0,
             holders: BTreeMap::new(),
             log_limit: LogLimiter::default(),
         })))
     }
 
+    /// Also refuses what the whole process has no room for.
+    #[must_use]
+    pub fn within(self, room: Room) -> Self {
+        self.usage().room = Some(room);
+        self
+    }
+
     /// Returns a reservation without memory for a holder.
     #[must_use]
     pub fn reservation(&self, holder: &K) -> Reservation<K> {
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -31,6 +31,7 @@
 
 use crate::answer_memory::AnswerMemory;
 use crate::callers::Callers;
+use crate::connection::ConnectionTable;
 use crate::control::{self, TaskMessage};
 use crate::datagrams::{self, DatagramSocket};
 use crate::entry::{self, Input};
@@ -42,6 +43,7 @@
 use crate::message::Incoming;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
+use crate::process_memory::{HeapSize, ProcessMemory};
 use crate::protocols::Protocols;
 use crate::registry::Registry;
 use crate::request_memory::RequestBodies;
@@ -78,18 +80,29 @@
     pub(crate) protocols: Protocols,
     pub(crate) links: Links,
     pub(crate) datagrams: DatagramSocket,
+    /// The bound on all memory of the process.
+    pub(crate) memory: ProcessMemory,
+    /// Reads the messages of targets and operators.
+    messages: RequestBodies,
+}
+
+/// The sockets to peers, and what their messages go to.
+pub(crate) struct Peers {
+    pub(crate) listener: TcpListener,
+    pub(crate) socket: UdpSocket,
+    pub(crate) inbox: Inbox,
+    /// Hosts with which no traffic is exchanged, to simulate network partitions in tests.
+    pub(crate) blocked: watch::Receiver<Vec<HostId>>,
 }
 
 impl Startup {
-    /// Starts the links and the datagram socket.
+    /// Starts the links and the datagram socket. What the process allocates is bounded if `heap` counts it.
     pub(crate) fn connect(
         process: ProcessSettings,
         protocols: Protocols,
         addresses: Addresses,
-        listener: TcpListener,
-        socket: UdpSocket,
-        inbox: Inbox,
-        blocked_peers: watch::Receiver<Vec<HostId>>,
+        peers: Peers,
+        heap: Option<HeapSize>,
     ) -> Result<Self, Error> {
         let incarnation = incarnation();
         let (identity, identities) = watch::channel(Identity {
@@ -105,6 +118,7 @@
             },
         });
         let metrics = Metrics::default();
+        let memory = ProcessMemory::new(&process.serving, heap);
         let stop = CancellationToken::new();
         if let Some(path) = &process.keys {
             tokio::spawn(secret::watch(path.clone(), identity, stop.clone()));
@@ -113,22 +127,22 @@
         }
         let links = Links::start(links::Setup {
             identity: identities.clone(),
-            listener,
+            listener: peers.listener,
             voters: process.voters.clone(),
             common_port: (!process.seeds.is_empty()).then_some(process.peers.port()),
             local: process.peers_listen.map(|listen| listen.ip()),
-            inbox: inbox.clone(),
+            inbox: peers.inbox.clone(),
             metrics: metrics.clone(),
             stop: stop.clone(),
-            blocked_peers: blocked_peers.clone(),
+            blocked_peers: peers.blocked.clone(),
         });
         let datagrams = DatagramSocket::start(datagrams::Setup {
             identity: identities,
-            socket,
-            inbox,
+            socket: peers.socket,
+            inbox: peers.inbox,
             metrics: metrics.clone(),
             stop: stop.clone(),
-            blocked_peers,
+            blocked_peers: peers.blocked,
         });
         Ok(Self {
             process,
@@ -136,10 +150,12 @@
             addresses,
             epoch: Instant::now(),
             stop,
+            messages: RequestBodies::of_messages(memory, metrics.clone()),
             metrics,
             protocols,
             links,
             datagrams,
+            memory,
         })
     }
 
@@ -325,7 +341,7 @@
             links: self.links.clone(),
             datagrams: self.datagrams.clone(),
             client: self.protocols.target_client.clone(),
-            answer_memory: AnswerMemory::of_host(&self.process.serving),
+            answer_memory: AnswerMemory::of_host(self.memory),
             host_state,
             fleet,
             routes,
@@ -354,8 +370,8 @@
         routes: watch::Receiver<Option<Arc<Routes>>>,
     ) -> JoinHandle<()> {
         let metrics = self.metrics.clone();
-        let bodies = RequestBodies::new(&self.process.serving, metrics.clone());
-        let unread = UnreadAnswers::new(&self.process.serving, metrics.clone());
+        let bodies = RequestBodies::of_callers(&self.process.serving, self.memory, metrics.clone());
+        let unread = UnreadAnswers::new(self.memory, metrics.clone());
         let next = AtomicU64::new(1);
         let Listening {
             listener,
@@ -382,6 +398,7 @@
             fleet,
             protocol: self.protocols.target_messages.clone(),
             bodies,
+            messages: self.messages.clone(),
             unread,
             metrics,
             next,
@@ -400,7 +417,8 @@
     ) -> impl Future<Output = ()> + use<S> {
         let limits = ListenerLimits::new(&self.process.serving, audience);
         let metrics = self.metrics.clone();
-        server::run(listener, Arc::new(service), limits, metrics, close)
+        let table = ConnectionTable::new(limits, self.memory, metrics);
+        server::run(listener, Arc::new(service), table, close)
     }
 
     /// Starts the registry listener of a control host, if the settings have an address for it.
@@ -417,6 +435,7 @@
         let registry = Registry {
             control,
             session,
+            messages: self.messages.clone(),
             targets: self.protocols.target_messages.clone(),
             route_tables: self.protocols.route_tables.clone(),
             address,
@@ -444,6 +463,7 @@
             session: session.clone(),
             entry,
             control,
+            messages: self.messages.clone(),
             metrics: self.metrics.clone(),
             drain_token,
         }
@@ -462,6 +482,7 @@
     pub(crate) fn start_exposition(&self, listener: TcpListener) {
         let exposition = Exposition {
             metrics: self.metrics.clone(),
+            memory: self.memory,
         };
         tokio::spawn(self.listen(listener, exposition, Audience::Metrics, self.stop.clone()));
     }
--- a/crates/node/src/unread_answers.rs
+++ b/crates/node/src/unread_answers.rs
@@ -1,30 +1,32 @@
-//! Memory for complete answers that callers have not read yet, shared by all callers of a host. Each
+//! Memory for answers and events that callers have not read yet, shared by all callers of a host. Each
 //! caller's address has its share.
 //!
 //! An answer that is buffered completely is kept until the connection has taken all of it, also by the
 //! HTTP/2 library, which takes an answer from its body before its caller has room for it.
 
 use std::net::IpAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
-use cornelhitch_settings::process::Serving;
 use cornelhitch_types::refusal::{Reason, Refusal, Run};
+use tokio::time::sleep;
 
 use crate::metrics::{Count, Metrics};
+use crate::process_memory::{ProcessMemory, Purpose};
 use crate::shared_memory::{Reservation, SharedMemory};
 
-/// Part of a host's memory that may hold unread answers.
+/// Part of the process's memory that may hold unread answers.
 const PART: f64 = 0.25;
 
 /// Length from which a part is kept without a copy, in bytes.
 const MIN_KEPT_BYTES: usize = 8 << 10;
 
-/// Bytes of a megabyte.
-const MEGABYTE: f64 = 1e6;
-
 /// What one caller may hold, relative to what is free: three quarters of all if it is alone.
 const SHARE: usize = 3;
 
+/// Interval at which an event that had no room is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The memory of a host for unread answers.
 #[derive(Debug)]
 pub struct UnreadAnswers {
@@ -32,6 +34,26 @@
     metrics: Metrics,
 }
 
+/// The share of one caller in that memory.
+#[derive(Debug, Clone)]
+pub struct CallerShare {
+    memory: SharedMemory<IpAddr>,
+    caller: IpAddr,
+}
+
+impl CallerShare {
+    /// Returns an event of a stream that keeps its memory reserved until the connection has taken it. Waits
+    /// while the share has no room, so that the target isn't read from meanwhile.
+    pub async fn hold(&self, event: &Bytes) -> Bytes {
+        let mut reservation = self.memory.reservation(&self.caller);
+        while !reservation.resize(event.len()) {
+            sleep(RETRY_INTERVAL).await;
+        }
+        let bytes = event.clone();
+        Bytes::from_owner(HeldPart { bytes, reservation })
+    }
+}
+
 /// An answer that is being buffered, in parts that are not copied. A part is kept until the connection has
 /// taken all of it.
 #[derive(Debug)]
@@ -57,23 +79,32 @@
 }
 
 impl UnreadAnswers {
-    /// Creates the memory of a host that serves with these settings.
+    /// Creates the memory of a host whose process has this memory.
     #[must_use]
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn new(serving: &Serving, metrics: Metrics) -> Self {
-        let limit = (PART * serving.memory_mb * MEGABYTE) as usize;
+    pub fn new(process: ProcessMemory, metrics: Metrics) -> Self {
+        let memory = SharedMemory::new(process.part(PART), SHARE);
         Self {
-            memory: SharedMemory::new(limit, SHARE),
+            memory: memory.within(process.room(Purpose::Answer)),
             metrics,
         }
     }
 
+    /// Returns a caller's share.
+    #[must_use]
+    pub fn share(&self, caller: IpAddr) -> CallerShare {
+        CallerShare {
+            memory: self.memory.clone(),
+            caller,
+        }
+    }
+
     /// Returns an empty answer to a caller.
     #[must_use]
     pub fn begin(&self, caller: IpAddr) -> HeldAnswer {
+        let reservation = self.memory.reservation(&caller);
         HeldAnswer {
             parts: Vec::new(),
-            reservation: self.memory.reservation(&caller),
+            reservation,
             length: 0,
         }
     }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -145,7 +145,8 @@
     /// How long an entry host that has heard of a newer route table acts on its own after that was last
     /// known to be the newest, in milliseconds.
     pub table_lag_ms: f64,
-    /// Memory of the process, in megabytes. Half of it may hold bodies of requests.
+    /// Memory of the process, in megabytes, which bounds what it allocates. Half of it may hold bodies of
+    /// requests.
     pub memory_mb: f64,
     /// Longest time for which callers may cache the list of entry hosts, in milliseconds.
     pub max_age_ms: u64,
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -246,7 +246,7 @@
     keys: &[
         optional("isolated", ValueType::Choice(&["refuse", "serve"]), "What a host does that has lost its lease on the settings: it refuses new requests, or goes on with what it knows; refuse."),
         optional("table-lag-ms", ValueType::Number(200.0, 86_400_000.0), "How long a host that has heard of a newer route table acts on its own after that was last known to be the newest, in milliseconds; 3000. Then it refuses routed requests until it has the newer one."),
-        optional("memory-mb", ValueType::Number(32.0, 1e6), "Memory of the process, in MB; 256. Half of it may hold bodies of requests; a request whose body has no room is refused."),
+        optional("memory-mb", ValueType::Number(32.0, 1e6), "Memory of the process, in MB; 256. What the process allocates stays within 0.62 of it less the program's own size: near that bodies, answers, requests and connections are refused, in this order. Half of it at most may hold bodies of requests, an eighth those of targets' and operators' messages."),
         optional("max-age-ms", ValueType::Integer(100, DAY_MS), "How long callers keep the answer which hosts to use, at most, in milliseconds; 10000."),
         optional("leave-ms", ValueType::Integer(0, DAY_MS), "How long a host that ends goes on taking requests, in milliseconds; 10000."),
         optional("grace-ms", ValueType::Number(100.0, 86_400_000.0), "After how long a host that ends is killed, in milliseconds; 30000. It takes only requests that end before."),
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -14,4 +14,5 @@
 mod pool;
 pub mod prelude;
 mod response_body;
+pub mod short_read;
 pub mod sse;
--- a/crates/target/src/metered.rs
+++ b/crates/target/src/metered.rs
@@ -7,11 +7,13 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::short_read::poll_short_read;
+
 /// Upper bound on the bytes that are read without a part of a body, far above the head of a response
 /// and what is read ahead.
 const MAX_UNDELIVERED_BYTES: usize = 1 << 20;
@@ -52,14 +54,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.socket).poll_read(context, buffer);
-        let read = buffer.filled().len() - before;
+        let read = ready!(poll_short_read(&mut self.socket, context, buffer))?;
         if read > 0 && !self.meter.count(read) {
             let detail = "too many bytes that are no part of a response";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, detail)));
         }
-        polled
+        Poll::Ready(Ok(()))
     }
 }
 
