Let the slowest callers make room on a full listener

What callers saw: bodies byte by byte, and answers that are read as slowly or over HTTP/2 not at all, from 300 addresses held all connections of a listener: no ordinary answer in 20 s, at callers, at the registry, and while the rest of refused bodies is read. An answer over HTTP/2 that its caller stopped kept its connection for as long as it sent pings (open after 60 s). Cause: a connection with a request in progress was never chosen to make room, whoever the request waited for; the time limit on unread answers was the socket's, which takes other frames of HTTP/2. Change: connection_limits knows which requests wait for their caller, and for how many bytes a second. Where the listener has no room and no idle connection, the slowest below 16 KiB/s after 2 s makes room; in calm a slow upload is a caller like any other. Answers over HTTP/2 have a time limit of their own (answer_progress).

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -2,20 +2,16 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Extensions;
-use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Body, Truncated};
+use crate::answer_progress::AnswerProgress;
 use crate::connection_limits::{ConnectionId, Connections, Opened};
 use crate::listener_limits::ListenerLimits;
 use crate::log_limit::LogLimiter;
@@ -63,6 +59,8 @@
     pacing: ReadPacing,
     /// Cancelled to close a connection.
     closers: HashMap<ConnectionId, CancellationToken>,
+    /// Requests over HTTP/2 that are being answered.
+    answered: Vec<Weak<Request>>,
     log_limit: LogLimiter,
     /// When a pause of reads was last logged.
     pause_logged: Option<Duration>,
@@ -100,13 +98,23 @@
 pub(crate) struct BodyProgress(pub(crate) Arc<Request>);
 
 impl BodyProgress {
-    /// Records that a part was read.
-    pub(crate) fn record(extensions: &Extensions) {
+    /// Records that a part with this many bytes was read.
+    pub(crate) fn record(extensions: &Extensions, bytes: usize) {
         if let Some(Self(request)) = extensions.get() {
             let connection = &request.connection;
             connection.body_parts.fetch_add(1, Ordering::Relaxed);
             connection.unused.store(0, Ordering::Relaxed);
             connection.refund();
+            connection.progress(bytes);
+        }
+    }
+
+    /// Records that the body is complete, or broke off.
+    pub(crate) fn end(extensions: &Extensions) {
+        if let Some(Self(request)) = extensions.get()
+            && request.receiving.swap(false, Ordering::Relaxed)
+        {
+            request.end_wait();
         }
     }
 }
@@ -115,6 +123,12 @@
 #[derive(Debug)]
 pub(crate) struct Request {
     connection: Arc<Connection>,
+    /// Whether its body is incomplete.
+    receiving: AtomicBool,
+    /// What it waits for its caller for: the body, and until an answer over HTTP/2 is read.
+    waits: AtomicUsize,
+    /// How far the caller has read the answer, over HTTP/2.
+    progress: AnswerProgress,
     #[expect(dead_code, reason = "frees the request's place when it is dropped")]
     place: Reservation<IpAddr>,
 }
@@ -141,6 +155,7 @@
                 connections: Connections::new(limits.connections),
                 pacing: ReadPacing::new(limits.unused_rate),
                 closers: HashMap::new(),
+                answered: Vec::new(),
                 log_limit: LogLimiter::default(),
                 pause_logged: None,
             }),
@@ -197,7 +212,7 @@
         if self.memory.has_room(Purpose::Connection, 0) {
             return true;
         }
-        let victim = state.connections.evict();
+        let victim = state.connections.evict(self.epoch.elapsed());
         if let Some(victim) = victim {
             self.evict(state, victim);
         }
@@ -224,7 +239,7 @@
             tracing::info!(
                 open,
                 held,
-                "connection without a request in progress closed to make room"
+                "connection without a request in progress, or of a slow caller, closed to make room"
             );
         }
     }
@@ -238,6 +253,19 @@
         }
     }
 
+    /// Closes the connections of answers over HTTP/2 whose callers have read nothing for `timeout`.
+    pub(crate) fn close_unread(&self, timeout: Duration) {
+        let mut answered = std::mem::take(&mut self.lock().answered);
+        // Dropped without the lock, which the end of a request takes.
+        let requests: Vec<Arc<Request>> = answered.iter().filter_map(Weak::upgrade).collect();
+        for request in requests.iter().filter(|it| it.progress.is_stalled(timeout)) {
+            self.closed(Count::AnswersUnread, request.connection.from);
+            request.connection.closer.cancel();
+        }
+        answered.retain(|request| request.strong_count() > 0);
+        self.lock().answered.extend(answered);
+    }
+
     /// Returns the time since the listener's start in milliseconds.
     fn now_ms(&self) -> u64 {
         u64::try_from(self.epoch.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -255,8 +283,8 @@
         &self.table
     }
 
-    /// Records that the head of a request is complete; `None` if too many are in progress.
-    pub(crate) fn begin(self: &Arc<Self>) -> Option<Request> {
+    /// Records that the head of a request is complete, which may have a body; `None` if too many are in progress.
+    pub(crate) fn begin(self: &Arc<Self>, has_body: bool) -> Option<Request> {
         self.refund();
         let mut place = self.table.requests.reservation(&self.from.ip());
         if !place.resize(1) {
@@ -275,10 +303,17 @@
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         self.requests.fetch_add(1, Ordering::Relaxed);
         self.table.lock().connections.begin(self.id);
-        Some(Request {
+        let request = Request {
             connection: self.clone(),
+            receiving: AtomicBool::new(has_body),
+            waits: AtomicUsize::new(0),
+            progress: AnswerProgress::new(),
             place,
-        })
+        };
+        if has_body {
+            request.begin_wait();
+        }
+        Some(request)
     }
 
     /// Counts bytes that were received while no request is in progress.
@@ -347,6 +382,22 @@
         !self.table.memory.has_room(purpose, 0)
     }
 
+    /// Counts bytes that the caller has sent of a body, or read of an answer.
+    pub(crate) fn progress(&self, bytes: usize) {
+        self.table.lock().connections.progress(self.id, bytes);
+    }
+
+    /// Records whether the socket takes no more bytes.
+    pub(crate) fn set_blocked(&self, blocked: bool) {
+        let now = self.table.epoch.elapsed();
+        let connections = &mut self.table.lock().connections;
+        if blocked {
+            connections.block(self.id, now);
+        } else {
+            connections.unblock(self.id);
+        }
+    }
+
     /// Records that bytes of an answer were written.
     pub(crate) fn record_write(&self) {
         self.active_ms.store(self.table.now_ms(), Ordering::Relaxed);
@@ -373,6 +424,56 @@
     }
 }
 
+impl Request {
+    /// Records that the request waits for its caller, for one more thing.
+    fn begin_wait(&self) {
+        let connection = &self.connection;
+        let now = connection.table.epoch.elapsed();
+        let mut state = connection.table.lock();
+        if self.waits.fetch_add(1, Ordering::Relaxed) == 0 {
+            state.connections.begin_wait(connection.id, now);
+        }
+    }
+
+    /// Records that the request waits for its caller for one thing less.
+    fn end_wait(&self) {
+        let connection = &self.connection;
+        let mut state = connection.table.lock();
+        if self.waits.fetch_sub(1, Ordering::Relaxed) == 1 {
+            state.connections.end_wait(connection.id);
+        }
+    }
+
+    /// Begins an answer over HTTP/2. Closes the connection once the caller has read nothing of it for too long.
+    pub(crate) fn begin_answer(self: &Arc<Self>) {
+        self.begin_wait();
+        let mut state = self.connection.table.lock();
+        state.answered.push(Arc::downgrade(self));
+    }
+
+    /// Records that the HTTP/2 library asked for the body of the answer for the first time.
+    pub(crate) fn begin_answer_body(&self) {
+        if self.progress.begin() {
+            self.end_wait();
+        }
+    }
+
+    /// Records that the HTTP/2 library took bytes of the answer.
+    pub(crate) fn answer_taken(&self, bytes: usize) {
+        if self.progress.taken(bytes) {
+            self.begin_wait();
+        }
+    }
+
+    /// Records that bytes of the answer were sent.
+    pub(crate) fn answer_sent(&self, bytes: usize) {
+        self.connection.progress(bytes);
+        if self.progress.sent(bytes) {
+            self.end_wait();
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         let mut state = self.table.lock();
@@ -388,35 +489,10 @@
         connection.in_progress.fetch_sub(1, Ordering::Relaxed);
         let table = &connection.table;
         let now = table.epoch.elapsed();
-        table.lock().connections.end(connection.id, now);
-    }
-}
-
-/// The body of an answer, whose request is in progress until it is dropped.
-pub(crate) struct AnswerBody {
-    pub(crate) body: Body,
-    #[expect(dead_code, reason = "acts when it is dropped")]
-    pub(crate) request: Option<Arc<Request>>,
-    #[expect(dead_code, reason = "counts the socket until it is dropped")]
-    pub(crate) connection: Arc<Connection>,
-}
-
-impl HttpBody for AnswerBody {
-    type Data = Bytes;
-    type Error = Truncated;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let connections = &mut table.lock().connections;
+        if self.waits.load(Ordering::Relaxed) > 0 {
+            connections.end_wait(connection.id);
+        }
+        connections.end(connection.id, now);
     }
 }
--- a/crates/node/src/connection_limits.rs
+++ b/crates/node/src/connection_limits.rs
@@ -1,10 +1,11 @@
 //! Which connections of a listener are closed when there are too many, or when incomplete requests hold
 //! too much memory.
 //!
-//! Handles callers beyond the limits: crowds of connections from few or many addresses, and heads that
-//! never end. It holds no socket and no clock. A connection with a request in progress is never chosen.
-//! The share of one address follows what is still free, by the dynamic threshold of Choudhury and
-//! Hahne (1998), so that some room remains for other addresses.
+//! Handles callers beyond the limits: crowds of connections from few or many addresses, heads that never
+//! end, and requests that wait for a caller who hardly sends or reads. It holds no socket and no clock. A
+//! connection with a request in progress is only chosen while it waits for such a caller, and after all
+//! idle ones. The share of one address follows what is still free, by the dynamic threshold of Choudhury
+//! and Hahne (1998), so that some room remains for other addresses.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -17,6 +18,13 @@
 /// Connections that one address may have for each that is free, if no number is set.
 const SHARE: usize = 3;
 
+/// Rate at which a caller sends a body or reads an answer, in bytes a second, below which its connection may
+/// have to make room for others.
+pub const MIN_BYTES_PER_SECOND: f64 = 16_384.0;
+
+/// Time for which a request has to wait for its caller before the rate counts.
+const MIN_WAIT: Duration = Duration::from_secs(2);
+
 /// The limits on the connections of one listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimits {
@@ -40,10 +48,58 @@
     requests: u64,
     /// Requests in progress.
     in_progress: usize,
+    /// Requests in progress that wait for their caller: for the rest of a body, or until it reads an answer.
+    waiting: usize,
+    /// Whether the socket takes no more bytes of an answer.
+    blocked: bool,
+    /// The wait for the caller's next bytes or reads; `None` if there is none.
+    wait: Option<Wait>,
     /// Bytes received since the last complete head.
     held: usize,
 }
 
+impl Connection {
+    /// Begins to wait for the caller, or goes on to.
+    fn wait(&mut self, now: Duration) {
+        self.wait.get_or_insert(Wait {
+            since: now,
+            bytes: 0,
+        });
+    }
+
+    /// Ends the wait for the caller if there is nothing left to wait for.
+    fn update_wait(&mut self) {
+        if self.waiting == 0 && !self.blocked {
+            self.wait = None;
+        }
+    }
+
+    /// Returns the rate of the caller if all requests wait for it, and it is too slow.
+    fn slow_rate(&self, now: Duration) -> Option<f64> {
+        let waits = self.blocked || self.waiting >= self.in_progress;
+        let wait = self.wait.filter(|_| waits && self.in_progress > 0)?;
+        let elapsed = now.saturating_sub(wait.since);
+        let rate = wait.rate(elapsed);
+        (elapsed >= MIN_WAIT && rate < MIN_BYTES_PER_SECOND).then_some(rate)
+    }
+}
+
+/// A time in which requests wait for their caller.
+#[derive(Debug, Clone, Copy)]
+struct Wait {
+    since: Duration,
+    /// Bytes that the caller has sent or read since.
+    bytes: usize,
+}
+
+impl Wait {
+    /// Returns the bytes in a second.
+    #[allow(clippy::cast_precision_loss)]
+    fn rate(self, elapsed: Duration) -> f64 {
+        self.bytes as f64 / elapsed.as_secs_f64()
+    }
+}
+
 /// The connections of one listener.
 ///
 /// ```
@@ -100,7 +156,7 @@
         let mut opened = Opened::Accepted;
         if !self.address_has_room(address) || self.free() == 0 {
             let of = (!self.address_has_room(address)).then_some(address);
-            let Some(victim) = self.longest_idle(of) else {
+            let Some(victim) = self.longest_idle(of).or_else(|| self.slowest(of, now)) else {
                 return Opened::Refused;
             };
             self.close(victim);
@@ -111,6 +167,9 @@
             idle_since: now,
             requests: 0,
             in_progress: 0,
+            waiting: 0,
+            blocked: false,
+            wait: None,
             held: 0,
         };
         self.open.insert(id, connection);
@@ -118,14 +177,15 @@
         opened
     }
 
-    /// Removes a connection without a request in progress to free its memory, and returns it: one of the address
-    /// that has most, if that has such a one. `None` if there is none.
-    pub fn evict(&mut self) -> Option<ConnectionId> {
+    /// Removes a connection to free its memory, and returns it: one of the address that has most, if that has
+    /// one without a request in progress. `None` if each has a request that doesn't wait for a slow caller.
+    pub fn evict(&mut self, now: Duration) -> Option<ConnectionId> {
         let most = self.addresses.iter().max_by_key(|(_, count)| **count);
         let most = most.map(|(address, _)| *address);
         let victim = self
             .longest_idle(most)
-            .or_else(|| self.longest_idle(None))?;
+            .or_else(|| self.longest_idle(None))
+            .or_else(|| self.slowest(None, now))?;
         self.close(victim);
         Some(victim)
     }
@@ -184,7 +244,7 @@
         }
     }
 
-    /// Records that a request ended.
+    /// Records that a request ended, which waits for its caller no more.
     pub fn end(&mut self, id: ConnectionId, now: Duration) {
         if let Some(connection) = self.open.get_mut(&id) {
             connection.in_progress -= 1;
@@ -192,6 +252,46 @@
         }
     }
 
+    /// Records that a request in progress begins to wait for its caller.
+    pub fn begin_wait(&mut self, id: ConnectionId, now: Duration) {
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.waiting += 1;
+            connection.wait(now);
+        }
+    }
+
+    /// Records that a request in progress waits for its caller no more.
+    pub fn end_wait(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.waiting -= 1;
+            connection.update_wait();
+        }
+    }
+
+    /// Records that the socket takes no more bytes until the caller reads some.
+    pub fn block(&mut self, id: ConnectionId, now: Duration) {
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.blocked = true;
+            connection.wait(now);
+        }
+    }
+
+    /// Records that the socket has taken all bytes that there were.
+    pub fn unblock(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.blocked = false;
+            connection.update_wait();
+        }
+    }
+
+    /// Counts bytes of a body that were received, or of an answer that were sent.
+    pub fn progress(&mut self, id: ConnectionId, bytes: usize) {
+        let connection = self.open.get_mut(&id);
+        if let Some(wait) = connection.and_then(|it| it.wait.as_mut()) {
+            wait.bytes += bytes;
+        }
+    }
+
     /// Returns how many connections there are.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -233,6 +333,15 @@
         first.map(|(id, _)| *id)
     }
 
+    /// Returns the connection whose requests wait for the slowest caller.
+    fn slowest(&self, of: Option<IpAddr>, now: Duration) -> Option<ConnectionId> {
+        let open = self.open.iter();
+        let of_address = open.filter(|(_, it)| of.is_none_or(|of| it.address == of));
+        let slow = of_address.filter_map(|(id, it)| Some((*id, it.slow_rate(now)?)));
+        let first = slow.min_by(|(_, one), (_, other)| one.total_cmp(other));
+        first.map(|(id, _)| id)
+    }
+
     /// Returns the connection that holds most, the oldest of these.
     fn largest(&self) -> Option<ConnectionId> {
         let holding = self.open.iter().filter(|(_, it)| it.held > 0);
--- a/crates/node/src/guarded_stream.rs
+++ b/crates/node/src/guarded_stream.rs
@@ -59,6 +59,8 @@
     read_timer: Pin<Box<Sleep>>,
     /// Runs while the socket takes no more bytes.
     write_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the socket takes no more bytes until the caller reads some.
+    blocked: bool,
     /// Runs while nothing is read because the address has used up its allowance.
     pause_timer: Option<Pin<Box<Sleep>>>,
 }
@@ -83,6 +85,7 @@
             requests: 0,
             read_timer: Box::pin(sleep_until(Instant::now() + idle_timeout)),
             write_timer: None,
+            blocked: false,
             pause_timer: None,
         }
     }
@@ -218,12 +221,31 @@
         Err(io::Error::new(io::ErrorKind::TimedOut, detail))
     }
 
-    /// Accounts for an attempt to write.
+    /// Accounts for the progress of answers: the socket takes no more bytes (`None`), or has taken some of those
+    /// that there were.
+    fn note_written(&mut self, written: Option<usize>, length: usize) {
+        if let Some(bytes) = written.filter(|_| self.blocked) {
+            self.connection.progress(bytes);
+        }
+        let blocked = written.is_none_or(|bytes| bytes < length);
+        if blocked != self.blocked {
+            self.blocked = blocked;
+            self.connection.set_blocked(blocked);
+        }
+    }
+
+    /// Accounts for an attempt to write this many bytes.
     fn after_write(
         &mut self,
         context: &mut Context<'_>,
         polled: Poll<io::Result<usize>>,
+        length: usize,
     ) -> Poll<io::Result<usize>> {
+        match &polled {
+            Poll::Pending => self.note_written(None, length),
+            Poll::Ready(Ok(bytes)) => self.note_written(Some(*bytes), length),
+            Poll::Ready(Err(_)) => {}
+        }
         if polled.is_pending() {
             return match self.poll_unread(context) {
                 Ok(()) => Poll::Pending,
@@ -231,7 +253,10 @@
             };
         }
         self.write_timer = None;
-        self.connection.record_write();
+        // Over HTTP/2 a request is in progress until its answer is sent; other frames are no activity.
+        if self.is_http2 != Some(true) || self.connection.is_busy() {
+            self.connection.record_write();
+        }
         polled
     }
 }
@@ -277,7 +302,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.socket).poll_write(context, bytes);
-        self.after_write(context, polled)
+        self.after_write(context, polled, bytes.len())
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -294,7 +319,8 @@
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.socket).poll_write_vectored(context, bytes);
-        self.after_write(context, polled)
+        let length = bytes.iter().map(|part| part.len()).sum();
+        self.after_write(context, polled, length)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,9 +15,11 @@
 //!   of bodies in [`request_memory`], of incomplete answers in [`answer_memory`], of unread ones in [`unread_answers`].
 //! - [`connection_limits`] decides which connection makes room, and [`read_pacing`] how fast an address is read from.
 //!   `connection` keeps their state for a listener, and [`listener_limits`] has its numbers.
-//! - `guarded_stream` limits the times of a connection.
+//! - `guarded_stream` limits the times of a connection, and `answer_progress` those of an answer over HTTP/2.
 
+mod answer_body;
 pub mod answer_memory;
+mod answer_progress;
 pub mod attempt;
 pub mod authentication;
 pub mod backlog;
--- a/crates/node/src/request_memory.rs
+++ b/crates/node/src/request_memory.rs
@@ -206,7 +206,13 @@
     limit: Duration,
 ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, Elapsed> {
     let frame = timeout(limit, body.frame()).await?;
-    BodyProgress::record(extensions);
+    match &frame {
+        Some(Ok(frame)) => {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            BodyProgress::record(extensions, bytes);
+        }
+        Some(Err(_)) | None => BodyProgress::end(extensions),
+    }
     Ok(frame)
 }
 
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -9,16 +9,18 @@
 use cornelhitch_types::refusal::{Reason, Refusal};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, Version};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::answer_body::AnswerBody;
 use crate::body::Body;
-use crate::connection::{AnswerBody, BodyProgress, Connection, ConnectionTable};
+use crate::connection::{BodyProgress, Connection, ConnectionTable};
 use crate::guarded_stream::GuardedStream;
 use crate::listener_limits::{ListenerLimits, MAX_HEADERS};
 use crate::problem::{Problem, not_run};
@@ -42,6 +44,9 @@
 /// When a request that was crowded out may be served.
 const CROWDED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Interval between two looks for answers that their callers have stopped reading.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Pause after a connection could not be accepted, as when file descriptors have run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -80,9 +85,15 @@
     close: CancellationToken,
 ) {
     let connections = TaskTracker::new();
+    let mut checks = interval(UNREAD_CHECK_INTERVAL);
+    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let accepted = tokio::select! {
             () = close.cancelled() => break,
+            _ = checks.tick() => {
+                table.close_unread(service.idle_timeout());
+                continue;
+            }
             accepted = accept(&listener, &table) => accepted,
         };
         match accepted {
@@ -173,21 +184,21 @@
     let answer = service_fn(move |mut request: Request<Incoming>| {
         let service = requests.clone();
         let connection = owner.clone();
-        let begun = owner.begin().map(Arc::new);
+        let has_body = !request.body().is_end_stream();
+        let begun = owner.begin(has_body).map(Arc::new);
         if let Some(begun) = &begun {
             let progress = BodyProgress(begun.clone());
             request.extensions_mut().insert(progress);
         }
         async move {
+            let version = request.version();
             let response = match &begun {
                 Some(_) => respond(&*service, request, from).await,
                 None => crowded_out(),
             };
-            Ok::<_, Infallible>(response.map(|body| AnswerBody {
-                body,
-                request: begun,
-                connection,
-            }))
+            Ok::<_, Infallible>(
+                response.map(|body| AnswerBody::new(body, connection, begun, version)),
+            )
         }
     });
     let closer = connection.closer.clone();
