Reset an answer over HTTP/1.0 that is cut off

What callers saw: a stream over HTTP/1.0 whose connection made room for others ended with an orderly close, and so looked complete. Cause: the end of such an answer is the end of its connection (RFC 9112, section 6.3). Change: a connection that ends within such an answer is reset.

--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -15,14 +15,14 @@
 /// The body of an answer, whose request is in progress until it is dropped.
 pub(crate) struct AnswerBody {
     body: Body,
-    #[expect(dead_code, reason = "counts the socket until it is dropped")]
+    /// Counts the socket until it is dropped.
     connection: Arc<Connection>,
     /// The request; `None` if it was crowded out.
     request: Option<Arc<Request>>,
     /// Whether the HTTP library has asked for the body.
     begun: bool,
     /// The version of HTTP. Over HTTP/2 the time limit on unread answers is kept for this answer, and not by the
-    /// socket.
+    /// socket; over HTTP/1.0 the end of the answer may be that of the connection.
     version: Version,
 }
 
@@ -39,6 +39,10 @@
         {
             request.begin_answer();
         }
+        connection.begin_answer(version < Version::HTTP_11);
+        if body.is_end_stream() {
+            connection.end_answer();
+        }
         Self {
             body,
             connection,
@@ -47,6 +51,18 @@
             version,
         }
     }
+
+    /// Records that the HTTP library has taken all of the answer, if it has.
+    fn note_end(&self, polled: &Poll<Option<Result<Frame<Bytes>, Truncated>>>) {
+        let ended = match polled {
+            Poll::Ready(None) => true,
+            Poll::Ready(Some(Ok(_))) => self.body.is_end_stream(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => false,
+        };
+        if ended {
+            self.connection.end_answer();
+        }
+    }
 }
 
 impl HttpBody for AnswerBody {
@@ -58,6 +74,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
+        self.note_end(&polled);
         let is_http2 = self.version == Version::HTTP_2;
         let Some(request) = self.request.clone().filter(|_| is_http2) else {
             return polled;
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -90,6 +90,9 @@
     unused: AtomicUsize,
     /// When the last request ended or answer bytes were written, in milliseconds since the epoch.
     active_ms: AtomicU64,
+    /// Whether the last answer is over HTTP/1.0, and whether such an answer is not at its end.
+    is_http10: AtomicBool,
+    is_unfinished: AtomicBool,
 }
 
 /// Records which bytes of a connection became a part of a body; an extension of each request. The request
@@ -203,6 +206,8 @@
             charged: AtomicUsize::new(0),
             unused: AtomicUsize::new(0),
             active_ms: AtomicU64::new(self.now_ms()),
+            is_http10: AtomicBool::new(false),
+            is_unfinished: AtomicBool::new(false),
         }))
     }
 
@@ -398,6 +403,24 @@
         }
     }
 
+    /// Records that an answer begins, over HTTP/1.0 or a later version.
+    pub(crate) fn begin_answer(&self, is_http10: bool) {
+        self.is_http10.store(is_http10, Ordering::Relaxed);
+        self.is_unfinished.store(is_http10, Ordering::Relaxed);
+    }
+
+    /// Records that the HTTP library has taken all of an answer.
+    pub(crate) fn end_answer(&self) {
+        self.is_unfinished.store(false, Ordering::Relaxed);
+    }
+
+    /// Returns whether an answer is cut off that would look complete if the connection were closed: its end may be
+    /// that of the connection (RFC 9112, section 6.3). `unwritten` says that the socket has not taken all of it.
+    pub(crate) fn cuts_answer(&self, unwritten: bool) -> bool {
+        let is_http10 = self.is_http10.load(Ordering::Relaxed);
+        is_http10 && (unwritten || self.is_unfinished.load(Ordering::Relaxed))
+    }
+
     /// Records that bytes of an answer were written.
     pub(crate) fn record_write(&self) {
         self.active_ms.store(self.table.now_ms(), Ordering::Relaxed);
--- a/crates/node/src/guarded_stream.rs
+++ b/crates/node/src/guarded_stream.rs
@@ -261,6 +261,14 @@
     }
 }
 
+impl Drop for GuardedStream {
+    fn drop(&mut self) {
+        if self.connection.cuts_answer(self.blocked) {
+            let _ = self.socket.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for GuardedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
