Take small answers while the process has any memory

What callers saw: beside heads of 60 kB, 502 to an ordinary request after its target had run it. Cause: requests have room up to 0.86 of the limit and answers up to 0.76, so that a request was sent whose answer had no room. Change: an answer of up to 8 KiB has room as long as there is any.

--- a/crates/node/src/answer_memory.rs
+++ b/crates/node/src/answer_memory.rs
@@ -16,6 +16,10 @@
 /// What one target may hold, relative to what is free.
 const SHARE: usize = 1;
 
+/// Size up to which an answer is small, in bytes: the first segment. The target has run its request, so that it is
+/// refused only if the process has no memory at all.
+pub(crate) const SMALL_ANSWER_BYTES: usize = MIN_SEGMENT_BYTES;
+
 /// Bounds on the size of a segment, in bytes. The largest answer has fewer segments than a caller's
 /// queue has places.
 const MIN_SEGMENT_BYTES: usize = 8 << 10;
--- a/crates/node/src/process_memory.rs
+++ b/crates/node/src/process_memory.rs
@@ -174,6 +174,12 @@
         self.memory.has_room(self.purpose, bytes)
     }
 
+    /// Returns whether this many bytes may be allocated for something small that completes a request.
+    #[must_use]
+    pub fn has_small(&self, bytes: usize) -> bool {
+        self.memory.has_room(Purpose::Progress, bytes)
+    }
+
     /// Returns whether this many bytes may be allocated for a holder that has none yet.
     #[must_use]
     pub fn has_first(&self, bytes: usize) -> bool {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, StatusCode};
 use tokio::sync::oneshot;
 
-use crate::answer_memory::Segments;
+use crate::answer_memory::{SMALL_ANSWER_BYTES, Segments};
 use crate::attempt::{AnswerRecord, Attempt, AttemptEnd, SignalReceivers, end_to_end_headers};
 use crate::exchange::{Head, Part, Payload, Routed};
 use crate::metrics::Count;
@@ -78,7 +78,7 @@
             status: answer.status,
             headers: end_to_end_headers(&answer.headers),
         };
-        let mut memory = self.memory.reservation(&self.to.target);
+        let mut memory = self.answer_reservation();
         let body = self.read_body(answer.body, &mut memory).await?;
         self.begin_answer(&mut deliver).await?;
         self.finish_answer(
@@ -159,6 +159,12 @@
         })
     }
 
+    /// Returns the reservation of a complete answer.
+    fn answer_reservation(&self) -> Reservation<TargetId> {
+        let reservation = self.memory.reservation(&self.to.target);
+        reservation.small_up_to(SMALL_ANSWER_BYTES)
+    }
+
     /// Buffers a complete answer body; fails if it is over [`MAX_ANSWER_BYTES`], or the target's
     /// share of the host's memory has no room for it.
     async fn read_body(
--- a/crates/node/src/shared_memory.rs
+++ b/crates/node/src/shared_memory.rs
@@ -38,14 +38,15 @@
 }
 
 impl<K: Ord + Clone> Usage<K> {
-    /// Adds bytes to what a holder has; returns false, and adds nothing, if its share has no room.
-    fn add(&mut self, holder: &K, bytes: usize) -> bool {
+    /// Adds bytes to what a holder has; returns false, and adds nothing, if its share has no room. For small
+    /// reservations the process has room up to its limit.
+    fn add(&mut self, holder: &K, bytes: usize, is_small: bool) -> bool {
         let held = self.holders.get(holder).copied().unwrap_or_default();
         let free = self.limit - self.total;
         let fits = free
             .checked_sub(bytes)
             .is_some_and(|free| held + bytes <= self.share * free)
-            && self.process_has_room(held, bytes);
+            && self.process_has_room(held, bytes, is_small);
         if fits {
             self.total += bytes;
             self.holders.insert(holder.clone(), held + bytes);
@@ -54,8 +55,9 @@
     }
 
     /// Returns whether the process has room for bytes of a holder that has `held`.
-    fn process_has_room(&self, held: usize, bytes: usize) -> bool {
+    fn process_has_room(&self, held: usize, bytes: usize, is_small: bool) -> bool {
         self.room.is_none_or(|room| match held {
+            _ if is_small => room.has_small(bytes),
             0 => room.has_first(bytes),
             _ => room.has(bytes),
         })
@@ -80,6 +82,8 @@
     holder: K,
     /// Bytes reserved.
     bytes: usize,
+    /// Bytes up to which it is small.
+    small: usize,
 }
 
 impl<K: Ord + Clone> SharedMemory<K> {
@@ -110,6 +114,7 @@
             memory: self.clone(),
             holder: holder.clone(),
             bytes: 0,
+            small: 0,
         }
     }
 
@@ -131,6 +136,13 @@
 }
 
 impl<K: Ord + Clone> Reservation<K> {
+    /// Counts as small up to this many bytes: it has room as long as the process has any.
+    #[must_use]
+    pub fn small_up_to(mut self, bytes: usize) -> Self {
+        self.small = bytes;
+        self
+    }
+
     /// Moves at most this many bytes of the reservation to a new one of the same holder.
     #[must_use]
     pub fn split(&mut self, bytes: usize) -> Self {
@@ -140,6 +152,7 @@
             memory: self.memory.clone(),
             holder: self.holder.clone(),
             bytes,
+            small: self.small,
         }
     }
 
@@ -152,7 +165,7 @@
         let mut usage = self.memory.usage();
         if bytes < self.bytes {
             usage.subtract(&self.holder, self.bytes - bytes);
-        } else if !usage.add(&self.holder, bytes - self.bytes) {
+        } else if !usage.add(&self.holder, bytes - self.bytes, bytes <= self.small) {
             return false;
         }
         drop(usage);
--- a/crates/node/src/unread_answers.rs
+++ b/crates/node/src/unread_answers.rs
@@ -11,6 +11,7 @@
 use cornelhitch_types::refusal::{Reason, Refusal, Run};
 use tokio::time::sleep;
 
+use crate::answer_memory::SMALL_ANSWER_BYTES;
 use crate::metrics::{Count, Metrics};
 use crate::process_memory::{ProcessMemory, Purpose};
 use crate::shared_memory::{Reservation, SharedMemory};
@@ -104,7 +105,7 @@
         let reservation = self.memory.reservation(&caller);
         HeldAnswer {
             parts: Vec::new(),
-            reservation,
+            reservation: reservation.small_up_to(SMALL_ANSWER_BYTES),
             length: 0,
         }
     }
--- a/crates/node/tests/process_memory.rs
+++ b/crates/node/tests/process_memory.rs
@@ -82,6 +82,29 @@
     assert!(!bodies.reservation(&address(1)).resize(BODY_BYTES));
 }
 
+/// Guards against the answer of a request that was admitted, and has run, which is refused for want of a few bytes.
+#[test]
+fn small_answers_have_room_as_long_as_requests_do() {
+    let _alone = ALONE.lock();
+    let memory = memory();
+    let answers = SharedMemory::new(BODIES_BYTES, 3).within(memory.room(Purpose::Answer));
+    let first = |bytes| {
+        answers
+            .reservation(&address(1))
+            .small_up_to(8_192)
+            .resize(bytes)
+    };
+    let mut held = answers.reservation(&address(1));
+    assert!(held.resize(1));
+    while memory.room(Purpose::Request).has_first(0) {
+        assert!(first(8_192), "{} bytes are allocated", heap());
+        HEAP.fetch_add(100_000, Ordering::Relaxed);
+    }
+    assert!(!first(8_193));
+    HEAP.fetch_add(10 * BODY_BYTES, Ordering::Relaxed);
+    assert!(!first(8_192));
+}
+
 /// Guards against a bound that holds where nothing counts allocations, as in a process that embeds the library.
 #[test]
 fn without_a_count_there_is_room() {
