Bound the number and the length of log lines

What operators saw: 100 connections that send long paths or hosts wrote 107 to 419 MB of log in 5 s; refused messages and configurations 18 to 26 MB. Cause: the limits on lines count lines, each as long as what a caller names; those of the registry had none. What is dropped is counted and logged.

--- a/crates/cornelhitch/src/lib.rs
+++ b/crates/cornelhitch/src/lib.rs
@@ -14,6 +14,8 @@
 
 pub mod daemon;
 pub mod log;
+pub mod log_budget;
+mod log_output;
 pub mod operator;
 pub mod prelude;
 pub mod telemetry;
--- a/crates/cornelhitch/src/log.rs
+++ b/crates/cornelhitch/src/log.rs
@@ -1,13 +1,16 @@
 //! Log output of the daemon: a background thread writes the lines to standard output.
 
 use std::io::IsTerminal;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use strum::{Display, EnumString};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
+use crate::log_output::LogOutput;
+
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -21,7 +24,7 @@
 
 /// Capacity of the queue of log lines. Further lines are dropped and counted, so that requests
 /// never block on a log that is not read.
-const QUEUE_LINES: usize = 16_384;
+const QUEUE_LINES: usize = 4_096;
 
 /// Interval between checks for dropped log lines.
 const DROP_CHECK_INTERVAL: Duration = Duration::from_secs(10);
@@ -34,7 +37,17 @@
     /// Writes all queued lines when it is dropped.
     #[allow(dead_code)]
     guard: WorkerGuard,
-    dropped: ErrorCounter,
+    /// Counts lines for which the queue had no place.
+    unqueued: ErrorCounter,
+    /// Counts lines beyond the budget.
+    over_budget: Arc<AtomicUsize>,
+}
+
+impl Writer {
+    /// Returns how many lines were dropped.
+    fn dropped(&self) -> usize {
+        self.unqueued.dropped_lines() + self.over_budget.load(Ordering::Relaxed)
+    }
 }
 
 /// Starts writing log lines to standard output on a background thread.
@@ -49,7 +62,9 @@
         .buffered_lines_limit(QUEUE_LINES)
         .lossy(true)
         .finish(std::io::stdout());
-    let dropped = output.error_counter();
+    let unqueued = output.error_counter();
+    let output = LogOutput::new(output);
+    let over_budget = output.dropped();
     let subscriber = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(std::io::stdout().is_terminal())
@@ -60,7 +75,11 @@
     };
     // If another subscriber is already installed, as in tests, it stays in place.
     if installed.is_ok() {
-        *writer() = Some(Writer { guard, dropped });
+        *writer() = Some(Writer {
+            guard,
+            unqueued,
+            over_budget,
+        });
     }
     Ok(())
 }
@@ -80,13 +99,11 @@
     let mut reported = 0;
     loop {
         tokio::time::sleep(DROP_CHECK_INTERVAL).await;
-        let dropped = writer()
-            .as_ref()
-            .map_or(0, |writer| writer.dropped.dropped_lines());
+        let dropped = writer().as_ref().map_or(0, Writer::dropped);
         if dropped > reported {
             tracing::warn!(
                 dropped,
-                "log lines dropped: the log output is not read fast enough"
+                "log lines dropped: too long, too many, or not read fast enough"
             );
             reported = dropped;
         }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -29,6 +29,7 @@
 use crate::answer_memory::AnswerMemory;
 use crate::entry::Input;
 use crate::exchange::{Exchange, Head, Part, Payload, Recorded};
+use crate::log_limit::shorten;
 use crate::metrics::{Count, Metrics};
 
 /// Tokens between two progress reports to the core.
@@ -191,7 +192,7 @@
         if let Err(AttemptEnd::Failed(failure)) = ended {
             self.metrics.increment(Count::AttemptsFailed);
             tracing::info!(
-                request = &*self.request, target = &*self.to.target, %failure, "attempt failed"
+                request = shorten(&self.request), target = &*self.to.target, %failure, "attempt failed"
             );
             self.report_progress();
             self.send_event(Event::Failed {
@@ -428,7 +429,7 @@
 
     /// Logs an error of the target and converts it.
     pub(crate) fn target_error(&self, error: Error) -> AttemptEnd {
-        tracing::debug!(request = &*self.request, %error, "request to target failed");
+        tracing::debug!(request = shorten(&self.request), %error, "request to target failed");
         if let Error::Status {
             status: 429 | 503,
             retry_after: Some(pause),
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -37,6 +37,7 @@
 use crate::exchange::{Exchange, NewRequest, Payload, Recorded};
 use crate::ingress::Routes;
 use crate::links::Links;
+use crate::log_limit::shorten;
 use crate::message::{Datagram, Upward};
 use crate::metrics::{Count, Metrics, Timing};
 use crate::request_log::RequestLog;
@@ -652,7 +653,7 @@
                 let cancelled = client.cancel(running.to.address, &running.request).await;
                 if let Err(error) = cancelled {
                     tracing::debug!(
-                        request = &*running.request, %error,
+                        request = shorten(&running.request), %error,
                         "target did not accept the cancellation"
                     );
                 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -32,7 +32,7 @@
 use crate::entry::Input;
 use crate::exchange::{NewRequest, PART_QUEUE_CAPACITY, Payload, Routed};
 use crate::header;
-use crate::log_limit::LogLimiter;
+use crate::log_limit::{LogLimiter, shorten};
 use crate::metrics::{Count, Metrics};
 use crate::problem::not_run;
 use crate::request_memory::{RequestBodies, drain};
@@ -291,9 +291,10 @@
     /// Logs a request that was refused before it reached the core.
     fn log_refusal(&self, summary: &RequestSummary, refusal: &Refusal, table: Version) {
         if self.lock_log_limit().allow() {
-            let (host, path) = (&summary.host, summary.uri.path());
+            let host = summary.host.as_ref().and_then(|host| host.to_str().ok());
             tracing::info!(
-                ?host, path, reason = %refusal.reason, detail = &*refusal.detail, table,
+                host = host.map(shorten), path = shorten(summary.uri.path()),
+                reason = %refusal.reason, detail = shorten(&refusal.detail), table,
                 "request refused before it was passed to the entry core"
             );
         }
--- a/crates/node/src/log_limit.rs
+++ b/crates/node/src/log_limit.rs
@@ -1,4 +1,4 @@
-//! A rate limit for log lines, so that a burst of requests cannot overload the host with logging.
+//! Limits on the number and the length of log lines, so that requests cannot overload the host with logging.
 
 use std::time::Duration;
 
@@ -10,6 +10,22 @@
 /// The window over which lines are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
+/// Longest part of what a caller names that is logged, in bytes.
+const MAX_VALUE_BYTES: usize = 256;
+
+/// Returns the beginning of what a caller names, for the log.
+///
+/// ```
+/// use cornelhitch_node::log_limit::shorten;
+///
+/// assert_eq!(shorten("lane-summary-1"), "lane-summary-1");
+/// assert_eq!(shorten(&"é".repeat(1_000)).len(), 256);
+/// ```
+#[must_use]
+pub fn shorten(value: &str) -> &str {
+    &value[..value.floor_char_boundary(MAX_VALUE_BYTES)]
+}
+
 /// Limits the rate of log lines of one source.
 ///
 /// ```
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -3,13 +3,13 @@
 //! The leader handles the messages; other control hosts redirect to it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use cornelhitch_control::current_table::SubmittedTable;
 use cornelhitch_settings::process::Zone;
-use cornelhitch_target::inbound::{Message, Protocol, Receipt};
+use cornelhitch_target::inbound::{Error, Message, Protocol, Receipt};
 use cornelhitch_types::route::RouteTable;
 use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
@@ -19,6 +19,7 @@
 
 use crate::body::{self, Body};
 use crate::control::TaskMessage;
+use crate::log_limit::{LogLimiter, shorten};
 use crate::problem::Problem;
 use crate::request_memory::RequestBodies;
 use crate::server::Service;
@@ -111,6 +112,8 @@
     pub epoch: Instant,
     /// Largest head of a request that this host accepts, in bytes.
     pub head_bytes: usize,
+    /// Limits the log lines about messages.
+    pub log_limit: Mutex<LogLimiter>,
 }
 
 impl Service for Registry {
@@ -129,11 +132,14 @@
             let outcome = self
                 .handle_table_operation(route_tables.as_ref(), operation, body)
                 .await;
-            tracing::info!(
-                verb = ?operation,
-                outcome = outcome.name(),
-                "answered an operator's route table request"
-            );
+            // Each table that is accepted is logged.
+            if outcome == TableOutcome::Accepted || self.allow_log_line() {
+                tracing::info!(
+                    verb = ?operation,
+                    outcome = outcome.name(),
+                    "answered an operator's route table request"
+                );
+            }
             return route_tables.answer(&outcome).map(body::full);
         }
         if self.targets.handles_path(parts.uri.path()) {
@@ -186,10 +192,7 @@
         let receipt = match message {
             Ok(message) => Ok(self.forward_message(message).await),
             Err(error) => {
-                tracing::info!(
-                    %error, path = parts.uri.path(),
-                    "target's message refused: cannot decode it"
-                );
+                self.log_undecodable(&error, parts.uri.path());
                 Err(error)
             }
         };
@@ -198,6 +201,23 @@
             .map(body::full)
     }
 
+    /// Logs that a target's message cannot be decoded.
+    fn log_undecodable(&self, error: &Error, path: &str) {
+        if self.allow_log_line() {
+            tracing::info!(
+                error = shorten(&error.to_string()),
+                path = shorten(path),
+                "target's message refused: cannot decode it"
+            );
+        }
+    }
+
+    /// Returns whether a line about a message may be logged now.
+    fn allow_log_line(&self) -> bool {
+        let limit = self.log_limit.lock();
+        limit.unwrap_or_else(PoisonError::into_inner).allow()
+    }
+
     /// Passes a target's message to the control task, with the region of its zone filled in.
     async fn forward_message(&self, mut message: Message) -> Receipt {
         let mut next = self.address;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::answer_memory::{SMALL_ANSWER_BYTES, Segments};
 use crate::attempt::{AnswerRecord, Attempt, AttemptEnd, SignalReceivers, end_to_end_headers};
 use crate::exchange::{Head, Part, Payload, Routed};
+use crate::log_limit::shorten;
 use crate::metrics::Count;
 use crate::shared_memory::Reservation;
 
@@ -150,7 +151,7 @@
             }
         }
         tracing::info!(
-            request = &*self.request, target = &*self.to.target, %declined,
+            request = shorten(&self.request), target = &*self.to.target, %declined,
             "target declined the request without running it"
         );
         AttemptEnd::Failed(match declined {
@@ -189,7 +190,7 @@
         self.metrics.increment(Count::AnswersGivenUp);
         if self.memory.allow_log_line() {
             tracing::warn!(
-                request = &*self.request,
+                request = shorten(&self.request),
                 target = &*self.to.target,
                 buffered,
                 reserved = self.memory.reserved(),
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -5,7 +5,7 @@
 use cornelhitch_types::refusal::Refusal;
 
 use crate::exchange::{Exchange, Payload};
-use crate::log_limit::LogLimiter;
+use crate::log_limit::{LogLimiter, shorten};
 
 /// The versions of the view and route table that a decision was based on.
 #[derive(Debug, Clone, Copy)]
@@ -35,9 +35,9 @@
     ) {
         if self.0.allow() {
             tracing::info!(
-                request = &*request_id(exchange),
-                what = &*requested(exchange),
-                caller = &*exchange.caller,
+                request = shorten(&request_id(exchange)),
+                what = shorten(&requested(exchange)),
+                caller = shorten(&exchange.caller),
                 fingerprint = exchange.fingerprint,
                 content = content(exchange),
                 sections = %exchange.sections,
@@ -62,7 +62,7 @@
         if self.0.allow() {
             let begun = exchange.begun.map(|begun| begun - exchange.arrived);
             tracing::info!(
-                request = &*request_id(exchange),
+                request = shorten(&request_id(exchange)),
                 attempt,
                 after_ms = elapsed_ms(exchange),
                 begun_ms = begun.map(|begun| begun.as_millis()),
@@ -76,10 +76,10 @@
         if self.0.allow() {
             let retry_ms = refusal.retry_after.map(|after| after.as_millis());
             tracing::info!(
-                request = &*request_id(exchange), what = &*requested(exchange),
+                request = shorten(&request_id(exchange)), what = shorten(&requested(exchange)),
                 fingerprint = exchange.fingerprint, content = content(exchange),
                 sections = %exchange.sections,
-                reason = %refusal.reason, run = %refusal.run, retry_ms, detail = &*refusal.detail,
+                reason = %refusal.reason, run = %refusal.run, retry_ms, detail = shorten(&refusal.detail),
                 after_ms = elapsed_ms(exchange), left_ms = remaining_ms(exchange),
                 term = context.term, view = context.view, table = context.table,
                 leaving_ms = context.leaving_ms,
@@ -92,8 +92,8 @@
     pub fn caller_left(&mut self, exchange: &Exchange) {
         if self.0.allow() {
             tracing::info!(
-                request = &*request_id(exchange),
-                what = &*requested(exchange),
+                request = shorten(&request_id(exchange)),
+                what = shorten(&requested(exchange)),
                 after_ms = elapsed_ms(exchange),
                 "caller disconnected before the end of the answer"
             );
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -443,6 +443,7 @@
             takers: Takers::new(takers),
             epoch: self.epoch,
             head_bytes: ListenerLimits::new(&self.process.serving, Audience::Registry).head_bytes,
+            log_limit: Mutex::default(),
         };
         tokio::spawn(self.listen(listener, registry, Audience::Registry, self.stop.clone()));
     }
