--- a/crates/target/src/inbound.rs
+++ b/crates/target/src/inbound.rs
@@ -255,9 +255,39 @@
     Ok(Message::Announcement(message))
 }
 
+/// Checks that no name in a message that is an announcement and a heartbeat is too long.
+///
+/// # Errors
+/// The error names the field with a name that is too long.
+pub fn check_presence_names(presence: &AnnouncedHeartbeat) -> Result<(), Error> {
+    let announcement = &presence.announcement;
+    check_length("target", &announcement.target)?;
+    check_length("zone", &announcement.zone)?;
+    for service in &announcement.services {
+        check_length("service", service)?;
+    }
+    if let Some(software) = &presence.software {
+        check_length("version", software)?;
+    }
+    check_model_names(&presence.heartbeat)
+}
+
+/// Checks that no name of a model or adapter that a heartbeat lists is too long.
+fn check_model_names(heartbeat: &Heartbeat) -> Result<(), Error> {
+    for copy in &heartbeat.inventory {
+        check_length("inventory.model", &copy.model.model)?;
+        let adapters = copy.adapters.iter().chain(&copy.model.adapter);
+        for name in adapters.chain(&copy.model.version) {
+            check_length("inventory.adapters", name)?;
+        }
+    }
+    Ok(())
+}
+
 /// Validates a heartbeat.
 fn check_heartbeat(message: Heartbeat) -> Result<Message, Error> {
     check_name("target", &message.target)?;
+    check_model_names(&message)?;
     for copy in &message.inventory {
         check_value(
             copy.bytes == 0 || copy.stage >= Stage::Loading,
@@ -283,14 +313,19 @@
     Ok(Message::Leaving(message))
 }
 
+/// Checks that a name is not too long.
+///
+/// # Errors
+/// The error names the field.
+pub fn check_length(field: &'static str, name: &str) -> Result<(), Error> {
+    let fits = name.len() <= MAX_NAME_BYTES;
+    check_value(fits, field, "it is longer than 256 bytes")
+}
+
 /// Validates a name.
 fn check_name(field: &'static str, name: &str) -> Result<(), Error> {
     check_value(!name.is_empty(), field, "it is empty")?;
-    check_value(
-        name.len() <= MAX_NAME_BYTES,
-        field,
-        "it is longer than 256 bytes",
-    )?;
+    check_length(field, name)?;
     let plain = name.chars().all(|c| !c.is_control());
     check_value(plain, field, "it holds a control character")
 }
