Limit the targets that are registered, and what they report

What callers saw: 502 after 200,000 targets had been named at the registry. Cause: what a target reports stays for an hour after its last heartbeat, and nothing bounds how many there are. Change: the setting targets, 64 for each MB of memory-mb by default; a share of memory for each target's report (target_state). Further ones get 503; without room silent ones are removed. A target that says that it leaves is always heard.

--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -14,6 +14,8 @@
     pub(crate) now: Time,
     /// The leader's timeouts and intervals.
     pub(crate) timing: &'a Timing,
+    /// The most targets that may be registered.
+    pub(crate) max_targets: usize,
     /// The actions collected so far.
     pub(crate) out: Vec<Output>,
 }
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -9,6 +9,7 @@
 
 use crate::command::Command;
 use crate::context::Context;
+use crate::fleet::Fleet;
 use crate::output::Output;
 use crate::replicas::{Decide, Evidence, QUIET_HEARTBEATS, Replica};
 use crate::term_state::TermState;
@@ -18,6 +19,13 @@
 const MIN_ORPHAN_HEARTBEATS: u64 = 2;
 
 impl TermState {
+    /// Returns whether a target is registered, or may be: there are fewer than `max_targets`, those that
+    /// wait for their registration among them.
+    pub(crate) fn has_room_for(&self, target: &str, fleet: &Fleet, max_targets: usize) -> bool {
+        let known = fleet.get(target).is_some() || self.pending_heartbeats.contains_key(target);
+        known || fleet.len() + self.pending_heartbeats.len() < max_targets
+    }
+
     /// Handles an announcement: proposes to register a new or changed one.
     pub(crate) fn on_announcement(&mut self, announcement: Announcement, ctx: &mut Context) {
         let known = ctx.state.fleet().get(&announcement.target);
@@ -29,7 +37,8 @@
             .state
             .fleet()
             .has_ended(&announcement.target, announcement.incarnation);
-        if !ended {
+        let has_room = self.has_room_for(&announcement.target, ctx.state.fleet(), ctx.max_targets);
+        if !ended && has_room {
             self.pending.propose(Command::Register(announcement), ctx);
         }
     }
@@ -54,7 +63,7 @@
             .is_some()
         {
             self.on_heartbeat(heartbeat, ctx);
-        } else {
+        } else if self.has_room_for(&target, ctx.state.fleet(), ctx.max_targets) {
             self.pending_heartbeats.insert(target, heartbeat);
         }
     }
@@ -334,8 +343,10 @@
         }
     }
 
-    /// Suspects targets that are silent, and removes those that have been silent for long.
+    /// Suspects targets that are silent, and removes those that have been silent for long. Without room for
+    /// further targets it removes all silent ones.
     pub(crate) fn check_silence(&mut self, ctx: &mut Context) {
+        let is_full = ctx.state.fleet().len() >= ctx.max_targets;
         let mut suspects = Vec::new();
         for (target, worker) in self.workers.iter_mut() {
             let silence = ctx.now.saturating_sub(worker.last_contact);
@@ -358,7 +369,8 @@
             }
             self.send_due_orders_to(&target, ctx);
             if silence >= ctx.timing.silent_after {
-                self.propose_silent(&target, silence >= ctx.timing.dismiss_after, ctx);
+                let dismissible = is_full || silence >= ctx.timing.dismiss_after;
+                self.propose_silent(&target, dismissible, ctx);
             }
         }
     }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -44,6 +44,7 @@
 /// ```
 pub struct Leader {
     timing: Timing,
+    max_targets: usize,
     planner: Box<dyn Planner>,
     term_state: Option<TermState>,
 }
@@ -70,11 +71,32 @@
     pub fn with_timing(planner: Box<dyn Planner>, timing: Timing) -> Self {
         Self {
             timing,
+            max_targets: usize::MAX,
             planner,
             term_state: None,
         }
     }
 
+    /// Registers no further targets beyond this many.
+    #[must_use]
+    pub fn max_targets(mut self, targets: usize) -> Self {
+        self.max_targets = targets;
+        self
+    }
+
+    /// Returns the most targets that may be registered.
+    #[must_use]
+    pub fn targets_limit(&self) -> usize {
+        self.max_targets
+    }
+
+    /// Returns whether this host, if it leads, would register a target, or has done so.
+    #[must_use]
+    pub fn has_room_for(&self, target: &str, state: &State) -> bool {
+        let term_state = self.term_state.as_ref();
+        term_state.is_none_or(|it| it.has_room_for(target, state.fleet(), self.max_targets))
+    }
+
     /// Returns the term in which this host leads; `None` when it does not lead.
     #[must_use]
     pub fn term(&self) -> Option<Term> {
@@ -91,6 +113,7 @@
             state,
             now,
             timing: &self.timing,
+            max_targets: self.max_targets,
             out: Vec::new(),
         };
         match input {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -48,11 +48,13 @@
 use crate::intake::{Forwards, Intake};
 use crate::leaderships::Leaderships;
 use crate::links::Links;
+use crate::log_limit::LogLimiter;
 use crate::message::{Datagram, Downward, Incoming, Message, PeerEvent};
 use crate::metrics::{Count, Metrics};
 use crate::registry::Answer;
 use crate::reservation::Reservations;
 use crate::software::SoftwareRegister;
+use crate::target_state::TargetState;
 use crate::timestamped::TimestampedCommand;
 use crate::trials::Trials;
 
@@ -103,6 +105,8 @@
     pub writer: Writer,
     /// The leader's decision logic.
     pub leader: Leader,
+    /// The memory for what targets report.
+    pub target_state: TargetState,
     /// Messages and datagrams from peers.
     pub incoming: mpsc::UnboundedReceiver<Incoming>,
     /// Messages from other tasks of this process.
@@ -213,6 +217,8 @@
     pub(crate) forwards: Forwards,
     /// Questions about origins of streams that wait for a confirmation.
     pub(crate) origins: origins::Questions,
+    /// Limits the log lines about targets that are not registered for lack of room.
+    pub(crate) refused_targets: LogLimiter,
     /// Operators' route tables that wait to be committed.
     submissions: Submissions<Answer<()>>,
     /// The newest settings version in force on all hosts.
@@ -261,6 +267,7 @@
         intake: Intake::new(setup.epoch.elapsed()),
         forwards: Forwards::default(),
         origins: origins::Questions::default(),
+        refused_targets: LogLimiter::default(),
         submissions: Submissions::default(),
         settings_in_force: 0,
         waiters: HashMap::new(),
--- a/crates/node/src/control/heartbeats.rs
+++ b/crates/node/src/control/heartbeats.rs
@@ -26,7 +26,8 @@
     /// Takes a target's heartbeat for the leader; returns false if this host cannot.
     pub(super) fn take_heartbeat(&mut self, presence: &AnnouncedHeartbeat) -> bool {
         let now = self.now();
-        if self.intake.is_open(now) && !presence.heartbeat.leaving {
+        let is_taken = self.intake.is_open(now) && !presence.heartbeat.leaving;
+        if is_taken && self.admits(presence) {
             self.intake.take(presence.clone(), now);
             self.setup.metrics.increment(Count::HeartbeatsTaken);
             return true;
@@ -67,7 +68,9 @@
         self.forwards.set_address(from, registry);
         self.publish_takers();
         for presence in unpacked.heartbeats {
-            self.hear(presence);
+            if self.admits(&presence) {
+                self.hear(presence);
+            }
         }
         let fleet = self.state.fleet();
         if self.forwards.len() > fleet.len() {
--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -8,6 +8,7 @@
 use cornelhitch_quorum::event::Event;
 use cornelhitch_target::inbound;
 use cornelhitch_types::id::{Incarnation, TargetId};
+use cornelhitch_types::target::AnnouncedHeartbeat;
 
 use super::{Control, Waiter};
 use crate::registry::{Answer, NotLeader};
@@ -30,6 +31,10 @@
             inbound::Message::Heartbeat(heartbeat) => self.handle(Input::Heartbeat(heartbeat)),
             inbound::Message::Presence(presence) => {
                 let leaving = presence.heartbeat.leaving;
+                if !leaving && !self.admits(&presence) {
+                    let _ = answer.send(Err(NotLeader));
+                    return;
+                }
                 let (target, incarnation) = (
                     presence.heartbeat.target.clone(),
                     presence.heartbeat.incarnation,
@@ -50,6 +55,29 @@
         let _ = answer.send(Ok(()));
     }
 
+    /// Returns whether there is room for a target and what it reports; logs that there is none.
+    pub(super) fn admits(&mut self, presence: &AnnouncedHeartbeat) -> bool {
+        let target = &presence.heartbeat.target;
+        let fleet = self.state.fleet();
+        let is_known = |target: &TargetId| fleet.get(target).is_some();
+        let has_room = if self.leading {
+            self.setup.leader.has_room_for(target, &self.state)
+        } else {
+            let max_targets = self.setup.leader.targets_limit();
+            is_known(target) || self.intake.has_room_for(target, max_targets)
+        };
+        let admits = has_room && self.setup.target_state.reserve(presence, is_known);
+        if !admits && self.refused_targets.allow() {
+            let targets = fleet.len();
+            tracing::warn!(
+                target = &**target,
+                targets,
+                "target's message refused: no room for further targets, or for what it holds"
+            );
+        }
+        admits
+    }
+
     /// Commits that a target leaves and answers after the commit. An unknown incarnation is
     /// committed too, since this host may no longer lead.
     pub(super) fn leave(
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -139,6 +139,12 @@
         now < self.open_until
     }
 
+    /// Returns whether the heartbeats of a target are taken, or may be: those of fewer than `max_targets` are.
+    #[must_use]
+    pub fn has_room_for(&self, target: &str, max_targets: usize) -> bool {
+        self.targets.contains_key(target) || self.targets.len() < max_targets
+    }
+
     /// Takes a heartbeat; an older one than the newest is dropped.
     pub fn take(&mut self, presence: AnnouncedHeartbeat, now: Time) {
         let position = |it: &AnnouncedHeartbeat| (it.heartbeat.incarnation, it.heartbeat.sequence);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod software;
 mod startup;
 pub mod takers;
+pub mod target_state;
 pub mod timestamped;
 pub mod trials;
 pub mod unread_answers;
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -18,7 +18,7 @@
 use cornelhitch_quorum::membership_policy::MembershipPolicy;
 use cornelhitch_quorum::store::Store;
 use cornelhitch_settings::fleet::FleetSettings;
-use cornelhitch_settings::process::{Peer, ProcessSettings, Role};
+use cornelhitch_settings::process::{Peer, ProcessSettings, Role, Serving};
 use cornelhitch_types::entry::Host;
 use cornelhitch_types::id::{HostId, Incarnation};
 use cornelhitch_wire::hello::{Identity, cluster_id};
@@ -52,8 +52,12 @@
 use crate::session;
 use crate::socket::Addresses;
 use crate::takers::Takers;
+use crate::target_state::TargetState;
 use crate::unread_answers::UnreadAnswers;
 
+/// Targets that the leader registers for each megabyte of memory. One takes some 1.2 kB.
+const TARGETS_PER_MB: f64 = 64.0;
+
 /// Election timeout of a cluster that runs without operators: several round trips between regions,
 /// and less than callers wait.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
@@ -235,7 +239,9 @@
             voters,
             core,
             writer,
-            leader: Leader::new(Box::new(Policy::default())),
+            leader: Leader::new(Box::new(Policy::default()))
+                .max_targets(max_targets(&self.process.serving)),
+            target_state: TargetState::new(self.memory),
             incoming,
             task_messages,
             task_sender: task_sender.clone(),
@@ -546,3 +552,12 @@
     let now = SystemTime::now();
     now.duration_since(UNIX_EPOCH).unwrap_or_default()
 }
+
+/// Returns the most targets that the leader registers.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn max_targets(serving: &Serving) -> usize {
+    match usize::try_from(serving.targets) {
+        Ok(0) => (TARGETS_PER_MB * serving.memory_mb) as usize,
+        targets => targets.unwrap_or(usize::MAX),
+    }
+}
