Keep histories of the leader in proportion to its memory

Change: 80 changes, 40 entries and 32 KiB of the log for each MB of memory, at most what it was before: from 256 MB on, the default, nothing changes. The leader's limits are one type (Limits). Targets and incarnations that were dismissed are replicated state, whose fixed limits stay.

--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -2,6 +2,7 @@
 
 use cornelhitch_types::id::Time;
 
+use crate::limits::Limits;
 use crate::output::Output;
 use crate::state::State;
 use crate::timing::Timing;
@@ -14,8 +15,8 @@
     pub(crate) now: Time,
     /// The leader's timeouts and intervals.
     pub(crate) timing: &'a Timing,
-    /// The most targets that may be registered.
-    pub(crate) max_targets: usize,
+    /// What the leader may keep.
+    pub(crate) limits: Limits,
     /// The actions collected so far.
     pub(crate) out: Vec<Output>,
 }
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -12,9 +12,6 @@
 /// The minimum interval between two urgent publications, for each entry host.
 const URGENT_INTERVAL_PER_HOST: Time = Time::from_millis(1);
 
-/// The maximum number of changes kept for entry hosts that missed them.
-const MAX_KEPT_CHANGES: usize = 20_000;
-
 /// The changes of one publication.
 #[derive(Debug)]
 struct Publication {
@@ -30,6 +27,8 @@
     last_published: Option<Time>,
     publications: VecDeque<Publication>,
     kept_changes: usize,
+    /// The most changes that are kept for entry hosts which missed them.
+    max_kept_changes: usize,
     urgent: bool,
     changed_targets: BTreeSet<TargetId>,
     changed_replicas: BTreeSet<ReplicaId>,
@@ -40,14 +39,15 @@
 }
 
 impl Feed {
-    /// Creates a feed that has published nothing.
-    pub(crate) fn new(term: Term) -> Self {
+    /// Creates a feed that has published nothing, and keeps this many changes.
+    pub(crate) fn new(term: Term, max_kept_changes: usize) -> Self {
         Self {
             term,
             sequence: 1,
             last_published: None,
             publications: VecDeque::new(),
             kept_changes: 0,
+            max_kept_changes,
             urgent: false,
             changed_targets: BTreeSet::new(),
             changed_replicas: BTreeSet::new(),
@@ -248,7 +248,7 @@
             sequence: self.sequence,
             changes,
         });
-        while self.kept_changes > MAX_KEPT_CHANGES {
+        while self.kept_changes > self.max_kept_changes {
             let Some(publication) = self.publications.pop_front() else {
                 return;
             };
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -37,7 +37,8 @@
             .state
             .fleet()
             .has_ended(&announcement.target, announcement.incarnation);
-        let has_room = self.has_room_for(&announcement.target, ctx.state.fleet(), ctx.max_targets);
+        let has_room =
+            self.has_room_for(&announcement.target, ctx.state.fleet(), ctx.limits.targets);
         if !ended && has_room {
             self.pending.propose(Command::Register(announcement), ctx);
         }
@@ -63,7 +64,7 @@
             .is_some()
         {
             self.on_heartbeat(heartbeat, ctx);
-        } else if self.has_room_for(&target, ctx.state.fleet(), ctx.max_targets) {
+        } else if self.has_room_for(&target, ctx.state.fleet(), ctx.limits.targets) {
             self.pending_heartbeats.insert(target, heartbeat);
         }
     }
@@ -346,7 +347,7 @@
     /// Suspects targets that are silent, and removes those that have been silent for long. Without room for
     /// further targets it removes all silent ones.
     pub(crate) fn check_silence(&mut self, ctx: &mut Context) {
-        let is_full = ctx.state.fleet().len() >= ctx.max_targets;
+        let is_full = ctx.state.fleet().len() >= ctx.limits.targets;
         let mut suspects = Vec::new();
         for (target, worker) in self.workers.iter_mut() {
             let silence = ctx.now.saturating_sub(worker.last_contact);
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -9,6 +9,7 @@
 use crate::context::Context;
 use crate::dump::Dump;
 use crate::input::Input;
+use crate::limits::Limits;
 use crate::output::Output;
 use crate::state::State;
 use crate::term_state::TermState;
@@ -44,7 +45,7 @@
 /// ```
 pub struct Leader {
     timing: Timing,
-    max_targets: usize,
+    limits: Limits,
     planner: Box<dyn Planner>,
     term_state: Option<TermState>,
 }
@@ -71,30 +72,30 @@
     pub fn with_timing(planner: Box<dyn Planner>, timing: Timing) -> Self {
         Self {
             timing,
-            max_targets: usize::MAX,
+            limits: Limits::default(),
             planner,
             term_state: None,
         }
     }
 
-    /// Registers no further targets beyond this many.
+    /// Keeps no more than this.
     #[must_use]
-    pub fn max_targets(mut self, targets: usize) -> Self {
-        self.max_targets = targets;
+    pub fn limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
         self
     }
 
     /// Returns the most targets that may be registered.
     #[must_use]
     pub fn targets_limit(&self) -> usize {
-        self.max_targets
+        self.limits.targets
     }
 
     /// Returns whether this host, if it leads, would register a target, or has done so.
     #[must_use]
     pub fn has_room_for(&self, target: &str, state: &State) -> bool {
         let term_state = self.term_state.as_ref();
-        term_state.is_none_or(|it| it.has_room_for(target, state.fleet(), self.max_targets))
+        term_state.is_none_or(|it| it.has_room_for(target, state.fleet(), self.limits.targets))
     }
 
     /// Returns the term in which this host leads; `None` when it does not lead.
@@ -113,7 +114,7 @@
             state,
             now,
             timing: &self.timing,
-            max_targets: self.max_targets,
+            limits: self.limits,
             out: Vec::new(),
         };
         match input {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod input;
 pub mod leader;
 mod leases;
+pub mod limits;
 pub mod mutation;
 mod orders;
 mod outcome;
--- a/crates/control/src/term_state.rs
+++ b/crates/control/src/term_state.rs
@@ -89,7 +89,7 @@
             replica_orders: OrdersByReplica::default(),
             demand: DemandTracker::default(),
             leases: Leases::new(ctx),
-            feed: Feed::new(term),
+            feed: Feed::new(term, ctx.limits.kept_changes),
             planner_input: PlannerInput::default(),
             pending: Pending::default(),
             adapters: BTreeMap::new(),
--- a/crates/control/tests/targets_limit.rs
+++ b/crates/control/tests/targets_limit.rs
@@ -16,7 +16,11 @@
 /// Returns a leader that registers few targets.
 fn bench() -> Bench {
     let mut bench = Bench::new();
-    bench.leader = Leader::new(Box::new(DemandPlanner)).max_targets(MAX_TARGETS);
+    let limits = Limits {
+        targets: MAX_TARGETS,
+        ..Limits::default()
+    };
+    bench.leader = Leader::new(Box::new(DemandPlanner)).limits(limits);
     bench.handle(Input::Elected { term: bench.term });
     bench.apply_settings(MODELS);
     bench
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -9,6 +9,7 @@
 use cornelhitch_control::command::Command;
 use cornelhitch_control::current_settings::Apply;
 use cornelhitch_control::leader::Leader;
+use cornelhitch_control::limits::Limits;
 use cornelhitch_control::quota::Terms;
 use cornelhitch_entry::config::Config;
 use cornelhitch_entry::core::Core;
@@ -58,6 +59,13 @@
 /// Targets that the leader registers for each megabyte of memory. One takes some 1.2 kB.
 const TARGETS_PER_MB: f64 = 64.0;
 
+/// Published changes that the leader keeps for each megabyte of memory.
+const KEPT_CHANGES_PER_MB: f64 = 80.0;
+
+/// Entries of the log, and their bytes, for each megabyte of memory after which a snapshot takes their place.
+const LOG_ENTRIES_PER_MB: f64 = 40.0;
+const LOG_BYTES_PER_MB: f64 = 32_768.0;
+
 /// Election timeout of a cluster that runs without operators: several round trips between regions,
 /// and less than callers wait.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
@@ -240,7 +248,7 @@
             core,
             writer,
             leader: Leader::new(Box::new(Policy::default()))
-                .max_targets(max_targets(&self.process.serving)),
+                .limits(leader_limits(&self.process.serving)),
             target_state: TargetState::new(self.memory),
             incoming,
             task_messages,
@@ -295,6 +303,10 @@
             lease_reads: !seeded,
             ..quorum::config::Config::default()
         };
+        config.limit_log(
+            for_memory(LOG_ENTRIES_PER_MB, &self.process.serving),
+            for_memory(LOG_BYTES_PER_MB, &self.process.serving),
+        );
         if seeded {
             config.election_timeout = ELECTION_TIMEOUT;
             config.heartbeat_interval = HEARTBEAT_INTERVAL;
@@ -553,11 +565,21 @@
     now.duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
-/// Returns the most targets that the leader registers.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn max_targets(serving: &Serving) -> usize {
-    match usize::try_from(serving.targets) {
-        Ok(0) => (TARGETS_PER_MB * serving.memory_mb) as usize,
-        targets => targets.unwrap_or(usize::MAX),
+/// Returns what the leader may keep.
+fn leader_limits(serving: &Serving) -> Limits {
+    let default = Limits::default();
+    let kept_changes = for_memory(KEPT_CHANGES_PER_MB, serving);
+    Limits {
+        targets: match usize::try_from(serving.targets) {
+            Ok(0) => for_memory(TARGETS_PER_MB, serving),
+            targets => targets.unwrap_or(usize::MAX),
+        },
+        kept_changes: kept_changes.min(default.kept_changes),
     }
 }
+
+/// Returns a number in proportion to the process's memory.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn for_memory(per_mb: f64, serving: &Serving) -> usize {
+    (per_mb * serving.memory_mb) as usize
+}
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -79,6 +79,25 @@
 }
 
 impl Config {
+    /// Takes snapshots early enough that the log holds no more than this between two of them, as far as the
+    /// thresholds in force don't do so already.
+    ///
+    /// ```
+    /// use cornelhitch_quorum::config::Config;
+    ///
+    /// let mut config = Config::default();
+    /// config.limit_log(100, usize::MAX);
+    /// assert_eq!(config.snapshot_threshold_entries, 100);
+    /// assert_eq!(config.snapshot_threshold_bytes, Config::default().snapshot_threshold_bytes);
+    /// ```
+    pub fn limit_log(&mut self, entries: usize, bytes: usize) {
+        let at_most =
+            |threshold: u64, limit: usize| threshold.min(limit.try_into().unwrap_or(u64::MAX));
+        self.snapshot_threshold_entries = at_most(self.snapshot_threshold_entries, entries);
+        self.snapshot_threshold_bytes = at_most(self.snapshot_threshold_bytes, bytes);
+        self.trailing_bytes = self.trailing_bytes.min(bytes);
+    }
+
     /// Duration of a lease, counted from the sending of the heartbeat that a quorum answered.
     ///
     /// With clock rates in `1 ± d`, a voter withholds its vote for at least `election / (1 + d)`
