Keep the state of targets below where requests are refused

Cause, traced here: a target takes 2.6 to 3 kB in a process with both roles, and 0.8 kB more for each model, where 1 kB and 0.26 kB were counted. So 3,919 targets filled the memory before the limit of 4,096 was reached, above which silent ones make room; they would have kept it for an hour. Above 0.86 of the limit the host rejects heads, 25,000 a second, and the heartbeats of the only real target wait for 3 s and get 503. Where that is full by its size, silent ones make room as where their number is. A target makes room only after a silence longer than the time for which it was heard, so that a zone that is cut off after hours of service stays. State of targets that are gone is given back when room is needed.

--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -17,6 +17,8 @@
     pub(crate) timing: &'a Timing,
     /// What the leader may keep.
     pub(crate) limits: Limits,
+    /// Whether the host has no memory for further targets.
+    pub(crate) lacks_memory: bool,
     /// The actions collected so far.
     pub(crate) out: Vec<Output>,
 }
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -345,9 +345,9 @@
     }
 
     /// Suspects targets that are silent, and removes those that have been silent for long. Without room for
-    /// further targets it removes all silent ones.
+    /// further targets it removes those that have been silent for longer than they were heard.
     pub(crate) fn check_silence(&mut self, ctx: &mut Context) {
-        let is_full = ctx.state.fleet().len() >= ctx.limits.targets;
+        let is_full = ctx.lacks_memory || ctx.state.fleet().len() >= ctx.limits.targets;
         let mut suspects = Vec::new();
         for (target, worker) in self.workers.iter_mut() {
             let silence = ctx.now.saturating_sub(worker.last_contact);
@@ -362,15 +362,17 @@
             }
             let first = !worker.suspected;
             worker.suspected = true;
-            suspects.push((target.clone(), silence, first));
+            let heard = worker.last_contact.saturating_sub(worker.tracked_since);
+            let makes_room = is_full && silence >= heard;
+            suspects.push((target.clone(), silence, first, makes_room));
         }
-        for (target, silence, first) in suspects {
+        for (target, silence, first, makes_room) in suspects {
             if first {
                 self.close_target(&target, ctx);
             }
             self.send_due_orders_to(&target, ctx);
             if silence >= ctx.timing.silent_after {
-                let dismissible = is_full || silence >= ctx.timing.dismiss_after;
+                let dismissible = makes_room || silence >= ctx.timing.dismiss_after;
                 self.propose_silent(&target, dismissible, ctx);
             }
         }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -46,6 +46,7 @@
 pub struct Leader {
     timing: Timing,
     limits: Limits,
+    lacks_memory: bool,
     planner: Box<dyn Planner>,
     term_state: Option<TermState>,
 }
@@ -73,6 +74,7 @@
         Self {
             timing,
             limits: Limits::default(),
+            lacks_memory: false,
             planner,
             term_state: None,
         }
@@ -85,6 +87,11 @@
         self
     }
 
+    /// Records whether the host has no memory for further targets: silent ones make room then.
+    pub fn set_lacks_memory(&mut self, lacks_memory: bool) {
+        self.lacks_memory = lacks_memory;
+    }
+
     /// Returns the most targets that may be registered.
     #[must_use]
     pub fn targets_limit(&self) -> usize {
@@ -115,6 +122,7 @@
             now,
             timing: &self.timing,
             limits: self.limits,
+            lacks_memory: self.lacks_memory,
             out: Vec::new(),
         };
         match input {
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -96,6 +96,8 @@
 pub(crate) struct Worker {
     /// The incarnation.
     pub(crate) incarnation: Incarnation,
+    /// When the leader began to track it.
+    pub(crate) tracked_since: Time,
     /// When its last heartbeat arrived; before the first, when the leader began to track it.
     pub(crate) last_contact: Time,
     /// Until when its silence says nothing, since the host that took its heartbeats is silent itself.
@@ -143,6 +145,7 @@
     pub(crate) fn new(incarnation: Incarnation, now: Time) -> Self {
         Self {
             incarnation,
+            tracked_since: now,
             last_contact: now,
             excused_until: Time::ZERO,
             last_heartbeat: None,
--- a/crates/control/tests/targets_limit.rs
+++ b/crates/control/tests/targets_limit.rs
@@ -80,6 +80,36 @@
     assert_eq!(registered(&bench), ["w1", "w4"]);
 }
 
+/// Guards against targets that were heard for long and are removed for others, as when a zone is cut off.
+#[test]
+fn targets_heard_for_long_make_room_last() {
+    let mut bench = bench();
+    for sequence in 1..=2 * SILENCE.as_secs() {
+        hear(&mut bench, "w1", sequence);
+        bench.advance(1);
+    }
+    hear(&mut bench, "w2", 1);
+    hear(&mut bench, "w3", 1);
+    for sequence in 1..=SILENCE.as_secs() {
+        bench.advance(1);
+        hear(&mut bench, "w4", sequence);
+    }
+    assert_eq!(registered(&bench), ["w1", "w4"]);
+}
+
+/// Guards against a host without memory that keeps targets which were named once.
+#[test]
+fn silent_targets_make_room_where_memory_is_lacking() {
+    let mut bench = bench();
+    hear(&mut bench, "w1", 1);
+    bench.leader.set_lacks_memory(true);
+    for sequence in 1..=SILENCE.as_secs() {
+        bench.advance(1);
+        hear(&mut bench, "w2", sequence);
+    }
+    assert_eq!(registered(&bench), ["w2"]);
+}
+
 /// Guards against silent targets that are removed early though there is room.
 #[test]
 fn silent_targets_stay_while_there_is_room() {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -390,6 +390,10 @@
     /// Does the periodic work of a leader, or of a host that takes heartbeats for one.
     fn tick(&mut self) {
         if self.leading {
+            let fleet = self.state.fleet();
+            let is_known = |target: &TargetId| fleet.get(target).is_some();
+            let lacks_memory = self.setup.target_state.is_full(is_known);
+            self.setup.leader.set_lacks_memory(lacks_memory);
             self.excuse_delayed_heartbeats();
             self.handle(Input::Tick);
             self.advance_quotas();
--- a/crates/node/src/process_memory.rs
+++ b/crates/node/src/process_memory.rs
@@ -101,6 +101,12 @@
         to_bytes(part * self.total)
     }
 
+    /// Returns this part of what may be allocated, in bytes.
+    #[must_use]
+    pub fn heap_part(&self, part: f64) -> usize {
+        to_bytes(part * self.limit)
+    }
+
     /// Returns what is allocated and what may be, in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -56,8 +56,8 @@
 use crate::target_state::TargetState;
 use crate::unread_answers::UnreadAnswers;
 
-/// Targets that the leader registers for each megabyte of memory. One takes some 1.2 kB.
-const TARGETS_PER_MB: f64 = 64.0;
+/// Targets that the leader registers for each megabyte of memory. One takes some 3 kB.
+const TARGETS_PER_MB: f64 = 24.0;
 
 /// Published changes that the leader keeps for each megabyte of memory.
 const KEPT_CHANGES_PER_MB: f64 = 80.0;
--- a/crates/node/tests/target_state.rs
+++ b/crates/node/tests/target_state.rs
@@ -45,6 +45,24 @@
     assert!(state.reserve(&presence("w0", 4_000), |_| true));
 }
 
+/// Guards against a number of targets that take more than the process has for them.
+#[test]
+fn state_is_full_before_it_refuses_small_targets() {
+    let mut state = state();
+    let admitted = (0..10_000)
+        .take_while(|it| {
+            !state.is_full(|_| true) && state.reserve(&presence(&format!("w{it}"), 20), |_| true)
+        })
+        .count();
+    assert!((100..1_000).contains(&admitted), "{admitted}");
+    assert!(state.is_full(|_| true));
+    assert!(state.reserve(&presence("ordinary", 20), |_| true));
+    assert!(
+        !state.is_full(|it| **it == *"ordinary"),
+        "those that are gone"
+    );
+}
+
 /// Guards against memory that stays reserved for targets that are gone.
 #[test]
 fn targets_that_are_gone_leave_their_memory() {
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -189,7 +189,7 @@
     pub connections: u64,
     /// Connections on the callers' listener from one address; 0 for three times as many as are free.
     pub address_connections: u64,
-    /// Targets that the leader registers; 0 for 64 for each megabyte of [`Serving::memory_mb`].
+    /// Targets that the leader registers; 0 for 24 for each megabyte of [`Serving::memory_mb`].
     pub targets: u64,
     /// Bytes that are read from one address in a second while they become neither a request nor a part of a
     /// body, in kilobytes; twice as many at once.
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -266,7 +266,7 @@
         optional("heads-mb", ValueType::Number(0.0, 1e6), "Memory for the incomplete heads of one listener, in MB; 0, the default, is a sixteenth of `memory-mb`. Beyond it the connections that hold most are closed first."),
         optional("connections", ValueType::Integer(0, MAX_COUNT), "Connections on `callers`; 0, the default, is two fifths of the process's limit on file descriptors. Beyond it the connections that never had a request, and then the longest idle ones, are closed first."),
         optional("address-connections", ValueType::Integer(0, MAX_COUNT), "Connections on `callers` from one address; 0, the default, is three times as many as are free."),
-        optional("targets", ValueType::Integer(0, MAX_COUNT), "Targets that the leader registers; 0, the default, is 64 for each MB of `memory-mb`. Further ones are refused with 503; silent ones make room after some seconds."),
+        optional("targets", ValueType::Integer(0, MAX_COUNT), "Targets that the leader registers; 0, the default, is 24 for each MB of `memory-mb`. Further ones are refused with 503; those that have been silent for some seconds, and for longer than they were heard, make room."),
         optional("unused-kb-s", ValueType::Integer(16, MAX_COUNT), "Bytes of one address that become neither a request nor a part of a body, in KB for each second, and twice as many at once; 256. Beyond it the connections of the address are read from no faster."),
     ],
 };
