Bound the versions of services that targets state

What callers saw: no ordinary answer in 20 s ("the last status is 0") where ten targets state another service in each heartbeat. Cause: the leader remembers each version of each service for an hour, and looks through all of a service's with each heartbeat; a new target made it look through all targets. Nothing bounded how many there are. Change: as many versions of all services as targets; a heartbeat with one beyond that is refused, since forgetting one early could join two versions of a stream. Versions are looked through when one is new, targets when they are twice as many as before. The unit test of the limit is new with it. Open: who fills the limit keeps new versions out for an hour; known ones go on.

--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -57,13 +57,16 @@
 
     /// Returns whether there is room for a target and what it reports; logs that there is none.
     pub(super) fn admits(&mut self, presence: &AnnouncedHeartbeat) -> bool {
+        let now = self.now();
         let target = &presence.heartbeat.target;
         let fleet = self.state.fleet();
         let is_known = |target: &TargetId| fleet.get(target).is_some();
+        let max_targets = self.setup.leader.targets_limit();
         let has_room = if self.leading {
+            // As many versions as targets.
             self.setup.leader.has_room_for(target, &self.state)
+                && self.software.has_room_for(presence, max_targets, now)
         } else {
-            let max_targets = self.setup.leader.targets_limit();
             is_known(target) || self.intake.has_room_for(target, max_targets)
         };
         let admits = has_room && self.setup.target_state.reserve(presence, is_known);
@@ -72,7 +75,7 @@
             tracing::warn!(
                 target = &**target,
                 targets,
-                "target's message refused: no room for further targets, or for what it holds"
+                "target's message refused: no room for further targets or versions, or for what it holds"
             );
         }
         admits
--- a/crates/node/src/software.rs
+++ b/crates/node/src/software.rs
@@ -14,6 +14,12 @@
 /// How long after its last heartbeat a target counts for the versions of its service.
 const HEARD_TIME: Duration = Duration::from_secs(5);
 
+/// Interval between two looks for versions that are not remembered any more, while there is no room for others.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Fewest targets at which those that are not registered any more are forgotten.
+const MIN_FORGET: usize = 64;
+
 /// Maximum number of streams with a record; the oldest are dropped first.
 const MAX_RECORDS: usize = 200_000;
 
@@ -40,8 +46,14 @@
     targets: BTreeMap<TargetId, (Incarnation, Name)>,
     /// The incarnations that were in a view for all hosts.
     published: BTreeMap<TargetId, Incarnation>,
+    /// Number of targets at which those that are not registered any more are forgotten.
+    forget_at: usize,
     /// When a target of each version of a service was last heard.
     heard: BTreeMap<Name, BTreeMap<SoftwareVersion, Time>>,
+    /// The number of versions of all services.
+    versions: usize,
+    /// When versions that are not remembered any more are next looked for.
+    prune_at: Time,
     records: HashMap<u64, Record>,
     /// The streams of the records in the order in which they expire; those recorded again are in it
     /// more than once.
@@ -58,6 +70,41 @@
         }
     }
 
+    /// Returns whether each version that a target states is known, or there are fewer than `max_versions`.
+    ///
+    /// A version that is forgotten could be taken for one that never ran, so that none makes room before its
+    /// time.
+    pub fn has_room_for(
+        &mut self,
+        presence: &AnnouncedHeartbeat,
+        max_versions: usize,
+        now: Time,
+    ) -> bool {
+        if self.versions >= max_versions && now >= self.prune_at {
+            self.prune_at = now + PRUNE_INTERVAL;
+            self.prune(now);
+        }
+        let services = presence.announcement.services.iter();
+        let new = services.filter(|it| !self.is_heard(it, &presence.software));
+        let new = new.count();
+        new == 0 || self.versions + new <= max_versions
+    }
+
+    /// Returns whether a version of a service has been heard.
+    fn is_heard(&self, service: &str, version: &SoftwareVersion) -> bool {
+        let versions = self.heard.get(service);
+        versions.is_some_and(|versions| versions.contains_key(version))
+    }
+
+    /// Forgets versions that have not been heard for long.
+    fn prune(&mut self, now: Time) {
+        self.heard.retain(|_, versions| {
+            versions.retain(|_, heard| now < *heard + VERSION_RETENTION);
+            !versions.is_empty()
+        });
+        self.versions = self.heard.values().map(BTreeMap::len).sum();
+    }
+
     /// Records what a target states; returns it if it is new.
     pub fn hear(&mut self, presence: &AnnouncedHeartbeat, now: Time) -> Option<TargetSoftware> {
         let announcement = &presence.announcement;
@@ -71,8 +118,11 @@
         }
         for service in &announcement.services {
             let versions = self.heard.entry(service.clone()).or_default();
-            versions.insert(presence.software.clone(), now);
-            versions.retain(|_, heard| now < *heard + VERSION_RETENTION);
+            if versions.insert(presence.software.clone(), now).is_none() {
+                let before = versions.len();
+                versions.retain(|_, heard| now < *heard + VERSION_RETENTION);
+                self.versions = self.versions + 1 + versions.len() - before;
+            }
         }
         let version = presence.software.clone()?;
         let stated = (incarnation, version.clone());
@@ -112,10 +162,14 @@
         software
     }
 
-    /// Forgets targets that are not registered any more.
+    /// Forgets targets that are not registered any more, if there may be many of them.
     pub fn retain(&mut self, is_registered: impl Fn(&TargetId) -> bool) {
+        if self.targets.len() < self.forget_at {
+            return;
+        }
         self.targets.retain(|target, _| is_registered(target));
         self.published.retain(|target, _| is_registered(target));
+        self.forget_at = MIN_FORGET.max(2 * self.targets.len());
     }
 
     /// Records which versions began streams.
--- a/crates/node/tests/software.rs
+++ b/crates/node/tests/software.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use cornelhitch_entry::software::{ORIGIN_RETENTION, StreamBegun};
+use cornelhitch_entry::software::{ORIGIN_RETENTION, StreamBegun, VERSION_RETENTION};
 use cornelhitch_node::software::SoftwareRegister;
 use cornelhitch_types::id::Time;
 use cornelhitch_types::target::{AnnouncedHeartbeat, Kind, Load};
@@ -83,6 +83,58 @@
     }
 }
 
+/// Versions of services that a small host keeps.
+const MAX_VERSIONS: usize = 3;
+
+/// Records what a target states if there is room; returns whether there is.
+fn hear_within(register: &mut SoftwareRegister, version: &str, seconds: u64) -> bool {
+    let presence = presence("w1", 1, Some(version));
+    let has_room = register.has_room_for(&presence, MAX_VERSIONS, at(seconds));
+    if has_room {
+        register.hear(&presence, at(seconds));
+    }
+    has_room
+}
+
+/// Guards against versions without end that are kept, and against known ones that are refused for them.
+#[test]
+fn versions_beyond_the_limit_wait_until_others_are_forgotten() {
+    let hour = VERSION_RETENTION.as_secs();
+    // A version, when it is stated, and whether there is room.
+    let rows = [
+        ("v1", 1, true),
+        ("v2", 2, true),
+        ("v3", 3, true),
+        ("v4", 4, false),
+        ("v1", 5, true),
+        ("v4", hour, false),
+        ("v4", hour + 2, true),
+        ("v5", hour + 2, false),
+        ("v5", hour + 3, true),
+        ("v1", hour + 4, true),
+        ("v6", hour + 4, false),
+    ];
+    let mut register = SoftwareRegister::new(at(0));
+    for (version, seconds, has_room) in rows {
+        let heard = hear_within(&mut register, version, seconds);
+        assert_eq!(heard, has_room, "{version} at {seconds} s");
+    }
+}
+
+/// Guards against targets that are kept after they have gone.
+#[test]
+fn targets_that_have_gone_are_forgotten() {
+    let mut register = SoftwareRegister::new(at(0));
+    for number in 0..10_000 {
+        register.hear(&presence(&format!("w{number}"), 1, Some("v1")), at(1));
+        register.retain(|target| **target == *"w0");
+    }
+    let targets = register.dump()["targets"]
+        .as_object()
+        .map(serde_json::Map::len);
+    assert!(targets.is_some_and(|it| it < 200), "{targets:?}");
+}
+
 #[test]
 fn the_versions_that_a_service_runs_are_those_heard_lately() {
     let mut register = SoftwareRegister::new(at(0));
