Retry on a target that has answered

What callers saw: 503 "every attempt failed" beside 2,000 announced targets of the service that nobody can reach. Cause: a retry after a failed connection chose among all announced targets as the first attempt did; that the real one was found at all rested on its name, by which ties between near targets are decided. Change: after a failed attempt, targets that have answered this host are preferred. Evidence: a_request_is_retried_on_a_target_that_has_answered is red without the change (t115 in place of w1). Result: passes. The first attempt still goes to any, so that new targets get requests.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -270,18 +270,17 @@
         }
         let call = self.calls.get(&id)?;
         let target = |index: &usize| &options[*index].candidate.place.target;
-        let untried = |index: &usize| !call.failed.contains(target(index));
-        if fitting.iter().any(untried) {
-            fitting.retain(untried);
-        }
-        let healthy = |index: &usize| !self.health.is_failing(target(index), self.now);
-        if fitting.iter().any(healthy) {
-            fitting.retain(healthy);
-        }
-        let unlimited = |index: &usize| !self.target_limits.is_fresh(target(index), self.now);
-        if fitting.iter().any(unlimited) {
-            fitting.retain(unlimited);
+        prefer(&mut fitting, |it| !call.failed.contains(target(it)));
+        prefer(&mut fitting, |it| {
+            !self.health.is_failing(target(it), self.now)
+        });
+        if !call.failed.is_empty() {
+            // One that has answered this host can be reached, which an announcement doesn't show.
+            prefer(&mut fitting, |it| self.health.has_answered(target(it)));
         }
+        prefer(&mut fitting, |it| {
+            !self.target_limits.is_fresh(target(it), self.now)
+        });
         let response_time = self
             .latencies
             .get(&call.key)
@@ -482,3 +481,10 @@
         }
     }
 }
+
+/// Keeps the preferred ones of some choices, if there are any.
+fn prefer(choices: &mut Vec<usize>, is_preferred: impl Fn(&usize) -> bool) {
+    if choices.iter().any(&is_preferred) {
+        choices.retain(is_preferred);
+    }
+}
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -63,6 +63,12 @@
         self.records.remove(target);
     }
 
+    /// Whether a target has answered a request since it is known.
+    #[must_use]
+    pub fn has_answered(&self, target: &str) -> bool {
+        self.records.contains_key(target)
+    }
+
     /// Whether a target's recent responses are mostly errors.
     ///
     /// ```
--- a/crates/entry/tests/routed.rs
+++ b/crates/entry/tests/routed.rs
@@ -515,3 +515,25 @@
         changes: vec![target(name, "a", false)],
     }
 }
+
+/// Guards against requests that are lost among announced targets which nobody can reach.
+#[test]
+fn a_request_is_retried_on_a_target_that_has_answered() {
+    for repetition in 0..20 {
+        let unreachable = (0..200).map(|number| target(&format!("t{number}"), "a", true));
+        let mut core = core(unreachable.chain([target("w1", "b", true)]).collect());
+        let answered = Event::ResponseHead {
+            target: "w1".into(),
+            incarnation: 1,
+            error: false,
+        };
+        core.handle(answered, at(5));
+        let actions = core.handle(Event::Arrived(request(false)), at(10));
+        let (mut sent_to, attempt) = send(&actions).expect("a send");
+        if sent_to != "w1" {
+            let actions = fail(&mut core, attempt, Failure::Connect, 50);
+            (sent_to, _) = send(&actions).expect("another send");
+        }
+        assert_eq!(sent_to, "w1", "in repetition {repetition}");
+    }
+}
