Close connections of crowds whose requests are rejected

What callers saw: while a host was near its memory, heartbeats and ordinary requests waited for seconds. Cause: a rejected request costs processor time; pipelined ones of a connection were each rejected, some 25,000 a second, since only reading pauses once an address has used up its allowance, and a connection's first 8 KiB are read at any rate. Change: the rejection closes the connection if its address has used up its allowance. The 503 and its promise are as before; an HTTP/1.1 caller is told. No test of its own.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -95,6 +95,14 @@
     is_unfinished: AtomicBool,
 }
 
+/// A request that is not served because too many are in progress.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CrowdedOut {
+    /// Whether the connection is closed after the response: its address has used up its allowance, and many more
+    /// requests on the connection would each take the time to reject it.
+    pub(crate) closes: bool,
+}
+
 /// Records which bytes of a connection became a part of a body; an extension of each request. The request
 /// is in progress until the last clone is dropped, so also while the rest of a refused body is read.
 #[derive(Debug, Clone)]
@@ -288,21 +296,12 @@
         &self.table
     }
 
-    /// Records that the head of a request is complete, which may have a body; `None` if too many are in progress.
-    pub(crate) fn begin(self: &Arc<Self>, has_body: bool) -> Option<Request> {
+    /// Records that the head of a request is complete, which may have a body; fails if too many are in progress.
+    pub(crate) fn begin(self: &Arc<Self>, has_body: bool) -> Result<Request, CrowdedOut> {
         self.refund();
         let mut place = self.table.requests.reservation(&self.from.ip());
         if !place.resize(1) {
-            self.unused.fetch_add(CROWDED_OUT_BYTES, Ordering::Relaxed);
-            // The next head starts anew.
-            self.requests.fetch_add(1, Ordering::Relaxed);
-            let now = self.table.epoch.elapsed();
-            let mut state = self.table.lock();
-            state.connections.reject(self.id);
-            state.pacing.charge(self.from.ip(), CROWDED_OUT_BYTES, now);
-            drop(state);
-            self.table.metrics.increment(Count::RequestsCrowdedOut);
-            return None;
+            return Err(self.reject());
         }
         self.unused.store(0, Ordering::Relaxed);
         self.in_progress.fetch_add(1, Ordering::Relaxed);
@@ -318,7 +317,22 @@
         if has_body {
             request.begin_wait();
         }
-        Some(request)
+        Ok(request)
+    }
+
+    /// Records that a request is rejected because too many are in progress.
+    fn reject(&self) -> CrowdedOut {
+        self.table.metrics.increment(Count::RequestsCrowdedOut);
+        self.unused.fetch_add(CROWDED_OUT_BYTES, Ordering::Relaxed);
+        // The next head starts anew.
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        let address = self.from.ip();
+        let now = self.table.epoch.elapsed();
+        let mut state = self.table.lock();
+        state.connections.reject(self.id);
+        state.pacing.charge(address, CROWDED_OUT_BYTES, now);
+        let closes = state.pacing.pause(address, now).is_some();
+        CrowdedOut { closes }
     }
 
     /// Counts bytes that were received while no request is in progress.
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -20,7 +20,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::body::Body;
-use crate::connection::{BodyProgress, Connection, ConnectionTable};
+use crate::connection::{BodyProgress, Connection, ConnectionTable, CrowdedOut};
 use crate::guarded_stream::GuardedStream;
 use crate::listener_limits::{ListenerLimits, MAX_HEADERS};
 use crate::problem::{Problem, not_run};
@@ -47,6 +47,9 @@
 /// Interval between two looks for answers that their callers have stopped reading.
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Asks a caller to close the connection.
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
 /// Pause after a connection could not be accepted, as when file descriptors have run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -131,20 +134,23 @@
     let persists = request.version() == Version::HTTP_11;
     let mut response = service.serve(request, from).await;
     if persists && service.is_leaving() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        response.headers_mut().insert(CONNECTION, CLOSE);
     }
     response
 }
 
 /// Returns the response to a request that is not served because too many are in progress.
-fn crowded_out() -> Response<Body> {
+fn crowded_out(rejected: CrowdedOut, version: Version) -> Response<Body> {
     let detail = "too many requests are in progress";
     let refusal = Refusal {
         retry_after: Some(CROWDED_RETRY_AFTER),
         ..not_run(Reason::Overloaded, detail)
     };
-    Problem::from(&refusal).response()
+    let mut response = Problem::from(&refusal).response();
+    if rejected.closes && version == Version::HTTP_11 {
+        response.headers_mut().insert(CONNECTION, CLOSE);
+    }
+    response
 }
 
 /// Returns the limits for the HTTP library.
@@ -186,18 +192,18 @@
         let connection = owner.clone();
         let has_body = !request.body().is_end_stream();
         let begun = owner.begin(has_body).map(Arc::new);
-        if let Some(begun) = &begun {
+        if let Ok(begun) = &begun {
             let progress = BodyProgress(begun.clone());
             request.extensions_mut().insert(progress);
         }
         async move {
             let version = request.version();
             let response = match &begun {
-                Some(_) => respond(&*service, request, from).await,
-                None => crowded_out(),
+                Ok(_) => respond(&*service, request, from).await,
+                Err(rejected) => crowded_out(*rejected, version),
             };
             Ok::<_, Infallible>(
-                response.map(|body| AnswerBody::new(body, connection, begun, version)),
+                response.map(|body| AnswerBody::new(body, connection, begun.ok(), version)),
             )
         }
     });
