--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -18,6 +18,17 @@
 /// The number of consecutive heartbeats that must show a copy before it is adopted or unloaded.
 const MIN_ORPHAN_HEARTBEATS: u64 = 2;
 
+/// A target that has sent no heartbeat for some time.
+struct Suspect {
+    target: TargetId,
+    /// Whether it was not suspected before.
+    is_new: bool,
+    /// Whether it has been silent for so long that this is recorded.
+    is_silent: bool,
+    /// Whether it may be removed.
+    is_dismissible: bool,
+}
+
 impl TermState {
     /// Returns whether a target is registered, or may be: there are fewer than `max_targets`, those that
     /// wait for their registration among them.
@@ -360,20 +371,23 @@
             if silence < limit || excused {
                 continue;
             }
-            let first = !worker.suspected;
+            let is_new = !worker.suspected;
             worker.suspected = true;
             let heard = worker.last_contact.saturating_sub(worker.tracked_since);
-            let makes_room = is_full && silence >= heard;
-            suspects.push((target.clone(), silence, first, makes_room));
+            suspects.push(Suspect {
+                target: target.clone(),
+                is_new,
+                is_silent: silence >= ctx.timing.silent_after,
+                is_dismissible: silence >= ctx.timing.dismiss_after || is_full && silence >= heard,
+            });
         }
-        for (target, silence, first, makes_room) in suspects {
-            if first {
-                self.close_target(&target, ctx);
+        for suspect in suspects {
+            if suspect.is_new {
+                self.close_target(&suspect.target, ctx);
             }
-            self.send_due_orders_to(&target, ctx);
-            if silence >= ctx.timing.silent_after {
-                let dismissible = makes_room || silence >= ctx.timing.dismiss_after;
-                self.propose_silent(&target, dismissible, ctx);
+            self.send_due_orders_to(&suspect.target, ctx);
+            if suspect.is_silent {
+                self.propose_silent(&suspect.target, suspect.is_dismissible, ctx);
             }
         }
     }
--- a/crates/node/tests/software.rs
+++ b/crates/node/tests/software.rs
@@ -121,6 +121,17 @@
     }
 }
 
+/// Guards against known versions that are refused since a host that begins to lead has heard too many.
+#[test]
+fn known_versions_go_on_beyond_the_limit() {
+    let mut register = SoftwareRegister::new(at(0));
+    for version in ["v1", "v2", "v3", "v4", "v5"] {
+        register.hear(&presence("w1", 1, Some(version)), at(1));
+    }
+    assert!(hear_within(&mut register, "v1", 2));
+    assert!(!hear_within(&mut register, "v6", 2));
+}
+
 /// Guards against targets that are kept after they have gone.
 #[test]
 fn targets_that_have_gone_are_forgotten() {
--- a/crates/node/tests/target_state.rs
+++ b/crates/node/tests/target_state.rs
@@ -63,6 +63,15 @@
     );
 }
 
+/// Guards against targets that take nothing if they hold nothing.
+#[test]
+fn targets_that_hold_nothing_fill_the_state() {
+    let mut state = state();
+    let admitted =
+        (0..10_000).filter(|it| state.reserve(&presence(&format!("w{it}"), 0), |_| true));
+    assert!(admitted.count() < 5_000);
+}
+
 /// Guards against memory that stays reserved for targets that are gone.
 #[test]
 fn targets_that_are_gone_leave_their_memory() {
