Serve targets, operators and monitoring on a thread of their own

What operators would see: while a crowd names targets at the control hosts, a leader that ends is not replaced for as long as the crowd lasts; no change of the configuration is accepted meanwhile. Entry hosts go on with what they know. Cause: the tasks of the replicated log and of the links to peers share their threads with hundreds of connections that always have something to do, so that votes came after the election's timeout (500 ms): terms 9 to 18 in 10 s, candidates without a majority of two. Change: the listeners for targets, operators and monitoring have a runtime with one thread, so that a crowd there takes one processor at most.

--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -41,6 +41,7 @@
 use crate::ingress::{FIRST_TABLE_WAIT, LocalRequestService, RoutedService, Routes};
 use crate::links::{self, Inbox, Links};
 use crate::listener_limits::{Audience, ListenerLimits};
+use crate::listener_thread::ListenerThread;
 use crate::message::Incoming;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
@@ -96,6 +97,8 @@
     pub(crate) memory: ProcessMemory,
     /// Reads the messages of targets and operators.
     messages: RequestBodies,
+    /// Serves targets, operators and monitoring.
+    pub(crate) listener_thread: ListenerThread,
 }
 
 /// The sockets to peers, and what their messages go to.
@@ -131,6 +134,8 @@
         });
         let metrics = Metrics::default();
         let memory = ProcessMemory::new(&process.serving, heap);
+        let what = "cannot start the thread of the listeners";
+        let listener_thread = ListenerThread::start().context(SystemSnafu { what })?;
         let stop = CancellationToken::new();
         if let Some(path) = &process.keys {
             tokio::spawn(secret::watch(path.clone(), identity, stop.clone()));
@@ -168,6 +173,7 @@
             links,
             datagrams,
             memory,
+            listener_thread,
         })
     }
 
@@ -463,7 +469,8 @@
             head_bytes: ListenerLimits::new(&self.process.serving, Audience::Registry).head_bytes,
             log_limit: Mutex::default(),
         };
-        tokio::spawn(self.listen(listener, registry, Audience::Registry, self.stop.clone()));
+        let task = self.listen(listener, registry, Audience::Registry, self.stop.clone());
+        self.listener_thread.spawn(task);
     }
 
     /// Creates the operators' service; without a token it refuses all requests.
@@ -494,7 +501,8 @@
         listener: TcpListener,
         operators: Operators,
     ) -> JoinHandle<()> {
-        tokio::spawn(self.listen(listener, operators, Audience::Operators, self.stop.clone()))
+        let task = self.listen(listener, operators, Audience::Operators, self.stop.clone());
+        self.listener_thread.spawn(task)
     }
 
     /// Starts the metrics listener.
@@ -503,7 +511,8 @@
             metrics: self.metrics.clone(),
             memory: self.memory,
         };
-        tokio::spawn(self.listen(listener, exposition, Audience::Metrics, self.stop.clone()));
+        let task = self.listen(listener, exposition, Audience::Metrics, self.stop.clone());
+        self.listener_thread.spawn(task);
     }
 
     /// Starts the listeners for requests that need no target.
