--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,7 +43,6 @@
 pub mod leaderships;
 pub mod links;
 pub mod listener_limits;
-mod listener_thread;
 pub mod log_limit;
 pub mod message;
 pub mod metrics;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,6 @@
 use crate::entry::Input;
 pub use crate::error::Error;
 use crate::error::SystemSnafu;
-use crate::listener_thread::ListenerThread;
 use crate::metrics::Metrics;
 use crate::process_memory::HeapSize;
 use crate::protocols::Protocols;
@@ -55,9 +54,6 @@
     phases: Phases,
     /// When the graceful shutdown started.
     drained_at: OnceLock<Instant>,
-    /// Serves targets, operators and monitoring until it is dropped.
-    #[expect(dead_code, reason = "ends its thread when it is dropped")]
-    listener_thread: ListenerThread,
 }
 
 impl Node {
@@ -146,7 +142,6 @@
             session,
             phases,
             drained_at: OnceLock::new(),
-            listener_thread: startup.listener_thread,
         })
     }
 
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -41,7 +41,6 @@
 use crate::ingress::{FIRST_TABLE_WAIT, LocalRequestService, RoutedService, Routes};
 use crate::links::{self, Inbox, Links};
 use crate::listener_limits::{Audience, ListenerLimits};
-use crate::listener_thread::ListenerThread;
 use crate::message::Incoming;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
@@ -97,8 +96,6 @@
     pub(crate) memory: ProcessMemory,
     /// Reads the messages of targets and operators.
     messages: RequestBodies,
-    /// Serves targets, operators and monitoring.
-    pub(crate) listener_thread: ListenerThread,
 }
 
 /// The sockets to peers, and what their messages go to.
@@ -134,8 +131,6 @@
         });
         let metrics = Metrics::default();
         let memory = ProcessMemory::new(&process.serving, heap);
-        let what = "cannot start the thread of the listeners";
-        let listener_thread = ListenerThread::start().context(SystemSnafu { what })?;
         let stop = CancellationToken::new();
         if let Some(path) = &process.keys {
             tokio::spawn(secret::watch(path.clone(), identity, stop.clone()));
@@ -173,7 +168,6 @@
             links,
             datagrams,
             memory,
-            listener_thread,
         })
     }
 
@@ -469,8 +463,7 @@
             head_bytes: ListenerLimits::new(&self.process.serving, Audience::Registry).head_bytes,
             log_limit: Mutex::default(),
         };
-        let task = self.listen(listener, registry, Audience::Registry, self.stop.clone());
-        self.listener_thread.spawn(task);
+        tokio::spawn(self.listen(listener, registry, Audience::Registry, self.stop.clone()));
     }
 
     /// Creates the operators' service; without a token it refuses all requests.
@@ -501,8 +494,7 @@
         listener: TcpListener,
         operators: Operators,
     ) -> JoinHandle<()> {
-        let task = self.listen(listener, operators, Audience::Operators, self.stop.clone());
-        self.listener_thread.spawn(task)
+        tokio::spawn(self.listen(listener, operators, Audience::Operators, self.stop.clone()))
     }
 
     /// Starts the metrics listener.
@@ -511,8 +503,7 @@
             metrics: self.metrics.clone(),
             memory: self.memory,
         };
-        let task = self.listen(listener, exposition, Audience::Metrics, self.stop.clone());
-        self.listener_thread.spawn(task);
+        tokio::spawn(self.listen(listener, exposition, Audience::Metrics, self.stop.clone()));
     }
 
     /// Starts the listeners for requests that need no target.
