Move requests in progress out of connection.rs

What a request in progress waits for its caller for is its own matter: connection/request.rs. No change of behaviour; the tests of the package pass.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -1,4 +1,6 @@
-//! The connections of a listener and their requests in progress, shared by the connections' tasks.
+//! The connections of a listener, shared by their tasks.
+
+mod request;
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -6,19 +8,19 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use http::Extensions;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::answer_progress::AnswerProgress;
 use crate::connection_limits::{ConnectionId, Connections, Opened};
 use crate::listener_limits::ListenerLimits;
 use crate::log_limit::LogLimiter;
 use crate::metrics::{Count, Metrics};
 use crate::process_memory::{ProcessMemory, Purpose};
 use crate::read_pacing::ReadPacing;
-use crate::shared_memory::{Reservation, SharedMemory};
+use crate::shared_memory::SharedMemory;
+
+pub(crate) use self::request::{BodyProgress, Request};
 
 /// Requests in progress that one address may have for each that is free.
 const REQUESTS_SHARE: usize = 3;
@@ -103,47 +105,6 @@
     pub(crate) closes: bool,
 }
 
-/// Records which bytes of a connection became a part of a body; an extension of each request. The request
-/// is in progress until the last clone is dropped, so also while the rest of a refused body is read.
-#[derive(Debug, Clone)]
-pub(crate) struct BodyProgress(pub(crate) Arc<Request>);
-
-impl BodyProgress {
-    /// Records that a part with this many bytes was read.
-    pub(crate) fn record(extensions: &Extensions, bytes: usize) {
-        if let Some(Self(request)) = extensions.get() {
-            let connection = &request.connection;
-            connection.body_parts.fetch_add(1, Ordering::Relaxed);
-            connection.unused.store(0, Ordering::Relaxed);
-            connection.refund();
-            connection.progress(bytes);
-        }
-    }
-
-    /// Records that the body is complete, or broke off.
-    pub(crate) fn end(extensions: &Extensions) {
-        if let Some(Self(request)) = extensions.get()
-            && request.receiving.swap(false, Ordering::Relaxed)
-        {
-            request.end_wait();
-        }
-    }
-}
-
-/// A request in progress.
-#[derive(Debug)]
-pub(crate) struct Request {
-    connection: Arc<Connection>,
-    /// Whether its body is incomplete.
-    receiving: AtomicBool,
-    /// What it waits for its caller for: the body, and until an answer over HTTP/2 is read.
-    waits: AtomicUsize,
-    /// How far the caller has read the answer, over HTTP/2.
-    progress: AnswerProgress,
-    #[expect(dead_code, reason = "frees the request's place when it is dropped")]
-    place: Reservation<IpAddr>,
-}
-
 impl ConnectionTable {
     /// Creates the table of a listener.
     #[must_use]
@@ -268,9 +229,10 @@
         let mut answered = std::mem::take(&mut self.lock().answered);
         // Dropped without the lock, which the end of a request takes.
         let requests: Vec<Arc<Request>> = answered.iter().filter_map(Weak::upgrade).collect();
-        for request in requests.iter().filter(|it| it.progress.is_stalled(timeout)) {
-            self.closed(Count::AnswersUnread, request.connection.from);
-            request.connection.closer.cancel();
+        for request in requests.iter().filter(|it| it.is_stalled(timeout)) {
+            let connection = request.connection();
+            self.closed(Count::AnswersUnread, connection.from);
+            connection.closer.cancel();
         }
         answered.retain(|request| request.strong_count() > 0);
         self.lock().answered.extend(answered);
@@ -310,17 +272,7 @@
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         self.requests.fetch_add(1, Ordering::Relaxed);
         self.table.lock().connections.begin(self.id);
-        let request = Request {
-            connection: self.clone(),
-            receiving: AtomicBool::new(has_body),
-            waits: AtomicUsize::new(0),
-            progress: AnswerProgress::new(),
-            place,
-        };
-        if has_body {
-            request.begin_wait();
-        }
-        Ok(request)
+        Ok(Request::new(self.clone(), has_body, place))
     }
 
     /// Records that a request is rejected because too many are in progress.
@@ -464,56 +416,6 @@
     }
 }
 
-impl Request {
-    /// Records that the request waits for its caller, for one more thing.
-    fn begin_wait(&self) {
-        let connection = &self.connection;
-        let now = connection.table.epoch.elapsed();
-        let mut state = connection.table.lock();
-        if self.waits.fetch_add(1, Ordering::Relaxed) == 0 {
-            state.connections.begin_wait(connection.id, now);
-        }
-    }
-
-    /// Records that the request waits for its caller for one thing less.
-    fn end_wait(&self) {
-        let connection = &self.connection;
-        let mut state = connection.table.lock();
-        if self.waits.fetch_sub(1, Ordering::Relaxed) == 1 {
-            state.connections.end_wait(connection.id);
-        }
-    }
-
-    /// Begins an answer over HTTP/2. Closes the connection once the caller has read nothing of it for too long.
-    pub(crate) fn begin_answer(self: &Arc<Self>) {
-        self.begin_wait();
-        let mut state = self.connection.table.lock();
-        state.answered.push(Arc::downgrade(self));
-    }
-
-    /// Records that the HTTP/2 library asked for the body of the answer for the first time.
-    pub(crate) fn begin_answer_body(&self) {
-        if self.progress.begin() {
-            self.end_wait();
-        }
-    }
-
-    /// Records that the HTTP/2 library took bytes of the answer.
-    pub(crate) fn answer_taken(&self, bytes: usize) {
-        if self.progress.taken(bytes) {
-            self.begin_wait();
-        }
-    }
-
-    /// Records that bytes of the answer were sent.
-    pub(crate) fn answer_sent(&self, bytes: usize) {
-        self.connection.progress(bytes);
-        if self.progress.sent(bytes) {
-            self.end_wait();
-        }
-    }
-}
-
 impl Drop for Connection {
     fn drop(&mut self) {
         let mut state = self.table.lock();
@@ -521,18 +423,3 @@
         state.closers.remove(&self.id);
     }
 }
-
-impl Drop for Request {
-    fn drop(&mut self) {
-        let connection = &self.connection;
-        connection.record_write();
-        connection.in_progress.fetch_sub(1, Ordering::Relaxed);
-        let table = &connection.table;
-        let now = table.epoch.elapsed();
-        let connections = &mut table.lock().connections;
-        if self.waits.load(Ordering::Relaxed) > 0 {
-            connections.end_wait(connection.id);
-        }
-        connections.end(connection.id, now);
-    }
-}
