Bound no process whose allocations aren't counted

Where the library is embedded without an allocator that counts, the bound over all memory is to be off. It still refused any single reservation beyond the limit, and with a memory-mb below the size of the program's code (the limit is 0 then) every request got 503.

Change: without a count there is always room. The new test failed before; found while a test of the listener was written with memory-mb 1.

--- a/crates/node/src/process_memory.rs
+++ b/crates/node/src/process_memory.rs
@@ -140,7 +140,9 @@
 
     /// Returns whether this many more bytes may be allocated within a part of the heap's limit.
     fn has_room_within(&self, part: f64, bytes: usize) -> bool {
-        self.heap().saturating_add(bytes) <= to_bytes(part * self.limit)
+        let limit = to_bytes(part * self.limit);
+        self.heap
+            .is_none_or(|heap| heap().saturating_add(bytes) <= limit)
     }
 }
 
--- a/crates/node/tests/process_memory.rs
+++ b/crates/node/tests/process_memory.rs
@@ -115,3 +115,16 @@
             .all(|it| memory.has_room(*it, BODIES_BYTES / 10))
     );
 }
+
+/// Guards against a bound on a process whose allocator doesn't count, as where the library is embedded.
+#[test]
+fn an_unknown_heap_is_not_bounded() {
+    let serving = Serving {
+        memory_mb: 1.0,
+        ..Serving::default()
+    };
+    let memory = ProcessMemory::new(&serving, None);
+    for purpose in PURPOSES {
+        assert!(memory.has_room(purpose, BODY_BYTES), "{purpose:?}");
+    }
+}
