Run the replicated log and the links to peers on threads of their own

What operators saw: while callers open HTTP/2 streams without end at control hosts that serve callers too, a leader that ends is not replaced, and no change is accepted. Cause: the tasks of the log and the links share their threads with the crowd's connections. With all processors busy (by a profile with decoding header fields), a vote comes after the election's timeout of 500 ms. Change: the control task, the links, the datagram socket and the session with the leader run on two threads of their own. These hardly run, so that the operating system gives them their time at once.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod node;
 pub mod operators;
 pub mod orders;
+mod peer_threads;
 pub mod problem;
 pub mod process_memory;
 pub mod protocols;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -17,6 +17,7 @@
 use cornelhitch_wire::hello::{Identity, ProcessId};
 use cornelhitch_wire::link::{self, Link};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -127,6 +128,8 @@
     handshakes: SharedMemory<IpAddr>,
     /// Limits the log lines about links that are refused.
     log_limit: Mutex<LogLimiter>,
+    /// Runs the links, whichever thread asks for one.
+    runtime: Handle,
 }
 
 /// Everything that [`Links::start`] needs.
@@ -180,6 +183,7 @@
             blocked_peers: setup.blocked_peers,
             handshakes: SharedMemory::new(handshakes(), HANDSHAKES_SHARE),
             log_limit: Mutex::default(),
+            runtime: Handle::current(),
         });
         tokio::spawn(accept_links(shared.clone(), setup.listener));
         Self { shared }
@@ -307,7 +311,8 @@
         let (queue, queued) = mpsc::channel(QUEUE_CAPACITY);
         let host = to;
         let peer = process::Peer { host, address };
-        tokio::spawn(dial_link(self.clone(), peer, queued));
+        let dialing = dial_link(self.clone(), peer, queued);
+        self.runtime.spawn(dialing);
         let link = DialedLink { queue, address };
         dialed.insert(to, link.clone());
         Some(link.queue)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,6 +17,7 @@
 pub use crate::error::Error;
 use crate::error::SystemSnafu;
 use crate::metrics::Metrics;
+use crate::peer_threads::PeerThreads;
 use crate::process_memory::HeapSize;
 use crate::protocols::Protocols;
 use crate::secret::Token;
@@ -54,6 +55,8 @@
     phases: Phases,
     /// When the graceful shutdown started.
     drained_at: OnceLock<Instant>,
+    #[expect(dead_code, reason = "ends its threads when it is dropped")]
+    peer_threads: PeerThreads,
 }
 
 impl Node {
@@ -142,6 +145,7 @@
             session,
             phases,
             drained_at: OnceLock::new(),
+            peer_threads: startup.peer_threads,
         })
     }
 
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -44,6 +44,7 @@
 use crate::message::Incoming;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
+use crate::peer_threads::PeerThreads;
 use crate::process_memory::{HeapSize, ProcessMemory};
 use crate::protocols::Protocols;
 use crate::registry::Registry;
@@ -96,6 +97,8 @@
     pub(crate) memory: ProcessMemory,
     /// Reads the messages of targets and operators.
     messages: RequestBodies,
+    /// Runs the control task, the links and the session.
+    pub(crate) peer_threads: PeerThreads,
 }
 
 /// The sockets to peers, and what their messages go to.
@@ -107,6 +110,17 @@
     pub(crate) blocked: watch::Receiver<Vec<HostId>>,
 }
 
+impl Peers {
+    /// Registers the sockets with the runtime that has been entered.
+    fn register(self) -> std::io::Result<Self> {
+        Ok(Self {
+            listener: TcpListener::from_std(self.listener.into_std()?)?,
+            socket: UdpSocket::from_std(self.socket.into_std()?)?,
+            ..self
+        })
+    }
+}
+
 impl Startup {
     /// Starts the links and the datagram socket. What the process allocates is bounded if `heap` counts it.
     pub(crate) fn connect(
@@ -137,6 +151,11 @@
         } else {
             tracing::info!("links to peers are not authenticated: no key file is set");
         }
+        let what = "cannot start the threads for peers";
+        let peer_threads = PeerThreads::start().context(SystemSnafu { what })?;
+        let on_peer_threads = peer_threads.enter();
+        let what = "cannot move the sockets for peers to their threads";
+        let peers = peers.register().context(SystemSnafu { what })?;
         let links = Links::start(links::Setup {
             identity: identities.clone(),
             listener: peers.listener,
@@ -156,6 +175,7 @@
             stop: stop.clone(),
             blocked_peers: peers.blocked,
         });
+        drop(on_peer_threads);
         Ok(Self {
             process,
             incarnation,
@@ -168,6 +188,7 @@
             links,
             datagrams,
             memory,
+            peer_threads,
         })
     }
 
@@ -178,6 +199,7 @@
         host: watch::Receiver<Host>,
         events: mpsc::UnboundedSender<session::Event>,
     ) -> session::Handle {
+        let _on_peer_threads = self.peer_threads.enter();
         session::start(session::Setup {
             me: self.process.host,
             voters: self.process.voters.clone(),
@@ -266,6 +288,7 @@
             epoch: self.epoch,
             started: since_unix_epoch(),
         };
+        let _on_peer_threads = self.peer_threads.enter();
         Ok((task_sender, tokio::spawn(control::run(setup))))
     }
 
