Move slow targets and strikes out of entry::attempt

Retries of requests whose target is slow are in slow_target.rs, strikes against requests and their parts in strikes.rs; nothing else changes.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cornelhitch_types::id::{TargetId, Time};
+use cornelhitch_types::id::Time;
 use cornelhitch_types::refusal::{Reason, Run};
 
 use crate::action::Action;
@@ -17,10 +17,9 @@
 use crate::fault::Fault;
 use crate::finish::Rejection;
 use crate::queue::{QueueKey, RESUME_WEIGHT};
-use crate::request::{Call, Interruption, Progress, RunningAttempt, Stage};
+use crate::request::{Call, Progress, RunningAttempt, Stage};
 use crate::retry_policy::{self, NextStep};
 use crate::route::Candidate;
-use crate::suspects::Knowledge;
 
 /// Longest gap between parts of a streamed response before it counts as stalled.
 ///
@@ -31,13 +30,6 @@
 /// How long a non-streamed response may continue past its deadline if it began before it.
 pub const MAX_OVERRUN: Duration = Duration::from_secs(5);
 
-/// Share of the route's latency objective that a target may take to begin its response before the
-/// request is retried on another one.
-const FIRST_BYTE_OBJECTIVE_SHARE: f64 = 0.75;
-
-/// A target is slow if its response has not begun after this many times the mean time to first byte.
-const SLOW_RESPONSE_FACTOR: f64 = 2.5;
-
 /// Maximum number of attempts for one request.
 const MAX_ATTEMPTS: Attempt = 8;
 
@@ -90,67 +82,6 @@
         self.actions.push(Action::Proceed { id, attempt });
     }
 
-    /// Returns how long a target may take to begin its response before the request is retried on
-    /// another target, or `None` if it must not run on another one.
-    fn first_byte_timeout(&self, id: CallId) -> Option<Duration> {
-        let call = self.calls.get(&id)?;
-        let terms = call.request.terms.as_ref()?;
-        if !call.repeatable || call.attempts_exhausted() {
-            return None;
-        }
-        let usual = self
-            .latencies
-            .get(&call.key)
-            .response_time_for(true)
-            .mul_f64(SLOW_RESPONSE_FACTOR);
-        Some(
-            terms
-                .objective
-                .mul_f64(FIRST_BYTE_OBJECTIVE_SHARE)
-                .max(usual),
-        )
-    }
-
-    /// Cancels an attempt that has not begun to respond and retries it, if another target can run
-    /// the request; otherwise checks again after the same timeout. Returns `false` if the request
-    /// cannot be retried, or its response has begun or is overdue.
-    pub(crate) fn retry_slow_target(&mut self, id: CallId) -> bool {
-        let Some(call) = self.calls.get(&id) else {
-            return false;
-        };
-        let sent = call.progress == Progress::Sent && self.now < call.deadline;
-        let Some(run) = call.current_attempt().filter(|_| sent).cloned() else {
-            return false;
-        };
-        let (deadline, service) = (call.deadline, call.key.service());
-        let Some(timeout) = self.first_byte_timeout(id) else {
-            return false;
-        };
-        if !(self.budget_allows(&service) && self.has_other_target(id, &run.place.target)) {
-            self.set_timer(id, (self.now + timeout).min(deadline));
-            return true;
-        }
-        self.actions.push(Action::Cancel {
-            id,
-            attempt: run.attempt,
-            target: run.place.target.clone(),
-        });
-        self.on_failed(id, run.attempt, Failure::Stalled);
-        true
-    }
-
-    /// Whether a target other than the given one has capacity for a request.
-    fn has_other_target(&self, id: CallId, target: &TargetId) -> bool {
-        let Some(call) = self.calls.get(&id) else {
-            return false;
-        };
-        let options = self.options(&call.key);
-        options.iter().any(|option| {
-            let other = option.candidate.place.target != *target;
-            other && option.has_capacity() && self.fits(call, option)
-        })
-    }
-
     /// Whether the place still accepts new work, now that the connection is established.
     fn still_accepts(&self, run: &RunningAttempt) -> bool {
         if self.has_fault(Fault::SendsToClosed) || run.progress > Progress::Unsent {
@@ -386,42 +317,6 @@
         }
     }
 
-    /// Counts a strike against a fingerprint that was in flight on a target that died.
-    fn strike(&mut self, suspect: Suspect) {
-        let Suspect {
-            fingerprint,
-            suspicion,
-            strikes,
-            instance,
-        } = suspect;
-        if !self.has_fault(Fault::ForgetsStrikes) {
-            self.quarantine
-                .strike(fingerprint, instance.clone(), strikes, self.now);
-            self.suspects.strike(&suspicion, &instance, self.now);
-            self.record_witnesses();
-        }
-        let (target, incarnation) = instance;
-        self.actions.push(Action::Strike {
-            fingerprint,
-            suspicion,
-            target,
-            incarnation,
-            strikes: self.quarantine.strikes(fingerprint),
-        });
-        self.refuse_quarantined(fingerprint);
-        self.refuse_suspects();
-    }
-
-    /// Clears the strikes of a fingerprint whose request was answered completely, if none was counted
-    /// since the request was sent: the answer tells nothing of what ended later.
-    fn clear_strikes(&mut self, fingerprint: u64, known: u32) {
-        let strikes = self.quarantine.strikes(fingerprint);
-        if strikes > 0 && strikes <= known {
-            self.quarantine.forget(fingerprint);
-            self.actions.push(Action::ClearStrikes { fingerprint });
-        }
-    }
-
     /// Handles `ErrorStatus`: the response of this attempt shows no prompt to be harmless.
     pub(crate) fn on_error_status(&mut self, id: CallId, attempt: Attempt) {
         let call = self.calls.get_mut(&id);
@@ -430,90 +325,6 @@
         }
     }
 
-    /// Clears the crashes of a request's parts that were known when it was sent, since it has been
-    /// answered completely.
-    fn acquit_parts(&mut self, content: Option<u64>, sections: &[u64], known: Knowledge) {
-        let mut cleared = self.suspects.acquit(sections, known, self.now);
-        let content = content.filter(|it| self.suspects.acquit_content(*it, known, self.now));
-        if let Some(content) = content {
-            cleared.entry(known.index).or_default().push(content);
-        }
-        if !cleared.is_empty() {
-            let actions = cleared.into_iter();
-            let actions =
-                actions.map(|(known, sections)| Action::AcquitSections { sections, known });
-            self.actions.extend(actions);
-            // What the cleared sections explained may now be held against others.
-            self.refuse_suspects();
-        }
-    }
-
-    /// Returns the refusal for a request that has reached the strike limit.
-    fn strikes_rejection(&self, fingerprint: u64) -> Option<Rejection> {
-        let is_reached = self.quarantine.strikes(fingerprint) >= self.strike_limit();
-        is_reached.then(|| self.quarantine_rejection(fingerprint))
-    }
-
-    /// Returns the refusal for a request that has a part under which targets end.
-    pub(crate) fn suspect_rejection(&self, id: CallId) -> Option<Rejection> {
-        let call = self.calls.get(&id)?;
-        let newest = self.suspects.knowledge(self.now).index;
-        let is_trial = !call.tried.is_empty() && call.tried_knowing.index == newest;
-        if is_trial && call.progress == Progress::Unsent {
-            return None;
-        }
-        let parts = call.request.parts();
-        let part = self.suspects.refused_for(parts)?;
-        let is_lasting = call.interruption == Interruption::Lasting;
-        if is_lasting && self.suspects.are_refused_answered(parts, self.now) {
-            return None;
-        }
-        let run = match call.progress {
-            Progress::Unsent => Run::NotRun,
-            _ => Run::Failed,
-        };
-        Some(self.part_rejection(part, &call.request, run))
-    }
-
-    /// Refuses the unsent requests that have a part under which targets end.
-    pub(crate) fn refuse_suspects(&mut self) {
-        if !self.suspects.refuses_any() {
-            return;
-        }
-        let unsent_requests = self.calls.values().filter(|call| {
-            let unsent = call
-                .current_attempt()
-                .is_none_or(|run| run.progress == Progress::Unsent);
-            unsent && !call.answered
-        });
-        let mut ids: Vec<CallId> = unsent_requests.map(|call| call.request.id).collect();
-        ids.sort_unstable();
-        for id in ids {
-            if let Some(rejection) = self.suspect_rejection(id) {
-                self.refuse(id, rejection);
-            }
-        }
-    }
-
-    /// Refuses the unsent requests of a fingerprint that has reached the strike limit.
-    pub(crate) fn refuse_quarantined(&mut self, fingerprint: u64) {
-        if self.quarantine.strikes(fingerprint) < self.strike_limit() {
-            return;
-        }
-        let unsent_requests = self.calls.values().filter(|call| {
-            let unsent = call
-                .current_attempt()
-                .is_none_or(|run| run.progress == Progress::Unsent);
-            call.request.fingerprint == fingerprint && unsent && !call.answered
-        });
-        let mut ids: Vec<CallId> = unsent_requests.map(|call| call.request.id).collect();
-        ids.sort_unstable();
-        for id in ids {
-            let rejection = self.quarantine_rejection(fingerprint);
-            self.refuse(id, rejection);
-        }
-    }
-
     /// Puts a request back into the queue for another attempt after a backoff.
     fn requeue(&mut self, id: CallId, delay: Duration) {
         let now = self.now;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -81,7 +81,9 @@
 mod objective;
 mod resume;
 mod revocation;
+mod slow_target;
 mod stated;
+mod strikes;
 #[cfg(test)]
 mod tests;
 mod timing;
