Let each request's timer fire once in a step, and no target be slow before 100 ms

Cause: the time that a target has for its first byte was 0, being the larger of three quarters of the objective and of 2.5 times a mean that nothing had measured. Where no other target could take the request, its timer was set to now + 0, and fire_timers takes out timers as long as one is due, so that one step of the core never ended. The stack of a front in that state: retry_slow_target, on_timer, fire_timers. An objective of 0.01 ms fired about once a millisecond.

Now a step fires the timers that were due when it began, each once, so that whatever a handler sets ends with the step; and a target is not slow before 100 ms, so that no objective makes a timer fire all the time, or a request run on two targets at once though the first is not slow.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -76,8 +76,9 @@
             run.known = known;
         }
         if !begun {
-            let timeout = self.first_byte_timeout(id).map(|timeout| now + timeout);
-            self.set_timer(id, timeout.map_or(deadline, |at| at.min(deadline)));
+            let timeout = self.first_byte_timeout(id);
+            let slow_at = timeout.map_or(deadline, |timeout| now.saturating_add(timeout));
+            self.set_timer(id, slow_at.min(deadline));
         }
         self.actions.push(Action::Proceed { id, attempt });
     }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -496,14 +496,15 @@
     }
 
     /// Fires the request timers that are due and marks lanes whose requests have finished their
-    /// backoff.
+    /// backoff. A timer that is set to a time that has passed fires in the next step, so that each step
+    /// ends.
     fn fire_timers(&mut self) {
-        while let Some((time, id)) = self.timers.first().copied() {
-            if time > self.now {
-                break;
+        let due = self.timers.range(..=(self.now, CallId::MAX));
+        let due: Vec<(Time, CallId)> = due.copied().collect();
+        for timer in due {
+            if self.timers.remove(&timer) {
+                self.on_timer(timer.1);
             }
-            self.timers.remove(&(time, id));
-            self.on_timer(id);
         }
         while let Some((time, id)) = self.backoffs.first().copied() {
             if time > self.now {
--- a/crates/entry/src/slow_target.rs
+++ b/crates/entry/src/slow_target.rs
@@ -16,6 +16,10 @@
 /// A target is slow if its response has not begun after this many times the mean time to first byte.
 const SLOW_RESPONSE_FACTOR: f64 = 2.5;
 
+/// A target is not slow before this time, however short the objective is: a round trip between regions takes
+/// 60 ms.
+const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(100);
+
 impl Core {
     /// Returns how long a target may take to begin its response before the request is retried on
     /// another target, or `None` if it must not run on another one.
@@ -30,12 +34,8 @@
             .get(&call.key)
             .response_time_for(true)
             .mul_f64(SLOW_RESPONSE_FACTOR);
-        Some(
-            terms
-                .objective
-                .mul_f64(FIRST_BYTE_OBJECTIVE_SHARE)
-                .max(usual),
-        )
+        let timeout = terms.objective.mul_f64(FIRST_BYTE_OBJECTIVE_SHARE);
+        Some(timeout.max(usual).max(MIN_FIRST_BYTE_TIMEOUT))
     }
 
     /// Cancels an attempt that has not begun to respond and retries it, if another target can run
@@ -54,7 +54,8 @@
             return false;
         };
         if !(self.budget_allows(&service) && self.has_other_target(id, &run.place.target)) {
-            self.set_timer(id, (self.now + timeout).min(deadline));
+            let next_check = self.now.saturating_add(timeout);
+            self.set_timer(id, next_check.min(deadline));
             return true;
         }
         self.actions.push(Action::Cancel {
