Make the absence of a latency objective explicit: it is an option, and no longer zero

Cause: the objective was a time, in which zero stood for none, and each of its four users decided anew what zero is: one skipped it, the others took it for the most urgent objective of all.

Now it is an option, which the compiler shows to each user: a route without one makes no prompt long, its requests wait for their allowance as long as those without terms do (a third of their time), are never refused for an objective, and go to another target if the first has not begun its response after a quarter of the route's timeout (before: at once).

--- a/crates/control/tests/teams.rs
+++ b/crates/control/tests/teams.rs
@@ -39,7 +39,7 @@
             retry: RetryPolicy::Resume,
             is_stream: true,
             timeout: Duration::from_secs(5),
-            objective: Duration::from_millis(800),
+            objective: Some(Duration::from_millis(800)),
             priority: 2,
             attempts: 3,
             splits,
@@ -121,6 +121,19 @@
     assert_eq!(hex(&view), OPEN_VIEW);
 }
 
+/// Guards against a changed encoding of routes without an objective, which stood in the log as an objective of zero.
+#[test]
+fn a_route_without_an_objective_keeps_its_bytes() {
+    let mut table = RouteTable::clone(&table(7, None));
+    table.routes[0].objective = None;
+    let table = Arc::new(table);
+    let encoded = publish(&table).encode();
+    let zero = OPEN_COMMAND.replacen("008090bcfd02", "0000", 1);
+    assert_eq!(hex(&encoded), zero);
+    let state = state_after(&[publish(&table)]);
+    assert_eq!(state.current_table().table(), Some(&table));
+}
+
 /// Guards against access that is lost in the log, the snapshot or the view, which would open every
 /// route.
 #[test]
--- a/crates/entry/src/charge.rs
+++ b/crates/entry/src/charge.rs
@@ -14,7 +14,7 @@
 use crate::quota::Demanded;
 use crate::request::{Call, Progress, Stage};
 
-/// The part of a request's latency objective for which it waits for its allowance at most.
+/// The part of a request's latency objective, if it has one, for which it waits for its allowance at most.
 const OBJECTIVE_DIVISOR: u32 = 2;
 
 /// The part of the time to its deadline for which a request waits for its allowance at most, and up
@@ -37,8 +37,9 @@
 fn longest_wait(call: &Call, now: Time) -> Duration {
     let left = call.deadline.saturating_sub(now) / DEADLINE_DIVISOR;
     let terms = call.request.terms.as_ref();
-    let objective = terms.map_or(left, |terms| terms.objective / OBJECTIVE_DIVISOR);
-    objective.max(MIN_WAIT).min(left)
+    let objective = terms.and_then(|terms| terms.objective);
+    let wait = objective.map_or(left, |objective| objective / OBJECTIVE_DIVISOR);
+    wait.max(MIN_WAIT).min(left)
 }
 
 impl Core {
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -140,8 +140,9 @@
     pub attempts: Attempt,
     /// Time from arrival by which the response must end, even if it has begun.
     pub limit: Duration,
-    /// The latency objective: time to the response, or to the first event of a stream.
-    pub objective: Duration,
+    /// The latency objective: time to the response, or to the first event of a stream; `None` if the
+    /// route has none.
+    pub objective: Option<Duration>,
     /// Priority among the requests of a service; 0 is the highest.
     pub rank: u8,
     /// Number of prompt tokens up to the end of each prefix.
--- a/crates/entry/src/objective.rs
+++ b/crates/entry/src/objective.rs
@@ -48,7 +48,7 @@
         if !is_new {
             return None;
         }
-        let objective = call.request.terms.as_ref()?.objective;
+        let objective = call.request.terms.as_ref()?.objective?;
         let now = self.now;
         let group = Group::of(&call.key, call.rank);
         let ahead = self.queue.ahead_in_group(&call.key, call.rank);
@@ -64,7 +64,7 @@
         let response_time = latency.response_time_for(call.request.streaming);
         let room = objective.saturating_sub(response_time);
         let room = room.max(objective / MIN_WAITING_SHARE);
-        if objective.is_zero() || wait <= room {
+        if wait <= room {
             return None;
         }
         let all = self.promises.count(&group, now, call.deadline);
--- a/crates/entry/src/slow_target.rs
+++ b/crates/entry/src/slow_target.rs
@@ -13,6 +13,10 @@
 /// request is retried on another one.
 const FIRST_BYTE_OBJECTIVE_SHARE: f64 = 0.75;
 
+/// Part of the route's timeout that a target may take to begin its response if the route has no objective.
+/// The rest is left for another target.
+const TIMEOUT_DIVISOR: u32 = 4;
+
 /// A target is slow if its response has not begun after this many times the mean time to first byte.
 const SLOW_RESPONSE_FACTOR: f64 = 2.5;
 
@@ -34,7 +38,10 @@
             .get(&call.key)
             .response_time_for(true)
             .mul_f64(SLOW_RESPONSE_FACTOR);
-        let timeout = terms.objective.mul_f64(FIRST_BYTE_OBJECTIVE_SHARE);
+        let timeout = match terms.objective {
+            Some(objective) => objective.mul_f64(FIRST_BYTE_OBJECTIVE_SHARE),
+            None => terms.limit / TIMEOUT_DIVISOR,
+        };
         Some(timeout.max(usual).max(MIN_FIRST_BYTE_TIMEOUT))
     }
 
--- a/crates/entry/src/timing.rs
+++ b/crates/entry/src/timing.rs
@@ -212,8 +212,10 @@
         let tokens = timing.work.tokens_of(id).unwrap_or(0.0);
         let ms = tokens * timing.speed.ms_per_token();
         let time = Time::from_secs_f64(ms / 1_000.0);
-        if matches!(call.request.what, RequestedResource::Model(_)) {
-            timing.long_prompts.observe(terms.objective, self.now);
+        if let Some(objective) = terms.objective
+            && matches!(call.request.what, RequestedResource::Model(_))
+        {
+            timing.long_prompts.observe(objective, self.now);
         }
         Some(timing.long_prompts.target_rank(terms.rank, time))
     }
--- a/crates/entry/tests/fair_share.rs
+++ b/crates/entry/tests/fair_share.rs
@@ -240,7 +240,7 @@
         route: "lookup".into(),
         attempts: 1,
         limit: Duration::from_millis(DEADLINE_MS),
-        objective: Duration::from_millis(objective_ms),
+        objective: Some(Duration::from_millis(objective_ms)),
         rank: 0,
         sizes: Vec::new(),
     }));
--- a/crates/entry/tests/idle_connections.rs
+++ b/crates/entry/tests/idle_connections.rs
@@ -162,7 +162,7 @@
         route: "items".into(),
         attempts: 1,
         limit: Duration::from_secs(5),
-        objective: Duration::from_secs(1),
+        objective: Some(Duration::from_secs(1)),
         rank: 0,
         sizes: Vec::new(),
     }));
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -88,7 +88,7 @@
         route: format!("route-{limit_ms}").into(),
         attempts: 1,
         limit: Duration::from_millis(limit_ms),
-        objective: Duration::from_millis(600),
+        objective: Some(Duration::from_millis(600)),
         rank: 0,
         sizes: Vec::new(),
     }));
--- a/crates/entry/tests/newest_table.rs
+++ b/crates/entry/tests/newest_table.rs
@@ -92,7 +92,7 @@
             route: "lookup".into(),
             attempts: 2,
             limit: Duration::from_secs(4),
-            objective: Duration::from_millis(400),
+            objective: Some(Duration::from_millis(400)),
             rank: 0,
             sizes: Vec::new(),
         })
--- a/crates/entry/tests/preferred.rs
+++ b/crates/entry/tests/preferred.rs
@@ -79,7 +79,7 @@
         route: "lookup".into(),
         attempts: 2,
         limit: Duration::from_secs(4),
-        objective: Duration::from_millis(800),
+        objective: Some(Duration::from_millis(800)),
         rank: 1,
         sizes: vec![SHARED, WHOLE],
     }));
--- a/crates/entry/tests/quota.rs
+++ b/crates/entry/tests/quota.rs
@@ -64,7 +64,7 @@
         route: "lookup".into(),
         attempts: 2,
         limit: Duration::from_secs(6),
-        objective: Duration::from_millis(800),
+        objective: Some(Duration::from_millis(800)),
         rank: 0,
         sizes: Vec::new(),
     }));
@@ -183,6 +183,22 @@
     assert_eq!(refusal.retry_after, Some(Duration::from_secs(1)));
 }
 
+/// Guards against requests of routes without an objective that wait for their allowance as briefly as possible,
+/// and are refused though a leader answers well within their time.
+#[test]
+fn without_an_objective_a_request_waits_a_third_of_its_time_for_a_leader() {
+    let mut core = core();
+    let mut request = request(7);
+    if let Some(terms) = &mut request.terms {
+        terms.objective = None;
+    }
+    core.handle(Event::Arrived(request), at(10));
+    let early = run_until(&mut core, 10 + 1_990);
+    assert_eq!(refusal(&early), None);
+    let actions = run_until(&mut core, 10 + 2_000);
+    assert!(refusal(&actions).is_some(), "{actions:?}");
+}
+
 /// Guards against a `Retry-After` that is not the leader's.
 #[test]
 fn a_request_over_the_quota_is_told_when_the_bucket_has_room() {
--- a/crates/entry/tests/revocation.rs
+++ b/crates/entry/tests/revocation.rs
@@ -89,7 +89,7 @@
         route: "lookup".into(),
         attempts: 2,
         limit: Duration::from_secs(8),
-        objective: Duration::from_secs(4),
+        objective: Some(Duration::from_secs(4)),
         rank: 0,
         sizes: Vec::new(),
     }));
--- a/crates/entry/tests/routed.rs
+++ b/crates/entry/tests/routed.rs
@@ -81,7 +81,7 @@
         route: "lookup".into(),
         attempts: 2,
         limit: Duration::from_secs(4),
-        objective: Duration::from_millis(400),
+        objective: Some(Duration::from_millis(400)),
         rank: 0,
         sizes: Vec::new(),
     }));
--- a/crates/entry/tests/sections.rs
+++ b/crates/entry/tests/sections.rs
@@ -140,7 +140,7 @@
             route: "lookup".into(),
             attempts: 2,
             limit: Duration::from_secs(4),
-            objective: Duration::from_millis(400),
+            objective: Some(Duration::from_millis(400)),
             rank: 0,
             sizes: Vec::new(),
         }));
--- a/crates/entry/tests/slow_targets.rs
+++ b/crates/entry/tests/slow_targets.rs
@@ -61,7 +61,7 @@
 }
 
 /// Returns a repeatable request on a route with this objective.
-fn request(objective: Duration) -> Request {
+fn request(objective: Option<Duration>) -> Request {
     let what = RequestedResource::Service {
         name: "auction".into(),
         method: "POST".into(),
@@ -82,7 +82,7 @@
 
 /// Sends a request to its first target and waits for a response until the request ends; returns the ticks
 /// that this takes and when the request was sent to another target.
-fn wait_in_vain(targets: &[&str], objective: Duration) -> (u64, Option<Time>) {
+fn wait_in_vain(targets: &[&str], objective: Option<Duration>) -> (u64, Option<Time>) {
     let mut core = core(targets);
     core.handle(Event::Arrived(request(objective)), at(10));
     core.handle(Event::Sent { id: 7, attempt: 1 }, at(10));
@@ -115,8 +115,9 @@
 /// target is asked: its timer was set to the current time again and again within one step (review/6).
 #[test]
 fn a_request_with_nowhere_else_to_go_takes_few_steps_whatever_its_objective() {
-    let objectives =
-        [0, 1, 75, 10_000, 1_000_000, 1_000_000_000, u64::MAX].map(Duration::from_nanos);
+    let nanos = [1, 75, 10_000, 1_000_000, 1_000_000_000, u64::MAX];
+    let objectives = nanos.map(Duration::from_nanos).map(Some);
+    let objectives = objectives.into_iter().chain([None, Some(Duration::MAX)]);
     for objective in objectives {
         let (ticks, moved) = returns(move || wait_in_vain(&["w1"], objective));
         assert_eq!(moved, None, "{objective:?}");
@@ -132,10 +133,19 @@
 /// sooner than a round trip takes.
 #[test]
 fn a_target_has_time_to_respond_however_short_the_objective_is() {
-    let objectives = [1, 10_000, 1_000_000].map(Duration::from_nanos);
+    let objectives = [1, 10_000, 1_000_000].map(Duration::from_nanos).map(Some);
     for objective in objectives {
         let (_, moved) = returns(move || wait_in_vain(&["w1", "w2"], objective));
         let moved = moved.expect("the other target has room");
         assert!(moved >= at(100), "{objective:?}: after {moved:?}");
     }
 }
+
+/// Guards against a route without an objective whose requests wait for a target that never answers until their
+/// time is over, though another one has room.
+#[test]
+fn without_an_objective_a_request_moves_on_after_a_part_of_its_time() {
+    let (_, moved) = returns(|| wait_in_vain(&["w1", "w2"], None));
+    let moved = moved.expect("the other target has room");
+    assert!((LIMIT / 4..LIMIT / 3).contains(&moved), "after {moved:?}");
+}
--- a/crates/entry/tests/uneven/simulation.rs
+++ b/crates/entry/tests/uneven/simulation.rs
@@ -357,7 +357,7 @@
             route: format!("kind-{kind}").into(),
             attempts: 1,
             limit: Duration::from_secs(11),
-            objective: about.objective,
+            objective: Some(about.objective),
             rank: about.rank,
             sizes: vec![about.tokens.0, prompt],
         }));
--- a/crates/entry/tests/versions.rs
+++ b/crates/entry/tests/versions.rs
@@ -191,7 +191,7 @@
         route: "chat".into(),
         attempts: 2,
         limit: LIMIT,
-        objective: Duration::from_millis(600),
+        objective: Some(Duration::from_millis(600)),
         rank: 0,
         sizes: Vec::new(),
     }));
--- a/crates/node/examples/growth.rs
+++ b/crates/node/examples/growth.rs
@@ -200,7 +200,7 @@
         retry: RetryPolicy::Retry,
         is_stream: false,
         timeout: Duration::from_secs(4),
-        objective: Duration::from_millis(800),
+        objective: Some(Duration::from_millis(800)),
         priority: 1,
         attempts: 2,
         splits: vec![Split {
--- a/crates/node/tests/out_of_step.rs
+++ b/crates/node/tests/out_of_step.rs
@@ -97,7 +97,7 @@
         route: "chat".into(),
         attempts: 2,
         limit: LIMIT,
-        objective: Duration::from_millis(600),
+        objective: Some(Duration::from_millis(600)),
         rank: 0,
         sizes: Vec::new(),
     }));
--- a/crates/node/tests/tables.rs
+++ b/crates/node/tests/tables.rs
@@ -21,7 +21,7 @@
             retry: RetryPolicy::Resume,
             is_stream: true,
             timeout: Duration::from_secs(5),
-            objective: Duration::from_millis(800),
+            objective: Some(Duration::from_millis(800)),
             priority: 2,
             attempts: 3,
             splits: vec![Split {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod guarded_table;
 pub mod id;
 pub mod model;
+mod optional_time;
 pub mod order;
 pub mod prelude;
 pub mod quota;
--- a/crates/types/src/route.rs
+++ b/crates/types/src/route.rs
@@ -51,8 +51,10 @@
     pub is_stream: bool,
     /// Longest time from a request to the end of its response.
     pub timeout: Duration,
-    /// Latency objective: time to the response, or to the first event of a stream.
-    pub objective: Duration,
+    /// Latency objective: time to the response, or to the first event of a stream; `None` if the
+    /// route has none.
+    #[serde(with = "crate::optional_time")]
+    pub objective: Option<Duration>,
     /// Priority among the requests of a service; 0 is the highest.
     #[serde(rename = "rank")]
     pub priority: u8,
--- a/crates/types/tests/route.rs
+++ b/crates/types/tests/route.rs
@@ -16,7 +16,7 @@
         retry: RetryPolicy::Retry,
         is_stream: false,
         timeout: Duration::from_secs(4),
-        objective: Duration::from_millis(300),
+        objective: Some(Duration::from_millis(300)),
         priority: 0,
         attempts: 2,
         splits: vec![split("s", 1)],
