--- a/crates/types/src/route.rs
+++ b/crates/types/src/route.rs
@@ -16,6 +16,9 @@
 /// Separates the service from the model name in a [`ModelId`].
 const SEPARATOR: char = '/';
 
+/// The longest time that a table states. Sums of it with other times don't overflow.
+pub const MAX_TIME: Duration = Duration::from_hours(24 * 365 * 100);
+
 /// All routes and services of one version.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename = "Table")]
