Order no adapter whose size wraps around with what its worker holds

What workers saw: an adapter of 2^64 - 1 bytes, which an adapterMb of 1e300 becomes, counted as fitting on a worker that holds anything, and was ordered; a worker that is ordered to load more than its memory crashes (LIMIT).

Cause: the sum of both sizes wraps around in a release build; a debug build panics.

Now the sum stays at the largest number. Models were compared without a sum already.

Test: an_adapter_of_the_largest_size_fits_nowhere; before, in a release build, the adapter was ordered.

--- a/crates/planner/src/hosting/pass.rs
+++ b/crates/planner/src/hosting/pass.rs
@@ -320,8 +320,8 @@
         let model_settings = self.service_state.models.get(model);
         let bytes = model_settings.map_or(0, |model_settings| model_settings.adapter_bytes);
         let slot_free = worker.adapters() < self.service_state.engine.adapters as usize;
-        let has_memory =
-            self.service_state.used_bytes(worker) + bytes <= self.service_state.engine.memory;
+        let used = self.service_state.used_bytes(worker);
+        let has_memory = used.saturating_add(bytes) <= self.service_state.engine.memory;
         let action = if slot_free && has_memory {
             Action::Adapter {
                 model: model.clone(),
--- a/crates/planner/tests/hosting.rs
+++ b/crates/planner/tests/hosting.rs
@@ -264,6 +264,29 @@
     assert!(plan(vec![unknown], &[("c", model_demand(1, 0, 0.1))], 2).is_empty());
 }
 
+/// Guards against an adapter whose size wraps around with what the worker holds, so that it counts as fitting: a worker
+/// that is ordered to load more than its memory crashes.
+#[test]
+fn an_adapter_of_the_largest_size_fits_nowhere() {
+    let mut models = models();
+    for model in models.values_mut() {
+        model.adapter_bytes = u64::MAX;
+    }
+    let demand = ModelDemand {
+        adapters: vec!["a1".into()],
+        ..model_demand(1, 0, 1.0)
+    };
+    let service_state = ServiceState {
+        engine: &engine(),
+        models: &models,
+        workers: vec![worker("w1", &["a"], &[])],
+        demand: BTreeMap::from([("a".into(), demand)]),
+        store_loads_in_flight: 0,
+        store_open: false,
+    };
+    assert_eq!(Policy::default().plan(&service_state), []);
+}
+
 #[test]
 fn an_adapter_takes_a_free_slot_or_replaces_one_without_waiting_requests() {
     let wanted = ModelDemand {
