Bear load times of any length at the leader

What operators saw: after a model with a loadS of 1e19 was accepted, each leader ended as soon as it ordered the load, and so did the next one, since the table is in the log.

Cause: the load time was added to the leader's time, and a sum of times that doesn't fit ends the process.

Test: edges::a_leader_bears_engines_at_their_edges, random schedules with two workers and engines whose times, sizes and counts are at their edges.

--- a/crates/control/src/hosting.rs
+++ b/crates/control/src/hosting.rs
@@ -16,7 +16,7 @@
 use cornelhitch_types::id::{Incarnation, ModelId, Name, TargetId, Time, Version};
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::order::{self, Order, Outcome};
-use cornelhitch_types::route::{Model, RouteTable, WorkerCapacity};
+use cornelhitch_types::route::{MAX_TIME, Model, RouteTable, WorkerCapacity};
 use cornelhitch_types::target::{Holding, Inspection, Stage};
 use cornelhitch_types::view::{Change, State};
 
@@ -175,7 +175,7 @@
 
     /// Returns whether the weight store's start rate allows another load.
     fn is_store_load_allowed(&mut self, engine: &WorkerCapacity, now: Time) -> bool {
-        let interval = engine.start_interval;
+        let interval = engine.start_interval.min(MAX_TIME);
         self.store_load_starts
             .retain(|start| now < *start + interval);
         self.store_load_starts.is_empty()
@@ -502,7 +502,7 @@
         worker_orders.in_flight = Some(InFlightOrder {
             order: order.clone(),
             action: step.action,
-            due: now + load_time,
+            due: now + load_time.min(MAX_TIME),
             accepted: false,
         });
         ctx.out.push(Output::Order(order));
--- a/crates/control/tests/hosting/main.rs
+++ b/crates/control/tests/hosting/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod edges;
 mod schedule;
 mod worker;
 
--- a/crates/control/tests/hosting/schedule.rs
+++ b/crates/control/tests/hosting/schedule.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use cornelhitch_control::current_table::SubmittedTable;
 use cornelhitch_control::prelude::*;
 use cornelhitch_types::id::{Name, Time};
 use cornelhitch_types::order::{Order, Outcome};
@@ -37,9 +38,9 @@
 
 impl Schedule {
     /// Creates two workers with five of the models on each disk.
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, table: SubmittedTable) -> Self {
         let mut bench = Bench::new();
-        bench.commit(&Command::PublishTable(table()));
+        bench.commit(&Command::PublishTable(table));
         let disk: Vec<String> = MODELS.iter().map(|model| id(model)).collect();
         let disk: Vec<&str> = disk.iter().map(String::as_str).collect();
         let workers = ["w1", "w2"];
@@ -192,7 +193,20 @@
 
 /// Runs one random schedule and returns how many orders were sent, or how a worker crashed.
 pub fn schedule(seed: u64) -> Result<u64, String> {
-    let mut schedule = Schedule::new(seed);
+    let mut schedule = Schedule::new(seed, table());
     (0..600).try_for_each(|round| schedule.round(round))?;
     Ok(schedule.orders_sent)
 }
+
+/// Runs a short random schedule with another table, whose sizes need not be those of the workers: these may crash.
+/// Returns the most orders and inspections that the leader sent in one round.
+pub fn schedule_with(seed: u64, table: SubmittedTable) -> usize {
+    let mut schedule = Schedule::new(seed, table);
+    let mut most = 0;
+    for round in 0..200 {
+        // The outcome says whether a worker crashed.
+        let _ = schedule.round(round);
+        most = most.max(schedule.in_flight.len());
+    }
+    most
+}
--- a/crates/control/tests/hosting/worker.rs
+++ b/crates/control/tests/hosting/worker.rs
@@ -25,7 +25,8 @@
 /// The time of a load from the weight store.
 pub const FROM_STORE: Time = Duration::from_secs(6);
 
-pub fn table() -> SubmittedTable {
+/// Returns the capacity of each worker, and the models.
+pub fn engine() -> WorkerCapacity {
     let model = |name: &&str| Model {
         name: (*name).into(),
         bytes: 100,
@@ -35,7 +36,7 @@
         adapters: (1..=9).map(|at| format!("a{at}").into()).collect(),
         adapter_bytes: 1,
     };
-    let engine = WorkerCapacity {
+    WorkerCapacity {
         slots: 64,
         kv_cache_tokens: 250_000,
         memory: MAX_MODELS * 100 + u64::from(MAX_ADAPTERS),
@@ -44,7 +45,16 @@
         adapters: MAX_ADAPTERS,
         start_interval: Duration::from_millis(500),
         models: MODELS.iter().map(model).collect(),
-    };
+    }
+}
+
+/// Returns a table with the workers' service alone.
+pub fn table() -> SubmittedTable {
+    table_of(engine())
+}
+
+/// Returns a table with one service whose workers have this capacity.
+pub fn table_of(engine: WorkerCapacity) -> SubmittedTable {
     let service = Service {
         name: "s".into(),
         connections: 100,
