--- a/crates/control/src/hosting.rs
+++ b/crates/control/src/hosting.rs
@@ -175,7 +175,10 @@
 
     /// Returns whether the weight store's start rate allows another load.
     fn is_store_load_allowed(&mut self, engine: &WorkerCapacity, now: Time) -> bool {
-        let interval = engine.start_interval.min(MAX_TIME);
+        let interval = engine.start_interval;
+        if interval >= MAX_TIME {
+            return false;
+        }
         self.store_load_starts
             .retain(|start| now < *start + interval);
         self.store_load_starts.is_empty()
--- a/crates/control/tests/hosting/edges.rs
+++ b/crates/control/tests/hosting/edges.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
+use cornelhitch_control::prelude::*;
 use cornelhitch_types::route::{MAX_TIME, WorkerCapacity};
 use proptest::prelude::*;
 use proptest::sample::select;
 use proptest::test_runner::RngSeed;
 
+use crate::common::Bench;
 use crate::schedule::schedule_with;
-use crate::worker::{engine, table_of};
+use crate::worker::{SimulatedWorker, engine, table_of};
+use crate::{demand, loads, step};
 
 /// Most messages that may be under way: each of two workers has one order and one inspection at a time, and messages
 /// are late by up to 12 s.
@@ -64,3 +67,26 @@
         prop_assert!(most < MAX_MESSAGES, "{most} messages under way");
     }
 }
+
+/// Guards against a limit of no loads at all that allows one load each time that a leader is elected.
+#[test]
+fn no_model_is_loaded_from_the_store_if_no_load_may_start() {
+    let is_loaded = |start_interval| {
+        let mut bench = Bench::new();
+        let engine = WorkerCapacity {
+            start_interval,
+            ..engine()
+        };
+        bench.commit(&Command::PublishTable(table_of(engine)));
+        let mut worker = SimulatedWorker::new("w1", 1_000, &[]);
+        bench.handle(Input::Presence(Box::new(worker.presence(false))));
+        let rounds = 1..50;
+        rounds.into_iter().any(|round| {
+            bench.handle(demand(round, &[("g", 2, &[])]));
+            step(&mut bench, Duration::from_millis(100));
+            !loads(&mut bench).is_empty()
+        })
+    };
+    assert!(is_loaded(Duration::ZERO));
+    assert!(!is_loaded(MAX_TIME));
+}
--- a/crates/types/src/route.rs
+++ b/crates/types/src/route.rs
@@ -122,7 +122,8 @@
     pub disk: u64,
     /// Largest number of adapters that a worker keeps loaded.
     pub adapters: u32,
-    /// Shortest time between the starts of two loads from the weight store, over all workers.
+    /// Shortest time between the starts of two loads from the weight store, over all workers: zero if
+    /// there is no limit, [`MAX_TIME`] or more if no load may start.
     pub start_interval: Duration,
     /// The models that workers of the service may hold.
     pub models: Vec<Model>,
