Bear times of any length at an entry host

What callers saw after a configuration with numbers that are large, all of them acknowledged: with a timeoutMs of 1e22, the first request without a deadline of its own ended the entry task, and with it the service of the host; with an idleTimeoutMs of 1e22, each connection was closed as it was accepted, at every host.

Cause: times of the table are added to the clock, and a sum that doesn't fit panics.

--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -26,7 +26,7 @@
 /// The refusal margin is at most the request's total time divided by this.
 const REFUSAL_MARGIN_DIVISOR: u32 = 20;
 
-/// Upper limit on any deadline.
+/// Upper limit on any deadline, and on the limit of any route.
 const MAX_WAIT: Duration = Duration::from_hours(720);
 
 /// `Retry-After` for a model that only operators load.
@@ -244,7 +244,10 @@
     }
 
     /// Creates the state of an admitted request.
-    fn new_call(&self, request: Request) -> Call {
+    fn new_call(&self, mut request: Request) -> Call {
+        if let Some(terms) = &mut request.terms {
+            terms.limit = terms.limit.min(MAX_WAIT);
+        }
         let name = request.class.as_ref();
         let name = name.or_else(|| self.catalogue.default_class(&request.what));
         let class = name.and_then(|name| self.catalogue.class(name));
