Say so when a core does not return from a step

Between the request and the kill, a front that answered nothing any more and used a whole processor wrote no line.

Now a watch on the peers' threads sees the steps of the entry task and of the control task. One that is in progress for 3 s is logged as an error, with the core and the event that it handles, and counted (cornelhitch.cores-stalled); again after 6 s, 12 s and so on, and once more when it has returned. A process that was stopped for a while is not reported, since the watch counts its own intervals.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -12,7 +12,7 @@
 use cornelhitch_types::team::{ApiKeyDigest, Team, TokenUsage};
 use cornelhitch_types::view::View;
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumIter};
+use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::claim;
 use crate::newest_table;
@@ -274,8 +274,8 @@
     Stalled,
 }
 
-/// An event that a core processes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// An event that a core processes; its name says which one it is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, IntoStaticStr)]
 pub enum Event {
     /// A request arrived.
     Arrived(Request),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -54,6 +54,7 @@
 use crate::registry::Answer;
 use crate::reservation::Reservations;
 use crate::software::SoftwareRegister;
+use crate::stall_watch::Steps;
 use crate::target_state::TargetState;
 use crate::timestamped::TimestampedCommand;
 use crate::trials::Trials;
@@ -121,6 +122,8 @@
     pub client: Arc<dyn Client>,
     /// The metrics of this process.
     pub metrics: Metrics,
+    /// Tells of the cores' steps whether they return.
+    pub(crate) steps: Steps,
     /// The encoded command with the first fleet settings of a new cluster.
     pub initial_settings: Option<Bytes>,
     /// The address at which this host accepts messages from targets and operators.
@@ -462,7 +465,9 @@
     /// Passes an event to the log's core and performs the resulting actions.
     pub(crate) fn quorum_event(&mut self, event: Event) {
         let now = self.now();
-        for action in self.setup.core.handle(event, now) {
+        let core = &mut self.setup.core;
+        let actions = self.setup.steps.run("Log", || core.handle(event, now));
+        for action in actions {
             self.perform(action);
         }
     }
--- a/crates/node/src/control/leading.rs
+++ b/crates/node/src/control/leading.rs
@@ -109,7 +109,12 @@
     /// Passes an input to the leader and performs the resulting outputs.
     pub(crate) fn handle(&mut self, input: Input) {
         let now = self.unix_time();
-        for output in self.setup.leader.handle(input, &self.state, now) {
+        let (leader, state) = (&mut self.setup.leader, &self.state);
+        let outputs = self
+            .setup
+            .steps
+            .run("Leader", || leader.handle(input, state, now));
+        for output in outputs {
             self.perform_output(output);
         }
     }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -43,6 +43,7 @@
 use crate::request_log::RequestLog;
 use crate::section_ids::SectionIds;
 use crate::session;
+use crate::stall_watch::Steps;
 
 /// Interval between demand reports to the leader unless the core has requested an urgent one.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -121,6 +122,8 @@
     pub routes: watch::Sender<Option<Arc<Routes>>>,
     /// The metrics of this process.
     pub metrics: Metrics,
+    /// Tells of the core's steps whether they return.
+    pub(crate) steps: Steps,
     /// Cancelled when the callers' listener has to close.
     pub close: CancellationToken,
     /// Cancelled when the graceful shutdown starts.
@@ -458,7 +461,9 @@
     /// Passes an event to the core and performs the resulting actions.
     fn handle_event(&mut self, event: Event) {
         let now = self.setup.epoch.elapsed();
-        for action in self.setup.core.handle(event, now) {
+        let name = <&'static str>::from(&event);
+        let core = &mut self.setup.core;
+        for action in self.setup.steps.run(name, || core.handle(event, now)) {
             self.perform(action);
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod shared_memory;
 pub mod socket;
 pub mod software;
+mod stall_watch;
 mod startup;
 pub mod takers;
 pub mod target_state;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -111,6 +111,8 @@
     BodiesRefused,
     /// Times at which an entry host stopped acting on its route table, since it knew of a newer one.
     TablesOutdated,
+    /// Steps of a core that did not return within some seconds.
+    CoresStalled,
     /// Reports of work in flight sent to other entry hosts.
     PeerReportsSent,
     /// Reports of work in flight received from other entry hosts.
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -53,6 +53,7 @@
 use crate::server::{self, Service};
 use crate::session;
 use crate::socket::Addresses;
+use crate::stall_watch::{self, Steps};
 use crate::takers::Takers;
 use crate::target_state::TargetState;
 use crate::unread_answers::UnreadAnswers;
@@ -279,6 +280,7 @@
             datagrams: self.datagrams.clone(),
             client: self.protocols.target_client.clone(),
             metrics: self.metrics.clone(),
+            steps: self.watch_steps("control"),
             initial_settings: self.initial_settings()?,
             registry: self.process.registry,
             takers,
@@ -353,6 +355,19 @@
         Ok(Some(apply.encode()))
     }
 
+    /// Starts to watch the steps of a task, on other threads than the entry task's.
+    fn watch_steps(&self, core: &'static str) -> Steps {
+        let (steps, metrics) = (Steps::default(), self.metrics.clone());
+        let _on_peer_threads = self.peer_threads.enter();
+        tokio::spawn(stall_watch::watch(
+            core,
+            steps.clone(),
+            metrics,
+            self.stop.clone(),
+        ));
+        steps
+    }
+
     /// Starts the entry task and the callers' listener.
     pub(crate) fn start_entry(
         &self,
@@ -387,6 +402,7 @@
             fleet,
             routes,
             metrics: self.metrics.clone(),
+            steps: self.watch_steps("entry"),
             close: close.clone(),
             leaving: leaving.clone(),
             drained: CancellationToken::new(),
