Bound the times of a table where it is read, in place of each use

Times of older tables in the log were bounded at three of their uses, at the leader and at entry hosts; a further use would have needed the same.

--- a/crates/control/src/hosting.rs
+++ b/crates/control/src/hosting.rs
@@ -505,7 +505,7 @@
         worker_orders.in_flight = Some(InFlightOrder {
             order: order.clone(),
             action: step.action,
-            due: now + load_time.min(MAX_TIME),
+            due: now + load_time,
             accepted: false,
         });
         ctx.out.push(Output::Order(order));
--- a/crates/control/tests/teams.rs
+++ b/crates/control/tests/teams.rs
@@ -10,7 +10,7 @@
 use common::Bench;
 use cornelhitch_control::current_table::SubmittedTable;
 use cornelhitch_control::prelude::*;
-use cornelhitch_types::route::{RetryPolicy, Route, RouteTable, Service, Split};
+use cornelhitch_types::route::{MAX_TIME, RetryPolicy, Route, RouteTable, Service, Split};
 use cornelhitch_types::team::{Access, ApiKeyDigest, Team};
 use cornelhitch_types::view::{Change, View};
 
@@ -134,6 +134,21 @@
     assert_eq!(state.current_table().table(), Some(&table));
 }
 
+/// Guards against times in the log that are longer than a table may state, whose sums with other times end each host
+/// that acts on them.
+#[test]
+fn longer_times_than_a_table_states_are_bounded_when_they_are_read() {
+    let mut table = RouteTable::clone(&table(7, None));
+    table.routes[0].timeout = Duration::MAX;
+    table.routes[0].objective = Some(Duration::MAX);
+    table.limits.idle_timeout = Duration::MAX;
+    let state = state_after(&[publish(&Arc::new(table))]);
+    let read = state.current_table().table().expect("a table");
+    assert_eq!(read.routes[0].timeout, MAX_TIME);
+    assert_eq!(read.routes[0].objective, Some(MAX_TIME));
+    assert_eq!(read.limits.idle_timeout, MAX_TIME);
+}
+
 /// Guards against access that is lost in the log, the snapshot or the view, which would open every
 /// route.
 #[test]
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -16,7 +16,7 @@
 use cornelhitch_types::id::{Name, Version};
 use cornelhitch_types::model::Reference;
 use cornelhitch_types::refusal::{Reason, Refusal};
-use cornelhitch_types::route::{self, MAX_TIME, RetryPolicy, Route, RouteIndex, RouteTable};
+use cornelhitch_types::route::{self, RetryPolicy, Route, RouteIndex, RouteTable};
 use cornelhitch_types::team::{ApiKeyDigest, TokenUsage};
 use http::header::{EXPECT, HOST};
 use http::request::Parts;
@@ -184,7 +184,7 @@
         let idle = routes
             .as_ref()
             .map(|routes| routes.table.limits.idle_timeout);
-        idle.map_or(HEAD_TIMEOUT, |idle| idle.clamp(HEAD_TIMEOUT, MAX_TIME))
+        idle.map_or(HEAD_TIMEOUT, |idle| idle.max(HEAD_TIMEOUT))
     }
 
     fn is_leaving(&self) -> bool {
@@ -347,8 +347,11 @@
         attempt: fingerprint::of_attempt(&metadata.id),
         resumes: resumed_stream(route, &metadata),
     }));
-    let limit = route.timeout.min(MAX_TIME);
-    call.deadline = Some(metadata.deadline.map_or(limit, |it| it.min(limit)));
+    call.deadline = Some(
+        metadata
+            .deadline
+            .map_or(route.timeout, |it| it.min(route.timeout)),
+    );
     call.repeatable = route.retry != RetryPolicy::Never;
     let (prefixes, sizes) = prefixes(&metadata.prompt);
     call.prefixes = prefixes;
@@ -359,7 +362,7 @@
     call.terms = Some(Box::new(RouteLimits {
         route: route.name.clone(),
         attempts: route.attempts.max(1),
-        limit,
+        limit: route.timeout,
         objective: route.objective,
         rank: route.priority,
         sizes,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,6 +12,7 @@
 //! # Ok::<(), cornelhitch_types::model::Error>(())
 //! ```
 
+mod bounded_time;
 pub mod demand;
 pub mod entry;
 pub mod guarded_table;
--- a/crates/types/src/optional_time.rs
+++ b/crates/types/src/optional_time.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde::{Deserializer, Serialize, Serializer};
+
+use crate::bounded_time;
 
 /// Serializes a time; zero if there is none.
 #[allow(clippy::ref_option, reason = "serde passes a reference to the field")]
@@ -15,10 +17,10 @@
     time.unwrap_or_default().serialize(serializer)
 }
 
-/// Deserializes a time; `None` if it is zero.
+/// Deserializes a time, bounded as others are; `None` if it is zero.
 pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
     deserializer: D,
 ) -> Result<Option<Duration>, D::Error> {
-    let time = Duration::deserialize(deserializer)?;
+    let time = bounded_time::deserialize(deserializer)?;
     Ok(Some(time).filter(|time| !time.is_zero()))
 }
--- a/crates/types/src/route.rs
+++ b/crates/types/src/route.rs
@@ -13,12 +13,11 @@
 use crate::id::{ModelId, Name, Version};
 use crate::team::Access;
 
+pub use crate::bounded_time::MAX_TIME;
+
 /// Separates the service from the model name in a [`ModelId`].
 const SEPARATOR: char = '/';
 
-/// The longest time that a table states. Sums of it with other times don't overflow.
-pub const MAX_TIME: Duration = Duration::from_hours(24 * 365 * 100);
-
 /// All routes and services of one version.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename = "Table")]
@@ -53,6 +52,7 @@
     #[serde(rename = "streams")]
     pub is_stream: bool,
     /// Longest time from a request to the end of its response.
+    #[serde(deserialize_with = "crate::bounded_time::deserialize")]
     pub timeout: Duration,
     /// Latency objective: time to the response, or to the first event of a stream; `None` if the
     /// route has none.
@@ -124,6 +124,7 @@
     pub adapters: u32,
     /// Shortest time between the starts of two loads from the weight store, over all workers: zero if
     /// there is no limit, [`MAX_TIME`] or more if no load may start.
+    #[serde(deserialize_with = "crate::bounded_time::deserialize")]
     pub start_interval: Duration,
     /// The models that workers of the service may hold.
     pub models: Vec<Model>,
@@ -137,10 +138,13 @@
     /// Accelerator memory that the model occupies, in bytes.
     pub bytes: u64,
     /// Duration of a load from the weight store at full speed.
+    #[serde(deserialize_with = "crate::bounded_time::deserialize")]
     pub from_store: Duration,
     /// Duration of a load from the worker's disk.
+    #[serde(deserialize_with = "crate::bounded_time::deserialize")]
     pub from_disk: Duration,
     /// Duration of a load from the worker's host memory.
+    #[serde(deserialize_with = "crate::bounded_time::deserialize")]
     pub from_memory: Duration,
     /// The names of the model's adapters.
     pub adapters: Vec<Name>,
@@ -155,7 +159,7 @@
     #[serde(rename = "body")]
     pub max_body_bytes: usize,
     /// Time for which a connection may stay idle.
-    #[serde(rename = "idle")]
+    #[serde(rename = "idle", deserialize_with = "crate::bounded_time::deserialize")]
     pub idle_timeout: Duration,
 }
 
