--- a/crates/entry/src/strikes.rs
+++ b/crates/entry/src/strikes.rs
@@ -8,7 +8,7 @@
 use crate::event::CallId;
 use crate::fault::Fault;
 use crate::finish::Rejection;
-use crate::request::{Interruption, Progress};
+use crate::request::{Call, Interruption, Progress};
 use crate::suspects::Knowledge;
 
 impl Core {
@@ -103,15 +103,7 @@
         if !self.suspects.refuses_any() {
             return;
         }
-        let unsent_requests = self.calls.values().filter(|call| {
-            let unsent = call
-                .current_attempt()
-                .is_none_or(|run| run.progress == Progress::Unsent);
-            unsent && !call.answered
-        });
-        let mut ids: Vec<CallId> = unsent_requests.map(|call| call.request.id).collect();
-        ids.sort_unstable();
-        for id in ids {
+        for id in self.unsent_requests(|_| true) {
             if let Some(rejection) = self.suspect_rejection(id) {
                 self.refuse(id, rejection);
             }
@@ -123,17 +115,22 @@
         if self.quarantine.strikes(fingerprint) < self.strike_limit() {
             return;
         }
-        let unsent_requests = self.calls.values().filter(|call| {
-            let unsent = call
-                .current_attempt()
-                .is_none_or(|run| run.progress == Progress::Unsent);
-            call.request.fingerprint == fingerprint && unsent && !call.answered
-        });
-        let mut ids: Vec<CallId> = unsent_requests.map(|call| call.request.id).collect();
-        ids.sort_unstable();
-        for id in ids {
+        for id in self.unsent_requests(|call| call.request.fingerprint == fingerprint) {
             let rejection = self.quarantine_rejection(fingerprint);
             self.refuse(id, rejection);
         }
     }
+
+    /// Returns the requests that satisfy a condition and of which no attempt in progress was sent, in the
+    /// order of their numbers.
+    fn unsent_requests(&self, condition: impl Fn(&Call) -> bool) -> Vec<CallId> {
+        let unsent = self.calls.values().filter(|call| {
+            let attempt = call.current_attempt();
+            let is_unsent = attempt.is_none_or(|run| run.progress == Progress::Unsent);
+            is_unsent && !call.answered && condition(call)
+        });
+        let mut ids: Vec<CallId> = unsent.map(|call| call.request.id).collect();
+        ids.sort_unstable();
+        ids
+    }
 }
