--- a/crates/entry/tests/no_objective.rs
+++ b/crates/entry/tests/no_objective.rs
@@ -1,19 +1,18 @@
 //! Requests on routes without a latency objective: what they and others beside them get.
 
+mod common;
+
 use std::time::Duration;
 
 use cornelhitch_entry::event::RouteLimits;
 use cornelhitch_entry::prelude::*;
 use cornelhitch_settings::process::{Routing, Serving};
-use cornelhitch_types::id::Time;
-use cornelhitch_types::target::{Kind, Load};
-use cornelhitch_types::view::{Change, Replica, State, Target, View};
+use cornelhitch_types::target::Kind;
+use cornelhitch_types::view::{Change, Replica, State};
 
-const SETTINGS: &str = "models: [{ name: report, bytes: 1000 }]";
+use common::{at, target};
 
-fn at(ms: u64) -> Time {
-    Time::from_millis(ms)
-}
+const SETTINGS: &str = "models: [{ name: report, bytes: 1000 }]";
 
 /// Creates a core that routes by the expected time and knows one worker with the model.
 fn core() -> Core {
@@ -21,20 +20,6 @@
         routing: Routing::ExpectedTime,
         ..Serving::default()
     };
-    let config = Config::new(1).place("perth", "a").serving(serving);
-    let mut core = Core::new(config, Time::ZERO);
-    let target = Change::Target(Target {
-        target: "w1".into(),
-        incarnation: 1,
-        kind: Kind::Worker,
-        address: ([10, 0, 0, 1], 80).into(),
-        region: "perth".into(),
-        zone: "a".into(),
-        services: Vec::new(),
-        open: true,
-        load: Load::default(),
-        slots: Some(64),
-    });
     let replica = Change::Replica(Replica {
         replica: 1,
         model: "report".into(),
@@ -44,17 +29,8 @@
         ready_in_ms: 0,
         adapters: Vec::new(),
     });
-    let settings = Change::Settings(1, SETTINGS.into());
-    let view = View {
-        term: 1,
-        from: 0,
-        to: 1,
-        changes: vec![settings, target, replica],
-    };
-    core.handle(Event::View(view), Time::ZERO);
-    let until = Duration::from_hours(1);
-    core.handle(Event::Lease { until, version: 1 }, Time::ZERO);
-    core
+    let worker = Change::Target(target("w1", Kind::Worker, 64));
+    common::core(serving, SETTINGS, vec![worker, replica])
 }
 
 /// Sends a request with a prompt of this many tokens; returns its rank at the target.
--- a/crates/entry/tests/quota.rs
+++ b/crates/entry/tests/quota.rs
@@ -1,55 +1,27 @@
 //! Requests of teams with quotas: charged before they are queued, and refused truthfully.
 
+mod common;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use cornelhitch_entry::event::{Failure, RouteLimits};
 use cornelhitch_entry::prelude::*;
 use cornelhitch_entry::quota::{Allowances, Demanded};
-use cornelhitch_types::id::Time;
+use cornelhitch_settings::process::Serving;
 use cornelhitch_types::quota::{AccountAnswer, Answer, AskRefusal, Cause, LEASE_LENGTH, Report};
 use cornelhitch_types::refusal::{Reason, Refusal, Run};
-use cornelhitch_types::target::{Kind, Load};
 use cornelhitch_types::team::{Quota, QuotaUnit, Team, TokenUsage};
-use cornelhitch_types::view::{Change, Target, View};
+
+use common::{at, service_target};
 
 /// What the tests' requests cost.
 const COST: u64 = 850;
 
-fn at(ms: u64) -> Time {
-    Time::from_millis(ms)
-}
-
-/// Returns a target of the service.
-fn target(name: &str) -> Change {
-    Change::Target(Target {
-        target: name.into(),
-        incarnation: 1,
-        kind: Kind::Service,
-        address: ([10, 0, 0, 1], 80).into(),
-        region: "perth".into(),
-        zone: "a".into(),
-        services: vec!["auction".into()],
-        open: true,
-        load: Load::default(),
-        slots: Some(6),
-    })
-}
-
 /// Creates a core that knows two targets.
 fn core() -> Core {
-    let mut core = Core::new(Config::new(1).place("perth", "a"), Time::ZERO);
-    let settings = Change::Settings(1, "models: []".into());
-    let view = View {
-        term: 1,
-        from: 0,
-        to: 1,
-        changes: vec![settings, target("w1"), target("w2")],
-    };
-    core.handle(Event::View(view), Time::ZERO);
-    let until = Duration::from_hours(1);
-    core.handle(Event::Lease { until, version: 1 }, Time::ZERO);
-    core
+    let targets = ["w1", "w2"].map(service_target);
+    common::core(Serving::default(), "models: []", targets.into())
 }
 
 /// Returns a request of a team with a quota.
--- a/crates/entry/tests/slow_targets.rs
+++ b/crates/entry/tests/slow_targets.rs
@@ -1,5 +1,7 @@
 //! When a request is retried because its target is slow to begin its response, for objectives at their edges.
 
+mod common;
+
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -7,8 +9,8 @@
 use cornelhitch_entry::prelude::*;
 use cornelhitch_settings::process::Serving;
 use cornelhitch_types::id::Time;
-use cornelhitch_types::target::{Kind, Load};
-use cornelhitch_types::view::{Change, Target, View};
+
+use common::{at, service_target};
 
 /// Wall-clock time after which a core that has not returned counts as hanging; its steps take microseconds.
 const HANGS_AFTER: Duration = Duration::from_secs(20);
@@ -19,45 +21,14 @@
 /// Most ticks that one request may need in a second without a response.
 const MAX_TICKS_PER_SECOND: u64 = 20;
 
-fn at(ms: u64) -> Time {
-    Time::from_millis(ms)
-}
-
-fn target(name: &str) -> Change {
-    Change::Target(Target {
-        target: name.into(),
-        incarnation: 1,
-        kind: Kind::Service,
-        address: ([10, 0, 0, 1], 80).into(),
-        region: "perth".into(),
-        zone: "a".into(),
-        services: vec!["auction".into()],
-        open: true,
-        load: Load::default(),
-        slots: Some(6),
-    })
-}
-
 /// Creates a core that knows these targets of the service.
 fn core(targets: &[&str]) -> Core {
     let serving = Serving {
         quarantine: false,
         ..Serving::default()
     };
-    let config = Config::new(1).place("perth", "a").serving(serving);
-    let mut core = Core::new(config, Time::ZERO);
-    let settings = Change::Settings(1, "models: []".into());
-    let targets = targets.iter().map(|name| target(name));
-    let view = View {
-        term: 1,
-        from: 0,
-        to: 1,
-        changes: std::iter::once(settings).chain(targets).collect(),
-    };
-    core.handle(Event::View(view), Time::ZERO);
-    let until = Duration::from_hours(1);
-    core.handle(Event::Lease { until, version: 1 }, Time::ZERO);
-    core
+    let targets = targets.iter().map(|name| service_target(name));
+    common::core(serving, "models: []", targets.collect())
 }
 
 /// Returns a repeatable request on a route with this objective.
